--- /dev/null
+++ b/components/consensus/src/node/election.rs
@@ -0,0 +1,149 @@
+//! Elections: pre-vote, vote and step-down.
+
+use rand::RngExt as _;
+use schema::consensus_message::Body;
+use schema::{Configuration, ConsensusMessage, VoteReply, VoteRequest};
+
+use super::{Node, Role};
+use crate::NO_REPLICA;
+use crate::membership;
+use crate::votes::Votes;
+
+impl Node {
+    pub(super) fn reset_election_deadline(&mut self) {
+        let election_ms = self.options.election_ms;
+        let jitter_ms = self.rng.random_range(0..election_ms.max(1));
+        self.election_deadline_ms = self.now_ms + election_ms + jitter_ms;
+    }
+
+    /// Returns whether a leader was heard, or led here, within the shortest
+    /// election timeout.
+    pub(super) fn has_live_leader(&self) -> bool {
+        if self.is_leader() {
+            return true;
+        }
+        let heard = self.leader_contact_ms.filter(|_| self.leader_id != NO_REPLICA);
+        heard.is_some_and(|at| self.now_ms < at + self.options.election_ms)
+    }
+
+    pub(super) fn become_follower(&mut self, term: u64, leader_id: u64) {
+        if term > self.term {
+            self.set_term(term, NO_REPLICA);
+        }
+        self.leader_id = leader_id;
+        let previous = std::mem::replace(&mut self.role, Role::Follower);
+        if let Role::Leader(mut leadership) = previous {
+            self.reads_failed.extend(leadership.reads.fail());
+            self.reset_election_deadline();
+        }
+    }
+
+    /// Asks whether an election could be won, without disturbing the term.
+    pub(super) fn start_pre_vote(&mut self) {
+        self.leader_id = NO_REPLICA;
+        let mut votes = Votes::default();
+        votes.grant(self.id);
+        let won = votes.won(self.memberships.current());
+        self.role = Role::PreCandidate(votes);
+        if won {
+            self.start_election(false);
+            return;
+        }
+        let request = self.vote_request(true, false);
+        let term = self.term + 1;
+        for to in self.other_voters() {
+            let body = Some(Body::VoteRequest(request));
+            self.messages.push(ConsensusMessage { from: self.id, to, term, body });
+        }
+    }
+
+    pub(super) fn start_election(&mut self, transfer: bool) {
+        self.set_term(self.term + 1, self.id);
+        self.leader_id = NO_REPLICA;
+        self.reset_election_deadline();
+        let mut votes = Votes::default();
+        votes.grant(self.id);
+        let won = votes.won(self.memberships.current());
+        self.role = Role::Candidate(votes);
+        if won {
+            self.become_leader();
+            return;
+        }
+        let request = self.vote_request(false, transfer);
+        for to in self.other_voters() {
+            self.send_durable(to, Body::VoteRequest(request));
+        }
+    }
+
+    pub(super) fn handle_vote_request(&mut self, from: u64, term: u64, request: VoteRequest) {
+        let up_to_date = self.is_up_to_date(&request);
+        if request.pre_vote {
+            let granted = term > self.term && up_to_date && !self.has_live_leader();
+            // A granted pre-vote names the term that was asked for.
+            let term = if granted { term } else { self.term };
+            let body = Some(Body::VoteReply(VoteReply { pre_vote: true, granted }));
+            self.durable_messages.push(ConsensusMessage { from: self.id, to: from, term, body });
+            return;
+        }
+        let free = self.voted_for == NO_REPLICA || self.voted_for == from;
+        let granted = free && up_to_date;
+        if granted {
+            self.set_term(self.term, from);
+            self.reset_election_deadline();
+        }
+        self.send_durable(from, Body::VoteReply(VoteReply { pre_vote: false, granted }));
+    }
+
+    pub(super) fn handle_vote_reply(&mut self, from: u64, term: u64, reply: VoteReply) {
+        let next_term = self.term + 1;
+        let votes = match &mut self.role {
+            Role::PreCandidate(votes) if reply.pre_vote && term == next_term => votes,
+            Role::Candidate(votes) if !reply.pre_vote => votes,
+            _ => return,
+        };
+        if !reply.granted {
+            return;
+        }
+        votes.grant(from);
+        if !votes.won(self.memberships.current()) {
+            return;
+        }
+        match self.role {
+            Role::PreCandidate(_) => self.start_election(false),
+            Role::Candidate(_) => self.become_leader(),
+            Role::Follower | Role::Leader(_) => {}
+        }
+    }
+
+    /// Starts an election at once on the leader's request.
+    pub(super) fn handle_timeout_now(&mut self) {
+        let may_vote = membership::is_voter(self.memberships.current(), self.id);
+        if may_vote && !self.is_leader() {
+            self.start_election(true);
+        }
+    }
+
+    /// Steps down once a configuration without this replica is committed.
+    pub(super) fn leave_if_removed(&mut self, configuration: &Configuration) {
+        if self.is_leader() && !membership::is_voter(configuration, self.id) {
+            self.become_follower(self.term, NO_REPLICA);
+        }
+    }
+
+    fn vote_request(&self, pre_vote: bool, transfer: bool) -> VoteRequest {
+        let last = self.log.last();
+        VoteRequest { pre_vote, last_index: last.index, last_term: last.term, transfer }
+    }
+
+    fn is_up_to_date(&self, request: &VoteRequest) -> bool {
+        let last = self.log.last();
+        (request.last_term, request.last_index) >= (last.term, last.index)
+    }
+
+    pub(super) fn other_voters(&self) -> Vec<u64> {
+        membership::voters(self.memberships.current())
+            .map(|replica| replica.id)
+            .filter(|id| *id != self.id)
+            .collect()
+    }
+}
--- /dev/null
+++ b/components/consensus/src/node/mod.rs
@@ -0,0 +1,398 @@
+//! One replica of the log.
+
+mod election;
+mod follower;
+mod leader;
+
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+use schema::consensus_message::Body;
+use schema::log_entry::Payload;
+use schema::{Configuration, ConsensusMessage, HardState, LogEntry, Snapshot};
+
+use crate::log::{Log, position};
+use crate::membership::{self, Memberships};
+use crate::options::Options;
+use crate::output::{Applied, Batch, Position, ReadReady};
+use crate::votes::Votes;
+use crate::{NO_REPLICA, ProposeError};
+use leader::Leadership;
+
+/// What a replica reads back from its journal.
+#[derive(Clone, Debug, Default)]
+pub struct Restored {
+    /// Last durable term and vote.
+    pub hard_state: HardState,
+    /// Last durable snapshot.
+    pub snapshot: Option<Snapshot>,
+    /// Durable entries after the snapshot.
+    pub entries: Vec<LogEntry>,
+}
+
+#[derive(Debug)]
+enum Role {
+    Follower,
+    PreCandidate(Votes),
+    Candidate(Votes),
+    Leader(Leadership),
+}
+
+/// One replica of the log.
+#[derive(Debug)]
+pub struct Node {
+    id: u64,
+    options: Options,
+    rng: SmallRng,
+    now_ms: u64,
+    role: Role,
+    term: u64,
+    voted_for: u64,
+    hard_state_changed: bool,
+    log: Log,
+    memberships: Memberships,
+    /// Last durable snapshot, kept for replicas that lag behind the log.
+    snapshot: Option<Snapshot>,
+    leader_id: u64,
+    leader_contact_ms: Option<u64>,
+    election_deadline_ms: u64,
+    commit: u64,
+    applied: u64,
+    durable: u64,
+    /// First index that was not handed out in a batch yet.
+    unbatched: u64,
+    unbatched_snapshot: Option<Snapshot>,
+    /// Received snapshot that waits to be durable before it is applied.
+    installing: Option<Snapshot>,
+    messages: Vec<ConsensusMessage>,
+    durable_messages: Vec<ConsensusMessage>,
+    reads_ready: Vec<ReadReady>,
+    reads_failed: Vec<u64>,
+    next_read_id: u64,
+}
+
+impl Node {
+    /// Restores a replica. `seed` drives the jitter of its election timeout.
+    pub fn new(id: u64, restored: Restored, options: Options, seed: u64, now_ms: u64) -> Self {
+        let snapshot = restored.snapshot;
+        let base = snapshot
+            .as_ref()
+            .map_or(Position::default(), |s| Position { term: s.term, index: s.index });
+        let base_configuration =
+            snapshot.as_ref().and_then(|s| s.configuration.clone()).unwrap_or_default();
+        let mut memberships = Memberships::new(base.index, base_configuration);
+        for entry in &restored.entries {
+            if let Some(Payload::Configuration(configuration)) = &entry.payload {
+                memberships.push(entry.index, configuration.clone());
+            }
+        }
+        let log = Log::new(base, restored.entries);
+        let last = log.last().index;
+        let mut node = Node {
+            id,
+            options,
+            rng: SmallRng::seed_from_u64(seed),
+            now_ms,
+            role: Role::Follower,
+            term: restored.hard_state.term,
+            voted_for: restored.hard_state.voted_for,
+            hard_state_changed: false,
+            log,
+            memberships,
+            snapshot,
+            leader_id: NO_REPLICA,
+            leader_contact_ms: None,
+            election_deadline_ms: 0,
+            commit: base.index,
+            applied: base.index,
+            durable: last,
+            unbatched: last + 1,
+            unbatched_snapshot: None,
+            installing: None,
+            messages: Vec::new(),
+            durable_messages: Vec::new(),
+            reads_ready: Vec::new(),
+            reads_failed: Vec::new(),
+            next_read_id: 1,
+        };
+        node.reset_election_deadline();
+        node
+    }
+
+    /// Creates the group with this replica as its only voter.
+    pub fn bootstrap(&mut self, now_ms: u64, replica: schema::Replica) -> Result<(), ProposeError> {
+        if self.is_initialised() {
+            return Err(ProposeError::AlreadyInitialised);
+        }
+        self.now_ms = now_ms;
+        let replica = schema::Replica { id: self.id, voter: true, ..replica };
+        self.set_term(1, NO_REPLICA);
+        self.append_local(Payload::Configuration(Configuration { replicas: vec![replica] }));
+        self.start_election(false);
+        Ok(())
+    }
+
+    /// Returns whether the replica belongs, or belonged, to a group.
+    pub fn is_initialised(&self) -> bool {
+        self.log.last().index > 0
+    }
+
+    /// Advances time: elections, heartbeats and the leader's quorum check.
+    pub fn tick(&mut self, now_ms: u64) {
+        self.now_ms = now_ms;
+        if matches!(self.role, Role::Leader(_)) {
+            self.tick_leader();
+        } else if now_ms >= self.election_deadline_ms {
+            self.reset_election_deadline();
+            if membership::is_voter(self.memberships.current(), self.id) {
+                self.start_pre_vote();
+            }
+        }
+    }
+
+    /// Handles a message from another replica.
+    pub fn step(&mut self, now_ms: u64, message: ConsensusMessage) {
+        self.now_ms = now_ms;
+        if message.to != self.id {
+            return;
+        }
+        let Some(body) = message.body else { return };
+        if message.term > self.term && !self.accept_newer_term(message.from, message.term, &body) {
+            return;
+        }
+        if message.term < self.term {
+            self.refuse_older_term(message.from, &body);
+            return;
+        }
+        self.dispatch(message.from, message.term, body);
+    }
+
+    /// Returns whether a message of a newer term is to be handled.
+    fn accept_newer_term(&mut self, from: u64, term: u64, body: &Body) -> bool {
+        match body {
+            Body::VoteRequest(request) if request.pre_vote => true,
+            Body::VoteReply(reply) if reply.pre_vote && reply.granted => true,
+            Body::VoteRequest(request) if self.has_live_leader() && !request.transfer => false,
+            Body::AppendRequest(_) | Body::SnapshotRequest(_) => {
+                self.become_follower(term, from);
+                true
+            }
+            _ => {
+                self.become_follower(term, NO_REPLICA);
+                true
+            }
+        }
+    }
+
+    fn refuse_older_term(&mut self, from: u64, body: &Body) {
+        match body {
+            Body::VoteRequest(request) => {
+                let reply = schema::VoteReply { pre_vote: request.pre_vote, granted: false };
+                self.send_durable(from, Body::VoteReply(reply));
+            }
+            Body::AppendRequest(_) | Body::SnapshotRequest(_) => {
+                let index = self.log.last().index;
+                let reply = schema::AppendReply { accepted: false, index, read_sequence: 0 };
+                self.send_durable(from, Body::AppendReply(reply));
+            }
+            Body::VoteReply(_) | Body::AppendReply(_) | Body::TimeoutNow(_) => {}
+        }
+    }
+
+    fn dispatch(&mut self, from: u64, term: u64, body: Body) {
+        match body {
+            Body::VoteRequest(request) => self.handle_vote_request(from, term, request),
+            Body::VoteReply(reply) => self.handle_vote_reply(from, term, reply),
+            Body::AppendRequest(request) => self.handle_append_request(from, request),
+            Body::AppendReply(reply) => self.handle_append_reply(from, reply),
+            Body::SnapshotRequest(request) => self.handle_snapshot_request(from, request),
+            Body::TimeoutNow(_) => self.handle_timeout_now(),
+        }
+    }
+
+    /// Takes messages that promise nothing and may be sent at once.
+    pub fn take_messages(&mut self) -> Vec<ConsensusMessage> {
+        self.send_pending_appends();
+        std::mem::take(&mut self.messages)
+    }
+
+    /// Takes what has to be durable next; `None` when there is nothing.
+    pub fn take_batch(&mut self) -> Option<Batch> {
+        let batch = Batch {
+            hard_state: self.hard_state_changed.then(|| self.hard_state()),
+            snapshot: self.unbatched_snapshot.take(),
+            entries: self.log.slice(self.unbatched, u64::MAX, usize::MAX),
+            messages: std::mem::take(&mut self.durable_messages),
+            last: self.log.last(),
+        };
+        self.hard_state_changed = false;
+        self.unbatched = self.log.last().index + 1;
+        (!batch.needs_no_sync() || !batch.messages.is_empty()).then_some(batch)
+    }
+
+    /// Reports that the last batch, ending at `last`, is durable.
+    pub fn persisted(&mut self, last: Position) {
+        if self.log.term(last.index) != Some(last.term) {
+            return;
+        }
+        self.durable = self.durable.max(last.index);
+        if matches!(self.role, Role::Leader(_)) {
+            self.advance_commit();
+        }
+    }
+
+    /// Takes committed changes, in order.
+    pub fn take_committed(&mut self) -> Vec<Applied> {
+        let mut applied = Vec::new();
+        if let Some(snapshot) = self.installing.take_if(|s| s.index <= self.durable) {
+            self.applied = snapshot.index;
+            self.snapshot = Some(snapshot.clone());
+            applied.push(Applied::Snapshot(snapshot));
+        }
+        if self.installing.is_some() {
+            return applied;
+        }
+        while self.applied < self.commit.min(self.durable) {
+            let Some(entry) = self.log.get(self.applied + 1) else { break };
+            let at = position(entry);
+            let change = match &entry.payload {
+                Some(Payload::Command(command)) => Applied::Command(at, command.clone()),
+                Some(Payload::Configuration(configuration)) => {
+                    Applied::Configuration(at, configuration.clone())
+                }
+                Some(Payload::Noop(_)) | None => Applied::Noop(at),
+            };
+            self.applied += 1;
+            if let Applied::Configuration(_, configuration) = &change {
+                self.leave_if_removed(configuration);
+            }
+            applied.push(change);
+        }
+        applied
+    }
+
+    /// Takes reads that may be served once their index is applied.
+    pub fn take_reads(&mut self) -> Vec<ReadReady> {
+        std::mem::take(&mut self.reads_ready)
+    }
+
+    /// Takes reads that failed because leadership ended.
+    pub fn take_failed_reads(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.reads_failed)
+    }
+
+    /// Drops the log up to a durable `snapshot`, but keeps the last
+    /// `keep_entries` before it for replicas that lag a little.
+    pub fn compact(&mut self, snapshot: Snapshot, keep_entries: u64) {
+        let index = snapshot.index.saturating_sub(keep_entries);
+        if let Some(term) = self.log.term(index) {
+            self.memberships.compact(index);
+            self.log.compact(Position { term, index });
+        }
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Returns the configuration in force at `index`.
+    pub fn configuration_at(&self, index: u64) -> Configuration {
+        self.memberships.at(index)
+    }
+
+    /// Returns the id of this replica.
+    pub fn id(&self) -> u64 {
+        self.id
+    }
+
+    /// Returns the current term.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Returns the leader of the current term, or [`NO_REPLICA`].
+    pub fn leader_id(&self) -> u64 {
+        self.leader_id
+    }
+
+    /// Returns whether this replica leads.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// Returns the name of the current role.
+    pub fn role_name(&self) -> &'static str {
+        match self.role {
+            Role::Leader(_) => "leader",
+            Role::Candidate(_) | Role::PreCandidate(_) => "candidate",
+            Role::Follower if membership::is_voter(self.configuration(), self.id) => "follower",
+            Role::Follower if self.configuration().replicas.iter().any(|r| r.id == self.id) => {
+                "learner"
+            }
+            Role::Follower => "outsider",
+        }
+    }
+
+    /// Returns the last configuration of the log, committed or not.
+    pub fn configuration(&self) -> &Configuration {
+        self.memberships.current()
+    }
+
+    /// Returns the index up to which entries are committed.
+    pub fn commit(&self) -> u64 {
+        self.commit
+    }
+
+    /// Returns the index up to which changes were handed out.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// Returns the index that the in-memory log starts after.
+    pub fn first_index(&self) -> u64 {
+        self.log.base().index
+    }
+
+    /// Returns the last position of the log.
+    pub fn last(&self) -> Position {
+        self.log.last()
+    }
+
+    /// Returns the term of the entry at `index`, if it is still held.
+    pub fn term_at(&self, index: u64) -> Option<u64> {
+        self.log.term(index)
+    }
+
+    /// Returns the entry at `index`, if it is still held.
+    pub fn entry(&self, index: u64) -> Option<&LogEntry> {
+        self.log.get(index)
+    }
+
+    /// Returns the hard state that the next batch makes durable.
+    pub fn hard_state(&self) -> HardState {
+        HardState { term: self.term, voted_for: self.voted_for }
+    }
+
+    fn append_local(&mut self, payload: Payload) -> Position {
+        let index = self.log.last().index + 1;
+        if let Payload::Configuration(configuration) = &payload {
+            self.memberships.push(index, configuration.clone());
+        }
+        self.log.append(LogEntry { index, term: self.term, payload: Some(payload) });
+        Position { term: self.term, index }
+    }
+
+    fn set_term(&mut self, term: u64, voted_for: u64) {
+        if (self.term, self.voted_for) != (term, voted_for) {
+            self.term = term;
+            self.voted_for = voted_for;
+            self.hard_state_changed = true;
+        }
+    }
+
+    fn send_now(&mut self, to: u64, body: Body) {
+        let message = ConsensusMessage { from: self.id, to, term: self.term, body: Some(body) };
+        self.messages.push(message);
+    }
+
+    fn send_durable(&mut self, to: u64, body: Body) {
+        let message = ConsensusMessage { from: self.id, to, term: self.term, body: Some(body) };
+        self.durable_messages.push(message);
+    }
+}
--- /dev/null
+++ b/components/control/src/error.rs
@@ -0,0 +1,29 @@
+//! Errors at start.
+
+use displaydoc::Display;
+
+/// Why a control process cannot start.
+#[derive(Debug, Display)]
+pub enum StartError {
+    /// {0}
+    Credentials(credentials::CredentialError),
+    /// the certificate names the {found}, but the settings name control/{vm}
+    WrongIdentity {
+        /// Role and name in the certificate.
+        found: String,
+        /// VM in the settings.
+        vm: String,
+    },
+    /// {0}
+    Journal(journal::JournalError),
+    /// the state in the snapshot cannot be decoded: {0}
+    State(prost::DecodeError),
+    /// cannot listen on {0}: {1}
+    Listen(std::net::SocketAddr, std::io::Error),
+    /// {0}
+    Spans(telemetry::SpanError),
+    /// cannot register metrics: {0}
+    Metrics(prometheus::Error),
+}
+
+impl std::error::Error for StartError {}
--- /dev/null
+++ b/components/control/src/metrics.rs
@@ -0,0 +1,72 @@
+//! Metrics of a control process.
+
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use telemetry::LATENCY_BUCKETS_SECONDS;
+
+/// Metrics of a control process.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    pub(crate) registry: Registry,
+    pub(crate) term: IntGauge,
+    pub(crate) is_leader: IntGauge,
+    pub(crate) commit_index: IntGauge,
+    pub(crate) applied_index: IntGauge,
+    pub(crate) log_bytes: IntGauge,
+    pub(crate) revision: IntGauge,
+    pub(crate) records: IntGauge,
+    pub(crate) members: IntGauge,
+    pub(crate) requests: IntCounterVec,
+    pub(crate) leader_changes: IntCounter,
+    pub(crate) commit_seconds: Histogram,
+    pub(crate) sync_seconds: Histogram,
+    pub(crate) sync_entries: Histogram,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let gauge = |name: &str, help: &str| -> Result<IntGauge, prometheus::Error> {
+            let gauge = IntGauge::new(format!("shallottray_control_{name}"), help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let histogram = |name: &str, help: &str, buckets: Vec<f64>| {
+            let options = HistogramOpts::new(format!("shallottray_control_{name}"), help);
+            let histogram = Histogram::with_opts(options.buckets(buckets))?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok::<_, prometheus::Error>(histogram)
+        };
+        let requests = IntCounterVec::new(
+            Opts::new("shallottray_control_requests_total", "Requests by kind."),
+            &["kind"],
+        )?;
+        registry.register(Box::new(requests.clone()))?;
+        let leader_changes = IntCounter::new(
+            "shallottray_control_leader_changes_total",
+            "Times that this process became leader.",
+        )?;
+        registry.register(Box::new(leader_changes.clone()))?;
+        let latency = LATENCY_BUCKETS_SECONDS.to_vec();
+        let entries = prometheus::exponential_buckets(1.0, 2.0, 12)?;
+        Ok(Metrics {
+            term: gauge("term", "Current term.")?,
+            is_leader: gauge("is_leader", "1 on the leader.")?,
+            commit_index: gauge("commit_index", "Last committed log index.")?,
+            applied_index: gauge("applied_index", "Last applied log index.")?,
+            log_bytes: gauge("log_bytes", "Size of the log on disk.")?,
+            revision: gauge("revision", "Published revision.")?,
+            records: gauge("records", "At-most-once records held.")?,
+            members: gauge("members", "Entries that hold a lease.")?,
+            requests,
+            leader_changes,
+            commit_seconds: histogram(
+                "commit_seconds",
+                "Time from proposal to commit.",
+                latency.clone(),
+            )?,
+            sync_seconds: histogram("sync_seconds", "Time of one write and sync.", latency)?,
+            sync_entries: histogram("sync_entries", "Entries in one sync.", entries)?,
+            registry,
+        })
+    }
+}
--- /dev/null
+++ b/components/control/src/process.rs
@@ -0,0 +1,120 @@
+//! Start and stop of a control process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix::{Actor as _, Addr};
+use actix_web::dev::ServerHandle;
+use credentials::{Identity, Role, TlsConfigs};
+use futures::FutureExt as _;
+use futures::future::BoxFuture;
+use schema::{ConsensusMessage, ErrorCode, Reply, Request};
+use settings::ControlConfig;
+use telemetry::Spans;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use wire::{Endpoint, Handler, refuse};
+
+use crate::error::StartError;
+use crate::http;
+use crate::metrics::Metrics;
+use crate::replica::{Call, HandOver, Received, Replica};
+
+const HAND_OVER_ATTEMPTS: u32 = 50;
+const HAND_OVER_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Running control process.
+#[derive(Debug)]
+pub struct Control {
+    replica: Addr<Replica>,
+    endpoint: Endpoint,
+    http: ServerHandle,
+    http_address: SocketAddr,
+    spans: Spans,
+    failure: watch::Receiver<bool>,
+}
+
+impl Control {
+    /// Starts a control process inside a running [`actix::System`].
+    pub fn start(config: ControlConfig) -> Result<Control, StartError> {
+        let tls = TlsConfigs::load(&config.tls, wire::PROTOCOL).map_err(StartError::Credentials)?;
+        check_identity(&tls.identity, &config)?;
+        let process = format!("control/{}", config.vm);
+        let spans = Spans::start(&process, &config.telemetry).map_err(StartError::Spans)?;
+        let metrics = Metrics::new().map_err(StartError::Metrics)?;
+        let listen = |address| move |error| StartError::Listen(address, error);
+        let endpoint =
+            Endpoint::bind(config.peer_address, &tls).map_err(listen(config.peer_address))?;
+        let http_address = config.http_address;
+        let (on_failure, failure) = watch::channel(false);
+        let replica =
+            Replica::new(config, endpoint.clone(), metrics.clone(), spans.clone(), on_failure)?;
+        let replica = replica.start();
+        let (server, http_address) =
+            http::serve(http_address, replica.clone(), metrics).map_err(listen(http_address))?;
+        let http = server.handle();
+        actix_rt::spawn(server);
+        let service = Service { replica: replica.clone() };
+        let serving = endpoint.clone();
+        actix_rt::spawn(async move { serving.serve(service).await });
+        Ok(Control { replica, endpoint, http, http_address, spans, failure })
+    }
+
+    /// Returns the address of metrics and health checks.
+    pub fn http_address(&self) -> SocketAddr {
+        self.http_address
+    }
+
+    /// Returns once the process met an error that makes it unsafe to go on.
+    pub async fn failed(&mut self) {
+        // The replica holds the sender for as long as it lives.
+        let _ = self.failure.wait_for(|failed| *failed).await;
+    }
+
+    /// Hands leadership over and stops.
+    pub async fn stop(self) {
+        for _ in 0..HAND_OVER_ATTEMPTS {
+            if self.replica.send(HandOver).await.unwrap_or(true) {
+                break;
+            }
+            sleep(HAND_OVER_INTERVAL).await;
+        }
+        self.kill().await;
+    }
+
+    /// Stops without handing leadership over.
+    pub async fn kill(self) {
+        self.endpoint.close();
+        self.http.stop(false).await;
+        self.spans.shutdown();
+    }
+}
+
+fn check_identity(identity: &Identity, config: &ControlConfig) -> Result<(), StartError> {
+    if identity.role == Role::Control && identity.name == config.vm {
+        return Ok(());
+    }
+    Err(StartError::WrongIdentity { found: identity.to_string(), vm: config.vm.to_string() })
+}
+
+/// Passes requests of peers to the replica.
+struct Service {
+    replica: Addr<Replica>,
+}
+
+impl Handler for Service {
+    fn handle(&self, peer: Identity, request: Request) -> BoxFuture<'static, Reply> {
+        let reply = self.replica.send(Call(peer, request));
+        reply
+            .map(|reply| {
+                reply.unwrap_or_else(|error| refuse(ErrorCode::Overloaded, error.to_string()))
+            })
+            .boxed()
+    }
+
+    fn receive(&self, peer: &Identity, message: ConsensusMessage) {
+        if peer.role == Role::Control {
+            self.replica.do_send(Received(peer.clone(), message));
+        }
+    }
+}
--- /dev/null
+++ b/components/control/src/replica/drive.rs
@@ -0,0 +1,174 @@
+//! Moves data on after each change of the consensus node.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use consensus::{Applied, Batch, Position};
+use prost::Message as _;
+use schema::{Command, ConsensusMessage, Snapshot, command};
+use state::State;
+
+use super::Replica;
+use crate::storage::Job;
+
+impl Replica {
+    pub(super) fn drive(&mut self) {
+        if self.failed {
+            return;
+        }
+        let messages = self.node.take_messages();
+        self.send(messages);
+        self.store();
+        self.apply();
+        self.serve_reads();
+        self.watch_leadership();
+        self.publish_metrics();
+    }
+
+    /// Proposes a command stamped with this leader's clock.
+    pub(super) fn propose(
+        &mut self,
+        body: command::Body,
+    ) -> Result<Position, consensus::ProposeError> {
+        let command = Command { now_ms: self.clock.now_ms(), body: Some(body) };
+        self.node.propose(Bytes::from(command.encode_to_vec()))
+    }
+
+    pub(super) fn send(&mut self, messages: Vec<ConsensusMessage>) {
+        for message in messages {
+            let configuration = self.node.configuration();
+            let to = configuration.replicas.iter().find(|r| r.id == message.to);
+            let address = to.and_then(|r| r.peer_address.parse::<SocketAddr>().ok());
+            // Replies also go to a leader that this replica has no entry of yet.
+            let address = address.or_else(|| self.joiner.address_of(message.to));
+            let Some(address) = address else { continue };
+            let link = self.link(address);
+            actix_rt::spawn(async move { link.send(message).await });
+        }
+    }
+
+    fn store(&mut self) {
+        let Some(storage) = self.storage.as_ref().filter(|_| !self.storing) else { return };
+        if let Some(job) = self.next_compaction() {
+            self.storing = true;
+            storage.submit(job);
+            return;
+        }
+        let Some(batch) = self.node.take_batch() else { return };
+        if batch.needs_no_sync() {
+            let last = batch.last;
+            self.finish_batch(batch, last);
+        } else {
+            self.storing = true;
+            storage.submit(Job::Batch(batch));
+        }
+    }
+
+    pub(super) fn finish_batch(&mut self, batch: Batch, last: Position) {
+        if let Some(snapshot) = &batch.snapshot {
+            self.snapshot_index = snapshot.index;
+        }
+        self.send(batch.messages);
+        self.node.persisted(last);
+    }
+
+    /// Returns the job that replaces the applied log by a snapshot, if due.
+    fn next_compaction(&self) -> Option<Job> {
+        let index = self.node.applied();
+        if index < self.snapshot_index + self.config.limits.snapshot_entries {
+            return None;
+        }
+        let term = self.node.term_at(index)?;
+        let configuration = Some(self.node.configuration_at(index));
+        let data = Bytes::from(self.state.to_bytes());
+        let last = self.node.last().index;
+        let tail = (index + 1..=last).filter_map(|i| self.node.entry(i).cloned()).collect();
+        Some(Job::Compact(Snapshot { index, term, configuration, data }, tail))
+    }
+
+    fn apply(&mut self) {
+        for applied in self.node.take_committed() {
+            match applied {
+                Applied::Snapshot(snapshot) => self.load(&snapshot),
+                Applied::Command(at, bytes) => self.apply_command(at, bytes),
+                Applied::Configuration(at, configuration) => {
+                    log::info!(index = at.index, replicas = configuration.replicas.len(), voters = consensus::voter_count(&configuration); "membership changed");
+                }
+                Applied::Noop(_) => {}
+            }
+        }
+        if self.storage.is_some() && !self.storing && self.next_compaction().is_some() {
+            self.store();
+        }
+    }
+
+    fn apply_command(&mut self, at: Position, bytes: Bytes) {
+        let command = match Command::decode(bytes) {
+            Ok(command) => command,
+            Err(error) => {
+                // A newer program wrote it; guessing would let replicas differ.
+                self.fail(&format!("the command at index {} cannot be decoded: {error}", at.index));
+                return;
+            }
+        };
+        let applied = self.state.apply(command);
+        let elapsed_ms = self.proposals.finish(at, applied.outcome, self.clock.now_ms());
+        if let Some(elapsed_ms) = elapsed_ms {
+            self.metrics.commit_seconds.observe(elapsed_ms as f64 / 1_000.0);
+        }
+        self.waiters.wake(&applied.ended, &self.state);
+    }
+
+    fn load(&mut self, snapshot: &Snapshot) {
+        let limits = state::Limits {
+            max_records: self.config.limits.max_records as usize,
+            kept_revisions: self.config.limits.kept_revisions as usize,
+        };
+        match State::from_bytes(&snapshot.data, limits) {
+            Ok(state) => {
+                self.state = state;
+                log::info!(index = snapshot.index; "state replaced by a snapshot");
+            }
+            Err(error) => {
+                self.fail(&format!(
+                    "the snapshot at index {} cannot be decoded: {error}",
+                    snapshot.index
+                ));
+            }
+        }
+    }
+
+    /// Reacts to the start and the end of this replica's leadership.
+    fn watch_leadership(&mut self) {
+        let is_leader = self.node.is_leader();
+        if is_leader == self.was_leader {
+            return;
+        }
+        self.was_leader = is_leader;
+        let term = self.node.term();
+        if is_leader {
+            log::info!(term; "became leader");
+            self.metrics.leader_changes.inc();
+            let members = self.state.members().iter();
+            self.leases.restart(members, self.clock.now_ms());
+        } else {
+            log::info!(term; "no longer leader");
+            self.proposals.abandon();
+            self.waiters.abandon();
+            self.reads.abandon();
+            self.candidates.clear();
+        }
+    }
+
+    fn publish_metrics(&self) {
+        let number = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        let metrics = &self.metrics;
+        metrics.term.set(number(self.node.term()));
+        metrics.is_leader.set(i64::from(self.node.is_leader()));
+        metrics.commit_index.set(number(self.node.commit()));
+        metrics.applied_index.set(number(self.node.applied()));
+        metrics.revision.set(number(self.state.current().0));
+        metrics.records.set(number(self.state.records().len() as u64));
+        metrics.members.set(number(self.state.members().iter().count() as u64));
+    }
+}
--- /dev/null
+++ b/components/control/src/replica/requests.rs
@@ -0,0 +1,382 @@
+//! Requests of entries, operators and other control processes.
+
+use actix::ResponseFuture;
+use consensus::ProposeError;
+use credentials::{Identity, Role};
+use schema::{
+    AwaitRecordRequest, Empty, EntryMember, EntryStatus, ErrorCode, ErrorReply, GetSetReply,
+    GetSetRequest, HeartbeatReply, HeartbeatRequest, JoinReply, JoinRequest, LeaveRequest, Publish,
+    RegisterEntry, RemoveEntry, ReplaceRequest, Reply, Request, StatusReply, command, reply,
+    request,
+};
+use state::Outcome;
+use tokio::sync::oneshot;
+use wire::refuse;
+
+use super::Replica;
+use super::proposals::Proposed;
+
+const MAX_AWAIT_MS: u64 = 60_000;
+
+impl Replica {
+    pub(super) fn answer(&mut self, peer: &Identity, request: Request) -> ResponseFuture<Reply> {
+        let Some(body) = request.body else {
+            return ready(refuse(ErrorCode::Invalid, "the request has no body"));
+        };
+        self.metrics.requests.with_label_values(&[kind(&body)]).inc();
+        if !is_allowed(peer.role, &body) {
+            log::warn!(peer = peer.to_string().as_str(), kind = kind(&body); "request refused: wrong role");
+            let message = format!("{peer} may not send {} requests", kind(&body));
+            return ready(refuse(ErrorCode::Forbidden, message));
+        }
+        let span = self.spans.server(kind(&body), &request.traceparent);
+        let answer = self.dispatch(peer, body);
+        Box::pin(async move {
+            let reply = answer.await;
+            if let Some(reply::Body::Error(error)) = &reply.body {
+                span.fail(error.message.clone());
+            }
+            reply
+        })
+    }
+
+    fn dispatch(&mut self, peer: &Identity, body: request::Body) -> ResponseFuture<Reply> {
+        use request::Body;
+        match body {
+            Body::Status(_) => ready(self.status()),
+            Body::Bootstrap(_) => ready(self.bootstrap()),
+            _ if !self.node.is_leader() => ready(self.not_leader()),
+            Body::Join(join) => ready(self.join(peer, join)),
+            Body::Replace(replace) => ready(self.replace(&replace)),
+            Body::Publish(publish) => self.publish(peer, publish),
+            Body::GetSet(get) => self.get_set(get),
+            Body::Heartbeat(heartbeat) => self.heartbeat(peer, heartbeat),
+            Body::Leave(leave) => self.leave(peer, leave),
+            Body::BeginRecord(begin) if begin.vm != peer.name.as_str() => {
+                ready(refuse(ErrorCode::Forbidden, "an entry opens records for itself only"))
+            }
+            Body::BeginRecord(begin) => self.commit(command::Body::BeginRecord(begin)),
+            Body::FinishRecord(finish) => self.finish_record(finish),
+            Body::ReleaseRecord(release) => self.commit(command::Body::ReleaseRecord(release)),
+            Body::AwaitRecord(wait) => self.await_record(wait),
+            _ => ready(refuse(ErrorCode::Invalid, "control processes take no such request")),
+        }
+    }
+
+    /// Proposes a command and replies with its outcome.
+    fn commit(&mut self, body: command::Body) -> ResponseFuture<Reply> {
+        let outcome = match self.submit(body) {
+            Ok(outcome) => outcome,
+            Err(reply) => return ready(*reply),
+        };
+        Box::pin(async move {
+            match outcome.await {
+                Ok(Proposed::Applied(outcome)) => to_reply(outcome),
+                Ok(Proposed::Superseded) => {
+                    refuse(ErrorCode::NotLeader, "another leader took over; ask it")
+                }
+                Ok(Proposed::Unknown) | Err(_) => refuse(
+                    ErrorCode::UnknownOutcome,
+                    "leadership ended first; repeat the same request",
+                ),
+            }
+        })
+    }
+
+    fn submit(&mut self, body: command::Body) -> Result<oneshot::Receiver<Proposed>, Box<Reply>> {
+        if self.proposals.is_full() {
+            return Err(Box::new(refuse(ErrorCode::Overloaded, "too many proposals are waiting")));
+        }
+        match self.propose(body) {
+            Ok(at) => Ok(self.proposals.wait(at, self.clock.now_ms())),
+            Err(ProposeError::NotLeader | ProposeError::Transferring) => {
+                Err(Box::new(self.not_leader()))
+            }
+            Err(error) => Err(Box::new(refuse(ErrorCode::Invalid, error.to_string()))),
+        }
+    }
+
+    fn publish(&mut self, peer: &Identity, publish: Publish) -> ResponseFuture<Reply> {
+        if publish.publication_id.is_empty() {
+            return ready(refuse(ErrorCode::Invalid, "publication_id must not be empty"));
+        }
+        let problems = objects::check(&publish.set.clone().unwrap_or_default());
+        if let Some(problem) = problems.first() {
+            let message = format!("{problem} ({} problems in all)", problems.len());
+            return ready(refuse(ErrorCode::Invalid, message));
+        }
+        // The certificate, not the request, says who publishes.
+        let publish = Publish { author: peer.name.to_string(), ..publish };
+        self.commit(command::Body::Publish(publish))
+    }
+
+    fn get_set(&mut self, get: GetSetRequest) -> ResponseFuture<Reply> {
+        self.after_barrier(move |replica| {
+            let (current, _) = replica.state.current();
+            let revision = if get.revision == 0 { current } else { get.revision };
+            let stored = replica.state.publications().get(revision);
+            if revision == 0 {
+                return to_get_set(GetSetReply::default());
+            }
+            match stored.filter(|stored| stored.set.is_some()) {
+                Some(stored) => to_get_set(GetSetReply {
+                    revision,
+                    author: stored.author.clone(),
+                    publication_id: stored.publication_id.clone(),
+                    set: stored.set.clone(),
+                }),
+                None => {
+                    let message = format!("revision {revision} is not kept");
+                    refuse(ErrorCode::Invalid, message)
+                }
+            }
+        })
+    }
+
+    fn heartbeat(&mut self, peer: &Identity, heartbeat: HeartbeatRequest) -> ResponseFuture<Reply> {
+        let member = heartbeat.member.clone().unwrap_or_default();
+        if member.vm != peer.name.as_str() {
+            return ready(refuse(ErrorCode::Forbidden, "an entry renews its own lease only"));
+        }
+        let now_ms = self.clock.now_ms();
+        self.leases.renew(&member.vm, member.epoch, heartbeat.revision, now_ms);
+        if self.state.members().get(&member.vm) != Some(&member) {
+            return self.register(member);
+        }
+        self.after_barrier(move |replica| replica.heartbeat_reply(&member, &heartbeat))
+    }
+
+    /// Adds or changes a member; its next heartbeat gets the view.
+    fn register(&mut self, member: EntryMember) -> ResponseFuture<Reply> {
+        log::info!(vm = member.vm.as_str(), epoch = member.epoch, leaving = member.leaving; "entry registers");
+        let register = RegisterEntry { member: Some(member) };
+        let committed = self.commit(command::Body::RegisterEntry(register));
+        let lease_ms = self.config.timers.entry_lease_ms;
+        Box::pin(async move {
+            match committed.await.body {
+                Some(reply::Body::Error(error)) => Reply { body: Some(reply::Body::Error(error)) },
+                _ => to_heartbeat(HeartbeatReply { lease_ms, ..HeartbeatReply::default() }),
+            }
+        })
+    }
+
+    fn heartbeat_reply(&self, member: &EntryMember, heartbeat: &HeartbeatRequest) -> Reply {
+        if !self.state.members().contains(&member.vm, member.epoch) {
+            return refuse(ErrorCode::NotLeader, "the lease ended; register again");
+        }
+        let (revision, set) = self.state.current();
+        let members_version = self.state.members().version();
+        let newer = revision > heartbeat.revision;
+        let changed = members_version != heartbeat.members_version;
+        let members = self.state.members().iter().filter(|_| changed);
+        to_heartbeat(HeartbeatReply {
+            revision,
+            set: set.filter(|_| newer).cloned(),
+            members_version,
+            members: members.cloned().collect(),
+            lease_ms: self.config.timers.entry_lease_ms,
+        })
+    }
+
+    fn leave(&mut self, peer: &Identity, leave: LeaveRequest) -> ResponseFuture<Reply> {
+        if leave.vm != peer.name.as_str() {
+            return ready(refuse(ErrorCode::Forbidden, "an entry ends its own lease only"));
+        }
+        log::info!(vm = leave.vm.as_str(), epoch = leave.epoch; "entry leaves");
+        let remove = RemoveEntry { vm: leave.vm, epoch: leave.epoch };
+        self.commit(command::Body::RemoveEntry(remove))
+    }
+
+    fn finish_record(&mut self, finish: schema::FinishRecord) -> ResponseFuture<Reply> {
+        let max_bytes = self.config.limits.max_answer_bytes;
+        if let Some(schema::finish_record::Outcome::Answer(answer)) = &finish.outcome
+            && answer.body.len() as u64 > max_bytes
+        {
+            let message = format!("an answer may hold {max_bytes} bytes at most");
+            return ready(refuse(ErrorCode::Invalid, message));
+        }
+        self.commit(command::Body::FinishRecord(finish))
+    }
+
+    fn await_record(&mut self, wait: AwaitRecordRequest) -> ResponseFuture<Reply> {
+        let key = wait.key.unwrap_or_default();
+        let timeout_ms = wait.timeout_ms.min(MAX_AWAIT_MS);
+        let deadline_ms = self.clock.now_ms() + timeout_ms;
+        // Registered before the barrier, so that no end is missed in between.
+        let ended = self.waiters.wait(&key, wait.fingerprint.to_vec(), deadline_ms);
+        let lookup = self.after_barrier(move |replica| {
+            let outcome = replica.state.records().lookup(&key, &wait.fingerprint);
+            Reply { body: Some(reply::Body::Record(outcome)) }
+        });
+        Box::pin(async move {
+            let now = lookup.await;
+            let running = matches!(
+                &now.body,
+                Some(reply::Body::Record(outcome))
+                    if matches!(outcome.state, Some(schema::record_outcome::State::Running(_)))
+            );
+            if !running {
+                return now;
+            }
+            match ended.await {
+                Ok(outcome) => Reply { body: Some(reply::Body::Record(outcome)) },
+                Err(_) => refuse(ErrorCode::NotLeader, "leadership ended; ask the next leader"),
+            }
+        })
+    }
+
+    fn join(&mut self, peer: &Identity, join: JoinRequest) -> Reply {
+        let member = join.replica.unwrap_or_default();
+        if member.vm != peer.name.as_str() || member.id == consensus::NO_REPLICA {
+            return refuse(ErrorCode::Forbidden, "a process joins for its own VM only");
+        }
+        self.candidates.add(member, self.clock.now_ms());
+        let configuration = Some(self.node.configuration().clone());
+        Reply { body: Some(reply::Body::Join(JoinReply { configuration })) }
+    }
+
+    fn bootstrap(&mut self) -> Reply {
+        let member = self.as_member();
+        match self.node.bootstrap(self.clock.now_ms(), member) {
+            Ok(()) => {
+                log::info!(replica = self.node.id(); "group created");
+                Reply { body: Some(reply::Body::Empty(Empty {})) }
+            }
+            Err(error) => refuse(ErrorCode::Invalid, error.to_string()),
+        }
+    }
+
+    fn replace(&mut self, replace: &ReplaceRequest) -> Reply {
+        let mut configuration = self.node.configuration().clone();
+        let before = configuration.replicas.len();
+        configuration.replicas.retain(|replica| replica.id != replace.replica_id);
+        if configuration.replicas.len() == before {
+            let message = format!("there is no replica {}", replace.replica_id);
+            return refuse(ErrorCode::Invalid, message);
+        }
+        match self.node.propose_configuration(configuration) {
+            Ok(_) => Reply { body: Some(reply::Body::Empty(Empty {})) },
+            Err(error) => refuse(ErrorCode::Invalid, error.to_string()),
+        }
+    }
+
+    fn status(&self) -> Reply {
+        let now_ms = self.clock.now_ms();
+        let entry = |member: &EntryMember| {
+            let lease = self.leases.get(&member.vm).filter(|lease| lease.epoch == member.epoch);
+            EntryStatus {
+                member: Some(member.clone()),
+                revision: lease.map_or(0, |lease| lease.revision),
+                heartbeat_age_ms: lease.map_or(0, |l| now_ms.saturating_sub(l.renewed_ms)),
+            }
+        };
+        let status = StatusReply {
+            vm: self.config.vm.to_string(),
+            replica_id: self.node.id(),
+            role: self.node.role_name().to_string(),
+            term: self.node.term(),
+            leader_id: self.node.leader_id(),
+            leader_address: self.leader_address(),
+            commit: self.node.commit(),
+            applied: self.node.applied(),
+            first_index: self.node.first_index(),
+            last_index: self.node.last().index,
+            configuration: Some(self.node.configuration().clone()),
+            revision: self.state.current().0,
+            records: self.state.records().len() as u64,
+            entries: self.state.members().iter().map(entry).collect(),
+            log_bytes: u64::try_from(self.metrics.log_bytes.get()).unwrap_or_default(),
+        };
+        Reply { body: Some(reply::Body::Status(status)) }
+    }
+
+    fn leader_address(&self) -> String {
+        let leader_id = self.node.leader_id();
+        let replicas = &self.node.configuration().replicas;
+        let leader = replicas.iter().find(|replica| replica.id == leader_id);
+        leader.map(|replica| replica.peer_address.clone()).unwrap_or_default()
+    }
+
+    fn not_leader(&self) -> Reply {
+        let code = if self.node.is_initialised() {
+            ErrorCode::NotLeader
+        } else {
+            ErrorCode::NotInitialised
+        };
+        let message = "this control process does not lead".to_string();
+        let leader_address = self.leader_address();
+        let error = ErrorReply { code: code.into(), message, leader_address };
+        Reply { body: Some(reply::Body::Error(error)) }
+    }
+}
+
+/// Tells which role may send a request.
+fn is_allowed(role: Role, body: &request::Body) -> bool {
+    use request::Body;
+    match body {
+        Body::Status(_) => true,
+        Body::Publish(_) | Body::Bootstrap(_) | Body::Replace(_) => role == Role::Operator,
+        Body::GetSet(_) => matches!(role, Role::Operator | Role::Entry),
+        Body::Join(_) | Body::Consensus(_) => role == Role::Control,
+        Body::Heartbeat(_)
+        | Body::Leave(_)
+        | Body::BeginRecord(_)
+        | Body::FinishRecord(_)
+        | Body::ReleaseRecord(_)
+        | Body::AwaitRecord(_)
+        | Body::Announce(_)
+        | Body::Credit(_)
+        | Body::CreditRelease(_)
+        | Body::CreditRenew(_)
+        | Body::Digest(_)
+        | Body::Locate(_)
+        | Body::Confirm(_) => role == Role::Entry,
+    }
+}
+
+fn kind(body: &request::Body) -> &'static str {
+    use request::Body;
+    match body {
+        Body::Consensus(_) => "consensus",
+        Body::Join(_) => "join",
+        Body::Bootstrap(_) => "bootstrap",
+        Body::Publish(_) => "publish",
+        Body::GetSet(_) => "get_set",
+        Body::Heartbeat(_) => "heartbeat",
+        Body::BeginRecord(_) => "begin_record",
+        Body::FinishRecord(_) => "finish_record",
+        Body::ReleaseRecord(_) => "release_record",
+        Body::AwaitRecord(_) => "await_record",
+        Body::Status(_) => "status",
+        Body::Leave(_) => "leave",
+        Body::Replace(_) => "replace",
+        Body::Announce(_) => "announce",
+        Body::Credit(_) => "credit",
+        Body::CreditRelease(_) => "credit_release",
+        Body::CreditRenew(_) => "credit_renew",
+        Body::Digest(_) => "digest",
+        Body::Confirm(_) => "confirm",
+        Body::Locate(_) => "locate",
+    }
+}
+
+fn to_reply(outcome: Outcome) -> Reply {
+    let body = match outcome {
+        Outcome::Published(outcome) => reply::Body::Publish(outcome),
+        Outcome::Record(outcome) => reply::Body::Record(outcome),
+        Outcome::Done => reply::Body::Empty(Empty {}),
+    };
+    Reply { body: Some(body) }
+}
+
+fn to_heartbeat(heartbeat: HeartbeatReply) -> Reply {
+    Reply { body: Some(reply::Body::Heartbeat(heartbeat)) }
+}
+
+fn to_get_set(get_set: GetSetReply) -> Reply {
+    Reply { body: Some(reply::Body::GetSet(get_set)) }
+}
+
+fn ready(reply: Reply) -> ResponseFuture<Reply> {
+    Box::pin(std::future::ready(reply))
+}
--- /dev/null
+++ b/components/credentials/src/error.rs
@@ -0,0 +1,52 @@
+//! Errors of keys and certificates.
+
+use std::path::Path;
+
+use displaydoc::Display;
+
+/// Why keys or certificates cannot be made or used.
+#[derive(Debug, Display)]
+pub enum CredentialError {
+    /// cannot {action} {path}: {source}
+    Io {
+        /// What was tried.
+        action: &'static str,
+        /// File.
+        path: String,
+        /// Error of the operating system.
+        source: std::io::Error,
+    },
+    /// {path} already exists; move it away if it is to be replaced
+    Exists {
+        /// File.
+        path: String,
+    },
+    /// {path} holds no usable certificate or key: {message}
+    Unusable {
+        /// File.
+        path: String,
+        /// What is wrong.
+        message: String,
+    },
+    /// cannot create the certificate: {0}
+    Create(rcgen::Error),
+    /// cannot set up TLS: {0}
+    Tls(rustls::Error),
+    /// the peer's certificate names no role of this deployment
+    NoIdentity,
+}
+
+impl std::error::Error for CredentialError {}
+
+impl CredentialError {
+    pub(crate) fn io<'a>(
+        action: &'static str,
+        path: &'a Path,
+    ) -> impl FnOnce(std::io::Error) -> CredentialError + 'a {
+        move |source| CredentialError::Io { action, path: path.display().to_string(), source }
+    }
+
+    pub(crate) fn unusable(path: &Path, message: impl ToString) -> CredentialError {
+        CredentialError::Unusable { path: path.display().to_string(), message: message.to_string() }
+    }
+}
--- /dev/null
+++ b/components/entry/src/broker/digest.rs
@@ -0,0 +1,189 @@
+//! Coarse state of upstreams, told by each owner to the entries that listen.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use actix::{AsyncContext as _, Context, Handler, Message};
+use compact_str::CompactString;
+use credentials::Identity;
+use schema::{DigestRequest, Empty, ErrorCode, Reply, UpstreamDigest, reply, request};
+use wire::refuse;
+
+use super::Broker;
+
+const DIGEST_INTERVAL_MS: u64 = 250;
+/// Interval after which owners speak up even without a change.
+const KEEP_ALIVE_MS: u64 = 750;
+const DIGEST_TIMEOUT: Duration = Duration::from_millis(500);
+/// Owners that one entry listens to.
+const FAN_IN: usize = 24;
+/// Steps in which the free share of a cache is told.
+const FREE_STEPS: u64 = 32;
+
+/// Entry that listens to this one.
+#[derive(Default)]
+pub(super) struct Watcher {
+    sequence: u64,
+    /// What the watcher was told, by upstream.
+    told: HashMap<String, UpstreamDigest>,
+    needs_whole: bool,
+    in_flight: bool,
+    last_sent_ms: u64,
+}
+
+/// Result of a digest.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct DigestSent {
+    watcher_vm: CompactString,
+    accepted: bool,
+}
+
+impl Broker {
+    /// Works out who listens after a change of the membership.
+    pub(super) fn follow_watchers(&mut self) {
+        let members = self.view.members.clone();
+        let watchers = routing::watchers(&members, self.config.vm.as_str(), FAN_IN);
+        let names: Vec<CompactString> = watchers.iter().map(|m| m.vm.as_str().into()).collect();
+        self.watchers.retain(|vm, _| names.contains(vm));
+        for name in names {
+            let first = || Watcher { needs_whole: true, ..Watcher::default() };
+            self.watchers.entry(name).or_insert_with(first);
+        }
+    }
+
+    pub(super) fn send_digests(&mut self, context: &mut Context<Self>, now_ms: u64) {
+        if now_ms < self.next_digest_ms {
+            return;
+        }
+        self.next_digest_ms = now_ms + DIGEST_INTERVAL_MS;
+        let names: Vec<CompactString> = self.owned.keys().cloned().collect();
+        for name in &names {
+            self.refresh_own(name, now_ms);
+        }
+        let current = names.iter().filter_map(|name| self.own_digest(name));
+        let current: Vec<UpstreamDigest> = current.map(coarse).collect();
+        let (vm, epoch) = (self.vm().to_string(), self.epoch);
+        let mut requests = Vec::new();
+        for (watcher_vm, watcher) in &mut self.watchers {
+            if let Some(digest) = watcher.next(&current, now_ms) {
+                let digest = DigestRequest { vm: vm.clone(), epoch, ..digest };
+                requests.push((watcher_vm.clone(), digest));
+            }
+        }
+        for (watcher_vm, digest) in requests {
+            self.send_digest(watcher_vm, digest, context);
+        }
+    }
+
+    fn send_digest(
+        &mut self,
+        watcher_vm: CompactString,
+        digest: DigestRequest,
+        context: &mut Context<Self>,
+    ) {
+        let member = self.member(&watcher_vm).cloned();
+        let peers = self.peers.clone();
+        let address = context.address();
+        actix_rt::spawn(async move {
+            let accepted = match member {
+                Some(member) => {
+                    let body = request::Body::Digest(digest);
+                    peers.call(&member, body, String::new(), DIGEST_TIMEOUT).await.is_ok()
+                }
+                None => false,
+            };
+            address.do_send(DigestSent { watcher_vm, accepted });
+        });
+    }
+
+    pub(super) fn take_digest(
+        &mut self,
+        peer: &Identity,
+        digest: DigestRequest,
+        context: &mut Context<Self>,
+    ) -> Reply {
+        if digest.vm != peer.name.as_str() {
+            return refuse(ErrorCode::Forbidden, "an entry tells of its own upstreams only");
+        }
+        let now_ms = self.clock.now_ms();
+        let lease_ms = self.config.timers.upstream_lease_ms;
+        if !self.directory.apply(digest, lease_ms, now_ms) {
+            return refuse(ErrorCode::Invalid, "out of sequence; send the whole list");
+        }
+        self.room_reported(context);
+        Reply { body: Some(reply::Body::Empty(Empty {})) }
+    }
+}
+
+impl Handler<DigestSent> for Broker {
+    type Result = ();
+
+    fn handle(&mut self, sent: DigestSent, _: &mut Context<Self>) {
+        if let Some(watcher) = self.watchers.get_mut(&sent.watcher_vm) {
+            watcher.in_flight = false;
+            watcher.needs_whole |= !sent.accepted;
+        }
+    }
+}
+
+impl Watcher {
+    /// Returns what to tell the watcher now, if anything.
+    fn next(&mut self, current: &[UpstreamDigest], now_ms: u64) -> Option<DigestRequest> {
+        if self.in_flight {
+            return None;
+        }
+        let whole = self.needs_whole;
+        let upstreams = if whole { current.to_vec() } else { self.changes(current) };
+        if !whole && upstreams.is_empty() && now_ms < self.last_sent_ms + KEEP_ALIVE_MS {
+            return None;
+        }
+        self.sequence += 1;
+        self.needs_whole = false;
+        self.in_flight = true;
+        self.last_sent_ms = now_ms;
+        self.told = current.iter().map(|d| (d.upstream.clone(), d.clone())).collect();
+        Some(DigestRequest { sequence: self.sequence, whole, upstreams, ..Default::default() })
+    }
+
+    fn changes(&self, current: &[UpstreamDigest]) -> Vec<UpstreamDigest> {
+        let changed = current.iter().filter_map(|digest| {
+            let told = self.told.get(&digest.upstream);
+            match told {
+                None => Some(digest.clone()),
+                Some(told) if told == digest => None,
+                Some(told) if is_same_but_load(told, digest) => Some(load_only(digest)),
+                Some(_) => Some(digest.clone()),
+            }
+        });
+        let is_current = |name: &String| current.iter().any(|digest| digest.upstream == *name);
+        let gone = self.told.keys().filter(|name| !is_current(name)).map(|name| UpstreamDigest {
+            upstream: name.clone(),
+            gone: true,
+            ..Default::default()
+        });
+        changed.chain(gone).collect()
+    }
+}
+
+/// Rounds the load, so that small changes need no message.
+fn coarse(digest: UpstreamDigest) -> UpstreamDigest {
+    let step = (digest.cache_tokens / FREE_STEPS).max(1);
+    UpstreamDigest { free_tokens: digest.free_tokens / step * step, running: 0, ..digest }
+}
+
+fn is_same_but_load(told: &UpstreamDigest, digest: &UpstreamDigest) -> bool {
+    let free_tokens = digest.free_tokens;
+    let leaving = digest.leaving;
+    UpstreamDigest { free_tokens, leaving, ..told.clone() } == *digest
+}
+
+/// Leaves out what the watcher has been told before.
+fn load_only(digest: &UpstreamDigest) -> UpstreamDigest {
+    UpstreamDigest {
+        upstream: digest.upstream.clone(),
+        free_tokens: digest.free_tokens,
+        leaving: digest.leaving,
+        ..Default::default()
+    }
+}
--- /dev/null
+++ b/components/entry/src/http/auth.rs
@@ -0,0 +1,59 @@
+//! Who calls, and whether new work is taken.
+
+use std::sync::Arc;
+
+use actix_web::HttpRequest;
+use actix_web::http::header::AUTHORIZATION;
+use objects::Catalog;
+use schema::Workspace;
+use verdict::{Code, Failure};
+
+use crate::shared::Shared;
+use crate::view::Mode;
+
+const RETRY_ELSEWHERE_MS: u64 = 100;
+
+/// Authenticated caller, and the set under which its request is handled.
+#[derive(Debug)]
+pub(crate) struct Caller {
+    pub(crate) workspace: Workspace,
+    pub(crate) catalog: Arc<Catalog>,
+}
+
+/// Authenticates a caller of an entry that takes new work.
+pub(crate) fn authenticate(shared: &Shared, request: &HttpRequest) -> Result<Caller, Failure> {
+    let view = shared.view();
+    if !view.mode.takes_work() {
+        return Err(takes_no_work(view.mode));
+    }
+    authenticate_any(shared, request)
+}
+
+/// Authenticates a caller that continues or ends work begun before.
+pub(crate) fn authenticate_any(shared: &Shared, request: &HttpRequest) -> Result<Caller, Failure> {
+    let view = shared.view();
+    if view.mode == Mode::Starting {
+        return Err(takes_no_work(view.mode));
+    }
+    let key = bearer_token(request).ok_or_else(|| {
+        let message = "send the workspace's API key as `Authorization: Bearer KEY`";
+        Failure::not_run(Code::Unauthenticated, message)
+    })?;
+    let workspace = view
+        .catalog
+        .workspace_by_api_key(key)
+        .ok_or_else(|| Failure::not_run(Code::Unauthenticated, "no workspace has this API key"))?;
+    Ok(Caller { workspace: workspace.clone(), catalog: view.catalog.clone() })
+}
+
+/// Returns the token of an `Authorization: Bearer` header.
+pub(crate) fn bearer_token(request: &HttpRequest) -> Option<&str> {
+    let value = request.headers().get(AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, token) = value.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then_some(token.trim())
+}
+
+fn takes_no_work(mode: Mode) -> Failure {
+    let message = format!("this entry is {mode} and takes no new work; ask another one");
+    Failure::not_run(Code::Unavailable, message).retry_after_ms(RETRY_ELSEWHERE_MS)
+}
--- /dev/null
+++ b/components/entry/src/http/chat.rs
@@ -0,0 +1,346 @@
+//! `POST /v1/chat/completions`.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use actix_web::http::header::HeaderMap;
+use actix_web::{HttpRequest, HttpResponse, web};
+use objects::Catalog;
+use schema::{Header, RecordKey, Service, StoredAnswer};
+use telemetry::Span;
+use tokio::sync::mpsc;
+use units::EventId;
+use verdict::{Code, Failure, Verdict};
+
+use super::auth::{Caller, authenticate, authenticate_any};
+use super::failure::{CallerError, invalid};
+use super::openai::{
+    ChatRequest, Completion, CompletionChoice, OutputMessage, Usage, prompt_tokens,
+};
+use super::sse::{self, StreamHead};
+use super::{VERDICT_HEADER, body, verdict_value};
+use crate::broker::Locate;
+use crate::engine::EngineClient;
+use crate::records::{self, Execution};
+use crate::relay::{GenerationRequest, Relay, RelayEvent};
+use crate::shared::Shared;
+
+const MAX_QUEUED_EVENTS: usize = 64;
+const LAST_EVENT_ID: &str = "last-event-id";
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+const JSON: &str = "application/json";
+/// Longest wait for another device's generation under the same key.
+const SHARED_ANSWER_LIMIT: Duration = Duration::from_secs(600);
+
+/// Answers a chat request, streamed or whole.
+pub(crate) async fn complete(
+    http: HttpRequest,
+    payload: web::Payload,
+    shared: web::Data<Shared>,
+    engine: web::Data<EngineClient>,
+) -> Result<HttpResponse, CallerError> {
+    let span = shared.spans.server("entry.chat", &header(http.headers(), "traceparent"));
+    let result = dispatch(&http, payload, &shared, &engine, span).await;
+    let outcome = match &result {
+        Ok(_) => Verdict::Ran.to_string(),
+        Err(CallerError(failure)) => failure.code.to_string(),
+    };
+    shared.metrics.requests.with_label_values(&["chat", outcome.as_str()]).inc();
+    result
+}
+
+async fn dispatch(
+    http: &HttpRequest,
+    payload: web::Payload,
+    shared: &Shared,
+    engine: &EngineClient,
+    span: Span,
+) -> Result<HttpResponse, CallerError> {
+    let last_event_id = header(http.headers(), LAST_EVENT_ID);
+    if !last_event_id.is_empty() {
+        let caller = authenticate_any(shared, http)?;
+        let bytes = body::read(shared, payload).await?;
+        return resume(&caller, &last_event_id, &bytes, shared, engine, span).await;
+    }
+    let caller = authenticate(shared, http)?;
+    if shared.in_flight.count() >= u64::from(shared.config.limits.max_streams) {
+        let failure = Failure::not_run(Code::Overloaded, "the entry has no room for a stream");
+        return Err(failure.retry_after_ms(1_000).into());
+    }
+    let bytes = body::read(shared, payload).await?;
+    let chat = parse(&bytes)?;
+    let request = Arc::new(to_generation(&caller, &chat)?);
+    if chat.stream {
+        let (relay, events) = new_relay(shared, engine, request, span);
+        let task = async move { relay.run().await };
+        actix_rt::spawn(task);
+        return stream(shared, chat.model, events).await;
+    }
+    let key = header(http.headers(), IDEMPOTENCY_KEY);
+    let answer = whole(shared, engine, request, &key, &bytes, span).await?;
+    Ok(to_response(&answer))
+}
+
+fn new_relay(
+    shared: &Shared,
+    engine: &EngineClient,
+    request: Arc<GenerationRequest>,
+    span: Span,
+) -> (Relay, mpsc::Receiver<RelayEvent>) {
+    let (sink, events) = mpsc::channel(MAX_QUEUED_EVENTS);
+    let (shared, engine) = (shared.clone(), engine.clone());
+    (Relay { shared, engine, request, span, sink }, events)
+}
+
+/// Streams a generation once its engine has accepted it.
+async fn stream(
+    shared: &Shared,
+    model: String,
+    mut events: mpsc::Receiver<RelayEvent>,
+) -> Result<HttpResponse, CallerError> {
+    let guard = shared.in_flight.enter();
+    let generation = match events.recv().await {
+        Some(RelayEvent::Started(generation)) => generation.to_string(),
+        Some(RelayEvent::Failed(failure)) => return Err(failure.into()),
+        Some(RelayEvent::Token(..) | RelayEvent::End { .. }) | None => {
+            return Err(Failure::may_have_run(Code::Internal, "the relay stopped").into());
+        }
+    };
+    // An engine that fails before its first token gives way to another one,
+    // so the caller learns of a generation only with its first event.
+    let (first, generation) = first_event(&mut events, generation).await?;
+    let (replay, events) = prepend(first, events);
+    let head = StreamHead { generation, model, created: unix_seconds() };
+    actix_rt::spawn(replay);
+    Ok(sse::respond(head, events, guard))
+}
+
+/// Waits for the first token or end, and returns it with its generation.
+async fn first_event(
+    events: &mut mpsc::Receiver<RelayEvent>,
+    mut generation: String,
+) -> Result<(RelayEvent, String), CallerError> {
+    loop {
+        match events.recv().await {
+            Some(RelayEvent::Started(next)) => generation = next.to_string(),
+            Some(RelayEvent::Failed(failure)) => return Err(failure.into()),
+            Some(event) => return Ok((event, generation)),
+            None => {
+                return Err(Failure::may_have_run(Code::Internal, "the relay stopped").into());
+            }
+        }
+    }
+}
+
+/// Returns a channel that carries `first` before all other events, and the
+/// task that fills it.
+fn prepend(
+    first: RelayEvent,
+    mut events: mpsc::Receiver<RelayEvent>,
+) -> (impl Future<Output = ()>, mpsc::Receiver<RelayEvent>) {
+    let (sink, joined) = mpsc::channel(MAX_QUEUED_EVENTS);
+    let forward = async move {
+        let mut next = Some(first);
+        while let Some(event) = next {
+            if sink.send(event).await.is_err() {
+                return;
+            }
+            next = tokio::select! {
+                event = events.recv() => event,
+                () = sink.closed() => None,
+            };
+        }
+    };
+    (forward, joined)
+}
+
+/// Answers with the whole output; under a key, with that of the first run.
+async fn whole(
+    shared: &Shared,
+    engine: &EngineClient,
+    request: Arc<GenerationRequest>,
+    key: &str,
+    body: &[u8],
+    span: Span,
+) -> Result<StoredAnswer, CallerError> {
+    let guard = shared.in_flight.enter();
+    let prompt_tokens = request.prompt_tokens;
+    let model = request.service.to_string();
+    let call = (!key.is_empty()).then(|| records::Call {
+        shared: shared.clone(),
+        key: RecordKey {
+            workspace: request.workspace.to_string(),
+            service: request.service.to_string(),
+            key: key.to_string(),
+        },
+        fingerprint: records::fingerprint("POST", "/v1/chat/completions", body),
+        limit: SHARED_ANSWER_LIMIT,
+    });
+    let child = shared.spans.client("entry.generation", &span);
+    let (relay, events) = new_relay(shared, engine, request, child);
+    // The task outlives the caller's connection: a keyed answer is wanted by
+    // others too.
+    let task = actix_rt::spawn(async move {
+        let execute = || async move {
+            let running = actix_rt::spawn(async move { relay.run().await });
+            let collected = collect(events, &model, prompt_tokens).await;
+            let _ = running.await;
+            collected
+        };
+        let answer = match call {
+            Some(call) => call.run(&span, execute).await,
+            None => match execute().await {
+                Execution::Answered(answer) => Ok(answer),
+                Execution::NotSent(failure) | Execution::Unknown(failure) => Err(failure),
+            },
+        };
+        drop(guard);
+        answer
+    });
+    match task.await {
+        Ok(answer) => Ok(answer?),
+        Err(error) => Err(Failure::may_have_run(Code::Internal, error.to_string()).into()),
+    }
+}
+
+async fn collect(
+    mut events: mpsc::Receiver<RelayEvent>,
+    model: &str,
+    prompt_tokens: u64,
+) -> Execution {
+    let mut generation = String::new();
+    let mut content = String::new();
+    while let Some(event) = events.recv().await {
+        match event {
+            RelayEvent::Started(id) => generation = id.to_string(),
+            RelayEvent::Token(_, text) => content.push_str(&text),
+            RelayEvent::End { reason, output_tokens } => {
+                let completion = Completion {
+                    id: &generation,
+                    object: "chat.completion",
+                    created: unix_seconds(),
+                    model,
+                    choices: [CompletionChoice {
+                        index: 0,
+                        message: OutputMessage { role: "assistant", content: &content },
+                        finish_reason: &reason,
+                    }],
+                    usage: Usage {
+                        prompt_tokens,
+                        completion_tokens: output_tokens,
+                        total_tokens: prompt_tokens + output_tokens,
+                    },
+                };
+                return Execution::Answered(json_answer(&completion));
+            }
+            RelayEvent::Failed(failure) if failure.verdict == Verdict::NotRun => {
+                return Execution::NotSent(failure);
+            }
+            RelayEvent::Failed(failure) => return Execution::Unknown(failure),
+        }
+    }
+    Execution::Unknown(Failure::may_have_run(Code::Internal, "the relay stopped"))
+}
+
+fn json_answer(completion: &Completion<'_>) -> StoredAnswer {
+    let content_type = Header { name: "content-type".to_string(), value: JSON.to_string() };
+    StoredAnswer {
+        status: 200,
+        headers: vec![content_type],
+        body: serde_json::to_vec(completion).unwrap_or_default().into(),
+        truncated: false,
+    }
+}
+
+/// Turns a stored answer into an HTTP reply.
+pub(super) fn to_response(answer: &StoredAnswer) -> HttpResponse {
+    let status = u16::try_from(answer.status).ok();
+    let status = status.and_then(|status| actix_web::http::StatusCode::from_u16(status).ok());
+    let mut reply = HttpResponse::build(status.unwrap_or(actix_web::http::StatusCode::OK));
+    for Header { name, value } in &answer.headers {
+        reply.insert_header((name.as_str(), value.as_str()));
+    }
+    reply.insert_header((VERDICT_HEADER, verdict_value(Verdict::Ran)));
+    reply.body(answer.body.clone())
+}
+
+/// Continues a generation from the event after the last one seen.
+async fn resume(
+    caller: &Caller,
+    last_event_id: &str,
+    bytes: &[u8],
+    shared: &Shared,
+    engine: &EngineClient,
+    span: Span,
+) -> Result<HttpResponse, CallerError> {
+    let last: EventId = last_event_id.parse().map_err(|error| {
+        invalid(format!("Last-Event-ID `{last_event_id}` is no id of an event: {error}"))
+    })?;
+    let chat = parse(bytes)?;
+    let request = to_generation(caller, &chat)?;
+    let name = last.generation.engine.as_str().into();
+    let address = shared.broker.send(Locate(name)).await.unwrap_or_default();
+    let address = address.ok_or_else(|| {
+        let message = format!("the engine {} is gone", last.generation.engine);
+        Failure::ran(Code::ResumeGone, message)
+    })?;
+    let (relay, mut events) = new_relay(shared, engine, Arc::new(request), span);
+    let guard = shared.in_flight.enter();
+    let generation = last.generation.to_string();
+    let task = async move { relay.resume(last.generation, address, last.index + 1).await };
+    actix_rt::spawn(task);
+    let (first, generation) = first_event(&mut events, generation).await?;
+    let (replay, events) = prepend(first, events);
+    actix_rt::spawn(replay);
+    let head = StreamHead { generation, model: chat.model, created: unix_seconds() };
+    Ok(sse::respond(head, events, guard))
+}
+
+fn parse(bytes: &[u8]) -> Result<ChatRequest, CallerError> {
+    let chat: ChatRequest =
+        serde_json::from_slice(bytes).map_err(|error| invalid(format!("body: {error}")))?;
+    if chat.messages.is_empty() {
+        return Err(invalid("messages: at least one message is needed"));
+    }
+    if chat.max_tokens == Some(0) {
+        return Err(invalid("max_tokens: must be 1 or more"));
+    }
+    Ok(chat)
+}
+
+fn to_generation(caller: &Caller, chat: &ChatRequest) -> Result<GenerationRequest, CallerError> {
+    let Caller { workspace, catalog } = caller;
+    let unknown = || {
+        let message = format!("model: there is no model `{}` for this workspace", chat.model);
+        CallerError(Failure::not_run(Code::NotFound, message))
+    };
+    let service: &Service = catalog.service_for(workspace, &chat.model).ok_or_else(unknown)?;
+    let generation = Catalog::generation(service).ok_or_else(unknown)?;
+    let priority = catalog.priority(service).ok_or_else(unknown)?;
+    let prompt = chat.prompt();
+    let max_output_tokens =
+        chat.max_tokens.unwrap_or(generation.max_output_tokens).min(generation.max_output_tokens);
+    Ok(GenerationRequest {
+        service: service.name.as_str().into(),
+        workspace: workspace.name.as_str().into(),
+        share: workspace.share,
+        max_streams: workspace.max_streams,
+        max_waiting: workspace.max_waiting,
+        priority: priority.clone(),
+        version: generation.version.as_str().into(),
+        adapter: generation.adapter.as_str().into(),
+        prompt_tokens: prompt_tokens(&prompt),
+        prompt,
+        max_output_tokens,
+    })
+}
+
+/// Returns a header as text, or an empty text.
+pub(super) fn header(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_string()
+}
+
+fn unix_seconds() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
+}
--- /dev/null
+++ b/components/entry/src/http/mod.rs
@@ -0,0 +1,93 @@
+//! HTTP interface for callers and upstreams.
+
+mod auth;
+mod body;
+mod chat;
+mod entries;
+mod failure;
+mod generations;
+mod health;
+mod models;
+mod openai;
+mod services;
+mod sse;
+mod upstreams;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_web::body::MessageBody;
+use actix_web::dev::{Server, ServiceRequest, ServiceResponse};
+use actix_web::http::header::{HeaderName, HeaderValue};
+use actix_web::middleware::{Next, from_fn};
+use actix_web::{App, HttpServer, web};
+use verdict::{Code, Failure, Verdict};
+
+use crate::engine::EngineClient;
+use crate::shared::Shared;
+use failure::CallerError;
+use services::PlainClient;
+
+/// Header that says whether the request ran.
+pub(crate) const VERDICT_HEADER: HeaderName = HeaderName::from_static("x-shallottray-verdict");
+
+const WORKERS: usize = 2;
+const SHUTDOWN_SECONDS: u64 = 1;
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Serves callers and upstreams.
+pub(crate) fn serve(address: SocketAddr, shared: Shared) -> std::io::Result<(Server, SocketAddr)> {
+    let max_connections = shared.config.limits.max_connections as usize;
+    let server = HttpServer::new(move || {
+        let connect_timeout = Duration::from_millis(shared.config.timers.connect_timeout_ms);
+        App::new()
+            .app_data(web::Data::new(shared.clone()))
+            .app_data(web::Data::new(EngineClient::new(connect_timeout)))
+            .app_data(web::Data::new(PlainClient::new(connect_timeout)))
+            .wrap(from_fn(add_verdict))
+            .route("/v1/chat/completions", web::post().to(chat::complete))
+            .route("/v1/models", web::get().to(models::list))
+            .route("/v1/entries", web::get().to(entries::list))
+            .route("/v1/upstreams", web::post().to(upstreams::announce))
+            .route("/v1/generations/{id}", web::delete().to(generations::cancel))
+            .route("/services/{service}/{path:.*}", web::route().to(services::call))
+            .route("/metrics", web::get().to(health::metrics))
+            .route("/healthz", web::get().to(health::alive))
+            .route("/readyz", web::get().to(health::ready))
+            .default_service(web::route().to(not_found))
+    })
+    .workers(WORKERS)
+    .max_connections(max_connections)
+    .client_request_timeout(HEADER_TIMEOUT)
+    .shutdown_timeout(SHUTDOWN_SECONDS)
+    .disable_signals()
+    .bind(address)?;
+    let bound = server.addrs().first().copied().unwrap_or(address);
+    Ok((server.run(), bound))
+}
+
+/// Adds the verdict to replies that do not name one: they reached no upstream.
+async fn add_verdict(
+    request: ServiceRequest,
+    next: Next<impl MessageBody + 'static>,
+) -> Result<ServiceResponse<impl MessageBody>, actix_web::Error> {
+    let mut response = next.call(request).await?;
+    let headers = response.headers_mut();
+    if !headers.contains_key(VERDICT_HEADER) {
+        headers.insert(VERDICT_HEADER, verdict_value(Verdict::NotRun));
+    }
+    Ok(response)
+}
+
+fn verdict_value(verdict: Verdict) -> HeaderValue {
+    match verdict {
+        Verdict::NotRun => HeaderValue::from_static("not-run"),
+        Verdict::MayHaveRun => HeaderValue::from_static("may-have-run"),
+        Verdict::Ran => HeaderValue::from_static("ran"),
+    }
+}
+
+async fn not_found(request: actix_web::HttpRequest) -> CallerError {
+    let message = format!("there is no {} {}", request.method(), request.path());
+    CallerError(Failure::not_run(Code::NotFound, message))
+}
--- /dev/null
+++ b/components/entry/src/http/services.rs
@@ -0,0 +1,322 @@
+//! `/services/{service}/{path}`: calls of plain services.
+
+use std::time::Duration;
+
+use actix_web::http::Method;
+use actix_web::http::header::{ACCEPT, CONTENT_TYPE};
+use actix_web::{HttpRequest, HttpResponse, web};
+use awc::error::SendRequestError;
+use awc::{Client, Connector};
+use bytes::Bytes;
+use compact_str::CompactString;
+use objects::Catalog;
+use schema::service::Backend;
+use schema::{Header, Plain, RecordKey, Route, StoredAnswer};
+use smallvec::SmallVec;
+use telemetry::Span;
+use verdict::{Code, Failure, Verdict};
+
+use super::auth::{Caller, authenticate};
+use super::body;
+use super::chat::{header, to_response};
+use super::failure::{CallerError, invalid};
+use crate::broker::{EndPlain, PickPlain, SpendRetry};
+use crate::records::{self, Execution};
+use crate::shared::Shared;
+
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+const WORKSPACE_HEADER: &str = "x-shallottray-workspace";
+const MAX_KEY_BYTES: usize = 255;
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Upstreams tried for one repeatable call.
+const MAX_ATTEMPTS: usize = 3;
+/// Added to the time that a second device waits for the first run.
+const AWAIT_MARGIN: Duration = Duration::from_secs(5);
+
+/// HTTP client for plain services; belongs to one thread.
+#[derive(Clone)]
+pub(crate) struct PlainClient {
+    client: Client,
+}
+
+impl PlainClient {
+    pub(crate) fn new(connect_timeout: Duration) -> Self {
+        // Without reuse of connections, no answer can reach another caller,
+        // and a refused connection proves that nothing was sent.
+        let connector =
+            Connector::new().timeout(connect_timeout).limit(0).conn_keep_alive(Duration::ZERO);
+        let client = Client::builder().connector(connector).disable_redirects().disable_timeout();
+        PlainClient { client: client.finish() }
+    }
+}
+
+/// One call of a plain service.
+#[derive(Clone)]
+struct PlainCall {
+    shared: Shared,
+    client: PlainClient,
+    service: CompactString,
+    workspace: CompactString,
+    method: Method,
+    /// Path and query below the service.
+    target: String,
+    headers: SmallVec<[(&'static str, String); 4]>,
+    body: Bytes,
+    timeout: Duration,
+}
+
+/// Relays a call to a plain service.
+pub(crate) async fn call(
+    http: HttpRequest,
+    path: web::Path<(String, String)>,
+    payload: web::Payload,
+    shared: web::Data<Shared>,
+    client: web::Data<PlainClient>,
+) -> Result<HttpResponse, CallerError> {
+    let span = shared.spans.server("entry.service", &header(http.headers(), "traceparent"));
+    let (service, path) = path.into_inner();
+    let result = dispatch(&http, &service, &path, payload, &shared, &client, span).await;
+    let outcome = match &result {
+        Ok(_) => Verdict::Ran.to_string(),
+        Err(CallerError(failure)) => failure.code.to_string(),
+    };
+    shared.metrics.requests.with_label_values(&["plain", outcome.as_str()]).inc();
+    result
+}
+
+async fn dispatch(
+    http: &HttpRequest,
+    service: &str,
+    path: &str,
+    payload: web::Payload,
+    shared: &Shared,
+    client: &PlainClient,
+    span: Span,
+) -> Result<HttpResponse, CallerError> {
+    let caller = authenticate(shared, http)?;
+    let path = format!("/{path}");
+    let (plain, route) = find_route(&caller, service, http.method(), &path)?;
+    let body = body::read(shared, payload).await?;
+    let key = key_of(http, &route, &body)?;
+    let target = match http.query_string() {
+        "" => path,
+        query => format!("{path}?{query}"),
+    };
+    let call = PlainCall {
+        shared: shared.clone(),
+        client: client.clone(),
+        service: service.into(),
+        workspace: caller.workspace.name.as_str().into(),
+        method: http.method().clone(),
+        target,
+        headers: passed_headers(http, key.as_deref()),
+        body,
+        timeout: Duration::from_millis(plain.timeout_ms),
+    };
+    let guard = shared.in_flight.enter();
+    // The task outlives the caller's connection, so that a call that was
+    // begun is also recorded.
+    let task = actix_rt::spawn(async move {
+        let answer = match key {
+            Some(key) if !route.repeatable => call.run_at_most_once(key, &span).await,
+            _ if route.repeatable => call.run_repeatable(&span).await,
+            _ => call.run_single(&span).await.into_result(),
+        };
+        drop(guard);
+        answer
+    });
+    match task.await {
+        Ok(answer) => Ok(to_response(&answer?)),
+        Err(error) => Err(Failure::may_have_run(Code::Internal, error.to_string()).into()),
+    }
+}
+
+fn find_route(
+    caller: &Caller,
+    service: &str,
+    method: &Method,
+    path: &str,
+) -> Result<(Plain, Route), Failure> {
+    let not_found = |message: String| Failure::not_run(Code::NotFound, message);
+    let found = caller.catalog.service_for(&caller.workspace, service);
+    let backend = found.and_then(|service| service.backend.as_ref());
+    let Some(Backend::Plain(plain)) = backend else {
+        return Err(not_found(format!("there is no service `{service}` for this workspace")));
+    };
+    let route = Catalog::route(plain, method.as_str(), path)
+        .ok_or_else(|| not_found(format!("`{service}` has no route for {method} {path}")))?;
+    Ok((plain.clone(), route.clone()))
+}
+
+/// Returns the key of a call: from the header, or from fields of the body.
+fn key_of(http: &HttpRequest, route: &Route, body: &[u8]) -> Result<Option<String>, CallerError> {
+    let key = header(http.headers(), IDEMPOTENCY_KEY);
+    if key.len() > MAX_KEY_BYTES {
+        return Err(invalid(format!("Idempotency-Key: is longer than {MAX_KEY_BYTES} bytes")));
+    }
+    if !key.is_empty() {
+        return Ok(Some(format!("header:{key}")));
+    }
+    if let Some(key) = derived_key(route, body)? {
+        return Ok(Some(key));
+    }
+    if route.key_required {
+        let message = "this call needs an Idempotency-Key header";
+        return Err(Failure::not_run(Code::KeyRequired, message).into());
+    }
+    Ok(None)
+}
+
+fn derived_key(route: &Route, body: &[u8]) -> Result<Option<String>, CallerError> {
+    if route.key_fields.is_empty() {
+        return Ok(None);
+    }
+    let json: serde_json::Value =
+        serde_json::from_slice(body).map_err(|error| invalid(format!("body: {error}")))?;
+    let mut values = Vec::new();
+    for pointer in &route.key_fields {
+        let value = json.pointer(pointer).ok_or_else(|| {
+            let message = format!("body: the field {pointer} is needed to tell calls apart");
+            invalid(message)
+        })?;
+        values.push(value.clone());
+    }
+    let values = serde_json::Value::Array(values).to_string();
+    let hash = records::fingerprint(&route.method, &route.path_prefix, values.as_bytes());
+    let hex: String = hash.iter().map(|byte| format!("{byte:02x}")).collect();
+    Ok(Some(format!("fields:{hex}")))
+}
+
+fn passed_headers(http: &HttpRequest, key: Option<&str>) -> SmallVec<[(&'static str, String); 4]> {
+    let mut headers = SmallVec::new();
+    for (name, id) in [("content-type", CONTENT_TYPE), ("accept", ACCEPT)] {
+        let value = header(http.headers(), id.as_str());
+        if !value.is_empty() {
+            headers.push((name, value));
+        }
+    }
+    if let Some(key) = key {
+        let own = key.strip_prefix("header:").unwrap_or(key);
+        headers.push((IDEMPOTENCY_KEY, own.to_string()));
+    }
+    headers
+}
+
+impl Execution {
+    fn into_result(self) -> Result<StoredAnswer, Failure> {
+        match self {
+            Execution::Answered(answer) => Ok(answer),
+            Execution::NotSent(failure) | Execution::Unknown(failure) => Err(failure),
+        }
+    }
+}
+
+impl PlainCall {
+    async fn run_at_most_once(self, key: String, span: &Span) -> Result<StoredAnswer, Failure> {
+        let record = records::Call {
+            shared: self.shared.clone(),
+            key: RecordKey {
+                workspace: self.workspace.to_string(),
+                service: self.service.to_string(),
+                key,
+            },
+            fingerprint: records::fingerprint(self.method.as_str(), &self.target, &self.body),
+            limit: self.timeout + AWAIT_MARGIN,
+        };
+        record.run(span, || self.run_single(span)).await
+    }
+
+    /// Sends the call once; after a refused connection, to another upstream.
+    async fn run_single(&self, span: &Span) -> Execution {
+        let mut exclude = SmallVec::new();
+        loop {
+            let execution = self.run_on_one(&mut exclude, span).await;
+            let Execution::NotSent(failure) = execution else { return execution };
+            let exhausted = exclude.len() >= MAX_ATTEMPTS || failure.code == Code::NoUpstream;
+            if exhausted || !self.may_retry("connect").await {
+                return Execution::NotSent(failure);
+            }
+        }
+    }
+
+    /// Sends the call until an upstream answers.
+    async fn run_repeatable(&self, span: &Span) -> Result<StoredAnswer, Failure> {
+        let mut exclude = SmallVec::new();
+        loop {
+            let failure = match self.run_on_one(&mut exclude, span).await {
+                Execution::Answered(answer) => return Ok(answer),
+                Execution::NotSent(failure) | Execution::Unknown(failure) => failure,
+            };
+            let exhausted = exclude.len() >= MAX_ATTEMPTS || failure.code == Code::NoUpstream;
+            if exhausted || !self.may_retry("repeatable").await {
+                return Err(failure);
+            }
+        }
+    }
+
+    async fn may_retry(&self, reason: &'static str) -> bool {
+        let spend = SpendRetry { service: self.service.clone(), reason };
+        self.shared.broker.send(spend).await.unwrap_or(false)
+    }
+
+    async fn run_on_one(
+        &self,
+        exclude: &mut SmallVec<[CompactString; 2]>,
+        span: &Span,
+    ) -> Execution {
+        let pick = PickPlain { service: self.service.clone(), exclude: exclude.clone() };
+        let picked = match self.shared.broker.send(pick).await {
+            Ok(Ok(picked)) => picked,
+            Ok(Err(failure)) => return Execution::NotSent(failure),
+            Err(_) => {
+                let failure = Failure::not_run(Code::Unavailable, "the entry is stopping");
+                return Execution::NotSent(failure);
+            }
+        };
+        exclude.push(picked.upstream.clone());
+        let span = self.shared.spans.client("upstream.service", span);
+        span.set("upstream", picked.upstream.to_string());
+        let execution = self.send(&picked.address, &span).await;
+        self.shared.broker.do_send(EndPlain(picked.upstream));
+        execution
+    }
+
+    async fn send(&self, address: &str, span: &Span) -> Execution {
+        let url = format!("http://{address}{}", self.target);
+        let mut request = self
+            .client
+            .client
+            .request(self.method.clone(), url)
+            .force_close()
+            .timeout(self.timeout)
+            .insert_header((WORKSPACE_HEADER, self.workspace.as_str()))
+            .insert_header(("traceparent", span.traceparent()));
+        for (name, value) in &self.headers {
+            request = request.insert_header((*name, value.as_str()));
+        }
+        let mut response = match request.send_body(self.body.clone()).await {
+            Ok(response) => response,
+            Err(SendRequestError::Connect(error)) => {
+                let message = format!("cannot connect to the upstream: {error}");
+                return Execution::NotSent(Failure::not_run(Code::UpstreamFailed, message));
+            }
+            Err(error) => return lost(&error),
+        };
+        let content_type = response.headers().get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+        let headers = content_type
+            .map(|value| Header { name: "content-type".to_string(), value: value.to_string() });
+        let headers = headers.into_iter().collect();
+        let status = u32::from(response.status().as_u16());
+        match response.body().limit(MAX_ANSWER_BYTES).await {
+            Ok(body) => {
+                Execution::Answered(StoredAnswer { status, headers, body, truncated: false })
+            }
+            Err(error) => lost(&error),
+        }
+    }
+}
+
+fn lost(error: &dyn std::fmt::Display) -> Execution {
+    let message = format!("the upstream's answer was lost: {error}");
+    Execution::Unknown(Failure::may_have_run(Code::UpstreamFailed, message))
+}
--- /dev/null
+++ b/components/entry/src/lib.rs
@@ -0,0 +1,23 @@
+//! Daemon that serves callers and relays to upstreams.
+//!
+//! A request passes through these modules: `http` authenticates and parses
+//! it; `broker` queues it and obtains a credit at an engine; `engine` opens
+//! the stream; `relay` passes tokens on. Calls that must not repeat go through
+//! `records`, which opens a record with the control processes first.
+
+mod broker;
+mod control;
+mod engine;
+mod error;
+mod http;
+mod membership;
+mod metrics;
+mod peers;
+mod process;
+mod records;
+mod relay;
+mod shared;
+mod view;
+
+pub use error::StartError;
+pub use process::Entry;
--- /dev/null
+++ b/components/entry/src/membership.rs
@@ -0,0 +1,265 @@
+//! Heartbeats to the control processes and the view that follows from them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::{Actor, Addr, AsyncContext as _, Context, Handler, Message, ResponseFuture};
+use clock::Clock;
+use futures::future::join_all;
+use objects::Catalog;
+use schema::{
+    ConfirmRequest, EntryMember, HeartbeatReply, HeartbeatRequest, LeaveRequest, reply, request,
+};
+use settings::EntryConfig;
+use tokio::sync::watch;
+
+use crate::broker::{Broker, ViewChanged};
+use crate::control::{ControlClient, ControlError};
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::view::{Mode, View};
+
+const TICK: Duration = Duration::from_millis(50);
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
+/// Peers that are asked whether they can confirm the revision.
+const CONFIRM_PEERS: usize = 5;
+
+/// Actor that keeps the view up to date.
+pub(crate) struct Membership {
+    pub(crate) config: Arc<EntryConfig>,
+    pub(crate) clock: Clock,
+    pub(crate) control: ControlClient,
+    pub(crate) peers: Peers,
+    pub(crate) broker: Addr<Broker>,
+    pub(crate) metrics: Metrics,
+    pub(crate) view: watch::Sender<Arc<View>>,
+    pub(crate) member: EntryMember,
+    pub(crate) draining: bool,
+    pub(crate) heartbeat_open: bool,
+    pub(crate) next_heartbeat_ms: u64,
+    pub(crate) poll_open: bool,
+    /// What the peers said when the revision could last not be confirmed.
+    pub(crate) peers_verdict: Mode,
+}
+
+impl Membership {
+    fn tick(&mut self, context: &mut Context<Self>) {
+        let now_ms = self.clock.now_ms();
+        if !self.heartbeat_open && now_ms >= self.next_heartbeat_ms {
+            self.send_heartbeat(context, now_ms);
+        }
+        self.update_mode(context, now_ms);
+    }
+
+    fn send_heartbeat(&mut self, context: &mut Context<Self>, now_ms: u64) {
+        let view = self.view.borrow().clone();
+        let heartbeat = HeartbeatRequest {
+            member: Some(self.member.clone()),
+            revision: view.catalog.revision(),
+            members_version: view.members_version,
+        };
+        self.heartbeat_open = true;
+        self.next_heartbeat_ms = now_ms + self.config.timers.heartbeat_ms;
+        let control = self.control.clone();
+        let limit = Duration::from_millis(self.config.timers.control_timeout_ms);
+        let address = context.address();
+        actix_rt::spawn(async move {
+            let body = request::Body::Heartbeat(heartbeat);
+            let result = control.call(body, String::new(), limit).await;
+            address.do_send(HeartbeatEnded { sent_ms: now_ms, result });
+        });
+    }
+
+    fn apply(&mut self, reply: HeartbeatReply, sent_ms: u64) {
+        let is_registration = reply.members_version == 0;
+        if is_registration {
+            self.next_heartbeat_ms = 0;
+            return;
+        }
+        let mut view = View::clone(&self.view.borrow());
+        let current = view.catalog.revision();
+        if reply.revision < current {
+            log::error!(revision = reply.revision, current; "control names an older revision; it is not taken");
+            return;
+        }
+        if let Some(set) = reply.set {
+            log::info!(revision = reply.revision; "published set in force");
+            view.catalog = Arc::new(Catalog::new(reply.revision, set));
+        }
+        if reply.members_version != view.members_version {
+            view.members_version = reply.members_version;
+            view.members = reply.members.into();
+        }
+        view.confirmed_ms = sent_ms;
+        self.metrics.revision.set(i64::try_from(view.catalog.revision()).unwrap_or(i64::MAX));
+        self.replace_view(view);
+    }
+
+    fn update_mode(&mut self, context: &mut Context<Self>, now_ms: u64) {
+        let view = self.view.borrow().clone();
+        let age_ms = now_ms.saturating_sub(view.confirmed_ms);
+        let mode = if self.draining {
+            Mode::Draining
+        } else if view.confirmed_ms == 0 {
+            Mode::Starting
+        } else if age_ms < self.config.timers.revision_lease_ms {
+            self.peers_verdict = Mode::Unconfirmed;
+            Mode::Serving
+        } else {
+            self.ask_peers(context);
+            self.peers_verdict
+        };
+        if view.confirmed_ms > 0 {
+            self.metrics.confirmed_age_ms.set(i64::try_from(age_ms).unwrap_or(i64::MAX));
+        }
+        if mode != view.mode {
+            log::info!(from = view.mode.to_string().as_str(), to = mode.to_string().as_str(); "mode changed");
+            self.replace_view(View { mode, ..View::clone(&view) });
+        }
+    }
+
+    /// Asks peers whether they can confirm the revision.
+    fn ask_peers(&mut self, context: &mut Context<Self>) {
+        if self.poll_open {
+            return;
+        }
+        self.poll_open = true;
+        let view = self.view.borrow().clone();
+        let others = view.members.iter().filter(|member| member.vm != self.member.vm);
+        let others: Vec<EntryMember> = others.take(CONFIRM_PEERS).cloned().collect();
+        let peers = self.peers.clone();
+        let lease_ms = self.config.timers.revision_lease_ms;
+        let address = context.address();
+        actix_rt::spawn(async move {
+            let ask = |member: EntryMember| {
+                let peers = peers.clone();
+                async move {
+                    let body = request::Body::Confirm(ConfirmRequest {});
+                    peers.call(&member, body, String::new(), CONFIRM_TIMEOUT).await
+                }
+            };
+            let asked = others.len();
+            let answers = join_all(others.into_iter().map(ask)).await;
+            let answers = answers.into_iter().filter_map(|answer| match answer {
+                Ok(reply::Body::Confirm(confirm)) => Some(confirm),
+                _ => None,
+            });
+            let answers: Vec<_> = answers.collect();
+            let someone_confirms = answers.iter().any(|answer| {
+                answer.confirmed_age_ms < lease_ms || answer.revision > view.catalog.revision()
+            });
+            let alone = asked > 0 && answers.is_empty();
+            let mode = if someone_confirms || alone { Mode::Unconfirmed } else { Mode::Degraded };
+            address.do_send(PeersAnswered(mode));
+        });
+    }
+
+    fn replace_view(&mut self, view: View) {
+        for mode in Mode::ALL {
+            let value = i64::from(mode == view.mode);
+            self.metrics.mode.with_label_values(&[mode.to_string().as_str()]).set(value);
+        }
+        let view = Arc::new(view);
+        self.view.send_replace(view.clone());
+        self.broker.do_send(ViewChanged(view));
+    }
+}
+
+impl Actor for Membership {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Context<Self>) {
+        context.run_interval(TICK, Membership::tick);
+    }
+}
+
+/// Result of a heartbeat.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct HeartbeatEnded {
+    sent_ms: u64,
+    result: Result<reply::Body, ControlError>,
+}
+
+impl Handler<HeartbeatEnded> for Membership {
+    type Result = ();
+
+    fn handle(&mut self, ended: HeartbeatEnded, context: &mut Context<Self>) {
+        self.heartbeat_open = false;
+        match ended.result {
+            Ok(reply::Body::Heartbeat(reply)) => {
+                self.apply(reply, ended.sent_ms);
+                self.update_mode(context, self.clock.now_ms());
+            }
+            Ok(_) => log::error!("control answered a heartbeat with another kind of reply"),
+            Err(error) => {
+                log::warn!(error = error.to_string().as_str(); "heartbeat failed");
+            }
+        }
+    }
+}
+
+/// Verdict of the peers on a revision that could not be confirmed.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct PeersAnswered(Mode);
+
+impl Handler<PeersAnswered> for Membership {
+    type Result = ();
+
+    fn handle(&mut self, PeersAnswered(mode): PeersAnswered, _: &mut Context<Self>) {
+        self.poll_open = false;
+        self.peers_verdict = mode;
+    }
+}
+
+/// Takes the entry off the address list and gives up its upstreams.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct StartLeaving;
+
+impl Handler<StartLeaving> for Membership {
+    type Result = ();
+
+    fn handle(&mut self, _: StartLeaving, _: &mut Context<Self>) {
+        self.member.leaving = true;
+        self.next_heartbeat_ms = 0;
+    }
+}
+
+/// Stops taking new work.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct StartDraining;
+
+impl Handler<StartDraining> for Membership {
+    type Result = ();
+
+    fn handle(&mut self, _: StartDraining, context: &mut Context<Self>) {
+        self.draining = true;
+        self.update_mode(context, self.clock.now_ms());
+    }
+}
+
+/// Ends the membership after the last request.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Leave;
+
+impl Handler<Leave> for Membership {
+    type Result = ResponseFuture<()>;
+
+    fn handle(&mut self, _: Leave, _: &mut Context<Self>) -> ResponseFuture<()> {
+        let leave = LeaveRequest { vm: self.member.vm.clone(), epoch: self.member.epoch };
+        let control = self.control.clone();
+        let limit = Duration::from_millis(self.config.timers.control_timeout_ms);
+        // No heartbeat may register the entry again.
+        self.heartbeat_open = true;
+        Box::pin(async move {
+            let body = request::Body::Leave(leave);
+            if let Err(error) = control.call(body, String::new(), limit).await {
+                log::warn!(error = error.to_string().as_str(); "the lease was left to expire");
+            }
+        })
+    }
+}
--- /dev/null
+++ b/components/entry/src/process.rs
@@ -0,0 +1,157 @@
+//! Start and stop of an entry.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::{Actor as _, Addr};
+use actix_web::dev::ServerHandle;
+use clock::Clock;
+use credentials::{Identity, Role, TlsConfigs};
+use schema::EntryMember;
+use settings::EntryConfig;
+use telemetry::Spans;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use wire::Endpoint;
+
+use crate::broker::Broker;
+use crate::control::ControlClient;
+use crate::error::StartError;
+use crate::http;
+use crate::membership::{Leave, Membership, StartDraining, StartLeaving};
+use crate::metrics::Metrics;
+use crate::peers::{PeerService, Peers};
+use crate::shared::Shared;
+use crate::view::{Mode, View};
+
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// Time for a changed address list to reach the other entries, on top of the
+/// time that callers keep it.
+const ADDRESS_MARGIN: Duration = Duration::from_secs(2);
+
+/// Running entry.
+#[derive(Debug)]
+pub struct Entry {
+    shared: Shared,
+    membership: Addr<Membership>,
+    endpoint: Endpoint,
+    http: ServerHandle,
+    http_address: SocketAddr,
+}
+
+impl Entry {
+    /// Starts an entry inside a running [`actix::System`].
+    pub fn start(config: EntryConfig) -> Result<Entry, StartError> {
+        let tls = TlsConfigs::load(&config.tls, wire::PROTOCOL).map_err(StartError::Credentials)?;
+        check_identity(&tls.identity, &config)?;
+        let process = format!("entry/{}", config.vm);
+        let spans = Spans::start(&process, &config.telemetry).map_err(StartError::Spans)?;
+        let metrics = Metrics::new().map_err(StartError::Metrics)?;
+        let listen = |address| move |error| StartError::Listen(address, error);
+        let endpoint =
+            Endpoint::bind(config.peer_address, &tls).map_err(listen(config.peer_address))?;
+        let config = Arc::new(config);
+        let clock = Clock::start();
+        let epoch = rand::random_range(1..=u64::MAX >> 11);
+        let (view_sender, view) = watch::channel(Arc::new(View::default()));
+        let peers = Peers::new(endpoint.clone());
+        let control = ControlClient::new(&endpoint, &config.control_addresses, metrics.clone());
+        let broker = Broker::new(
+            config.clone(),
+            clock,
+            epoch,
+            peers.clone(),
+            metrics.clone(),
+            spans.clone(),
+        )
+        .start();
+        let shared = Shared {
+            config: config.clone(),
+            epoch,
+            view: view.clone(),
+            broker: broker.clone(),
+            control: control.clone(),
+            metrics: metrics.clone(),
+            spans: spans.clone(),
+            in_flight: Default::default(),
+        };
+        let (server, http_address) = http::serve(config.http_address, shared.clone())
+            .map_err(listen(config.http_address))?;
+        let membership = Membership {
+            member: member(&config, epoch, http_address),
+            config,
+            clock,
+            control,
+            peers,
+            broker: broker.clone(),
+            metrics,
+            view: view_sender,
+            draining: false,
+            heartbeat_open: false,
+            next_heartbeat_ms: 0,
+            poll_open: false,
+            peers_verdict: Mode::Unconfirmed,
+        }
+        .start();
+        let http = server.handle();
+        actix_rt::spawn(server);
+        let service = PeerService { broker, view, clock, spans };
+        let serving = endpoint.clone();
+        actix_rt::spawn(async move { serving.serve(service).await });
+        Ok(Entry { shared, membership, endpoint, http, http_address })
+    }
+
+    /// Returns the address on which callers are served.
+    pub fn http_address(&self) -> SocketAddr {
+        self.http_address
+    }
+
+    /// Stops without cutting off a request: leaves the address list, takes
+    /// work until every caller's list has expired, finishes what is in
+    /// progress, however long that takes, and gives up the membership.
+    pub async fn stop(&self) {
+        self.membership.do_send(StartLeaving);
+        let max_age = Duration::from_millis(self.shared.config.timers.address_max_age_ms);
+        sleep(max_age + ADDRESS_MARGIN).await;
+        self.membership.do_send(StartDraining);
+        while self.shared.in_flight.count() > 0 {
+            sleep(DRAIN_POLL).await;
+        }
+        if self.membership.send(Leave).await.is_err() {
+            log::warn!("the membership actor stopped early");
+        }
+        self.kill().await;
+    }
+
+    /// Stops at once.
+    pub async fn kill(&self) {
+        self.http.stop(false).await;
+        self.endpoint.close();
+        self.shared.spans.shutdown();
+    }
+}
+
+fn member(config: &EntryConfig, epoch: u64, http_address: SocketAddr) -> EntryMember {
+    // A port of 0 in the settings is known only after the bind.
+    let advertised = match config.advertised_http_address.port() {
+        0 => http_address,
+        _ => config.advertised_http_address,
+    };
+    EntryMember {
+        vm: config.vm.to_string(),
+        epoch,
+        data_centre: config.data_centre.to_string(),
+        region: config.region.to_string(),
+        http_address: advertised.to_string(),
+        peer_address: config.peer_address.to_string(),
+        leaving: false,
+    }
+}
+
+fn check_identity(identity: &Identity, config: &EntryConfig) -> Result<(), StartError> {
+    if identity.role == Role::Entry && identity.name == config.vm {
+        return Ok(());
+    }
+    Err(StartError::WrongIdentity { found: identity.to_string(), vm: config.vm.to_string() })
+}
--- /dev/null
+++ b/components/entry/src/relay.rs
@@ -0,0 +1,428 @@
+//! Relays one generation from its engine to a caller.
+//!
+//! The caller sees each token once, in order, and from one generation only:
+//! after a stall or a lost connection the relay continues the same generation
+//! from the next token; it starts another generation only while the caller
+//! has seen nothing.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use futures::StreamExt as _;
+use rand::RngExt as _;
+use smallvec::SmallVec;
+use telemetry::Span;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep, timeout};
+use units::{GenerationId, UpstreamName};
+use verdict::{Code, Failure};
+
+use crate::broker::{Acquire, Placement, Progress, Release, SpendRetry};
+use crate::engine::{EngineClient, EngineError, EngineEvent, EngineEvents, StartGeneration};
+use crate::shared::Shared;
+
+/// Attempts to continue a generation without progress in between.
+const MAX_RESUMES: u32 = 3;
+const RESUME_DELAY: Duration = Duration::from_millis(50);
+/// Engines tried for one request before its first token.
+const MAX_PLACEMENTS: u32 = 3;
+const PROGRESS_TOKENS: u64 = 32;
+
+/// Event for the caller.
+#[derive(Clone, Debug)]
+pub(crate) enum RelayEvent {
+    /// The engine accepted the generation.
+    Started(GenerationId),
+    /// Next token.
+    Token(u64, String),
+    /// The output is complete.
+    End {
+        /// `stop`, `length` or `cancelled`.
+        reason: String,
+        /// Tokens of the whole output.
+        output_tokens: u64,
+    },
+    /// The output ends here with an error.
+    Failed(Failure),
+}
+
+/// Request for one generation.
+#[derive(Clone, Debug)]
+pub(crate) struct GenerationRequest {
+    pub(crate) service: CompactString,
+    pub(crate) workspace: CompactString,
+    pub(crate) share: u32,
+    pub(crate) max_streams: u32,
+    pub(crate) max_waiting: u32,
+    pub(crate) priority: schema::Priority,
+    pub(crate) version: CompactString,
+    pub(crate) adapter: CompactString,
+    pub(crate) prompt: String,
+    pub(crate) prompt_tokens: u64,
+    pub(crate) max_output_tokens: u64,
+}
+
+/// Relay of one generation.
+pub(crate) struct Relay {
+    pub(crate) shared: Shared,
+    pub(crate) engine: EngineClient,
+    pub(crate) request: Arc<GenerationRequest>,
+    pub(crate) span: Span,
+    pub(crate) sink: mpsc::Sender<RelayEvent>,
+}
+
+/// Generation on an engine.
+struct Running {
+    generation: GenerationId,
+    address: CompactString,
+    placement: Option<Placement>,
+    events: EngineEvents,
+    next_index: u64,
+    last_token: Instant,
+    started: Instant,
+    resumes: u32,
+}
+
+/// How a generation ended for the relay.
+enum Ended {
+    /// The engine sent the end.
+    Whole,
+    /// The caller went away.
+    CallerLeft,
+    /// The engine failed before the first token.
+    Unseen(Failure),
+    /// The engine failed after the first token.
+    Broken(Failure),
+}
+
+impl Relay {
+    /// Runs a new generation.
+    pub(crate) async fn run(self) {
+        let mut exclude = SmallVec::new();
+        for placements_left in (0..MAX_PLACEMENTS).rev() {
+            let failure = match self.place_and_stream(&mut exclude).await {
+                Ok(()) => return,
+                Err(failure) => failure,
+            };
+            let no_engine = matches!(failure.code, Code::NoUpstream | Code::WorkspaceLimit);
+            let refused = no_engine || matches!(failure.code, Code::Overloaded);
+            if placements_left == 0 || refused || !self.may_retry().await {
+                self.fail(failure).await;
+                return;
+            }
+        }
+    }
+
+    /// Continues a generation that an earlier connection began.
+    pub(crate) async fn resume(self, generation: GenerationId, address: CompactString, from: u64) {
+        let workspace = self.request.workspace.as_str();
+        let events = self.engine.resume(&address, &generation, from, workspace).await;
+        let events = match events {
+            Ok(events) => events,
+            Err(error) => {
+                let message = format!("the generation cannot be resumed: {error}");
+                self.fail(Failure::ran(Code::ResumeGone, message)).await;
+                return;
+            }
+        };
+        let now = Instant::now();
+        let running = Running {
+            generation,
+            address,
+            placement: None,
+            events,
+            next_index: from,
+            last_token: now,
+            started: now,
+            resumes: 0,
+        };
+        match self.stream(running).await {
+            Ended::Whole | Ended::CallerLeft => {}
+            Ended::Unseen(failure) | Ended::Broken(failure) => {
+                self.fail(Failure { verdict: verdict::Verdict::Ran, ..failure }).await;
+            }
+        }
+    }
+
+    /// Runs the generation on one engine; an error means that the caller has
+    /// seen nothing and another engine may be tried.
+    async fn place_and_stream(
+        &self,
+        exclude: &mut SmallVec<[CompactString; 2]>,
+    ) -> Result<(), Failure> {
+        let placement = self.acquire(exclude.clone()).await?;
+        exclude.push(placement.upstream.clone());
+        let engine: UpstreamName = match placement.upstream.parse() {
+            Ok(engine) => engine,
+            Err(error) => {
+                self.release(placement, 0, false);
+                return Err(Failure::not_run(Code::Internal, format!("engine name: {error}")));
+            }
+        };
+        let generation = GenerationId { engine, nonce: rand::rng().random() };
+        let started = Instant::now();
+        let events = match self.start(&generation, &placement).await {
+            Ok(events) => events,
+            Err(error) => {
+                self.release(placement, 0, false);
+                return Err(start_failure(&error));
+            }
+        };
+        let _ = self.sink.send(RelayEvent::Started(generation.clone())).await;
+        let running = Running {
+            generation,
+            address: placement.address.clone(),
+            placement: Some(placement),
+            events,
+            next_index: 0,
+            last_token: started,
+            started,
+            resumes: 0,
+        };
+        match self.stream(running).await {
+            Ended::Whole | Ended::CallerLeft => Ok(()),
+            Ended::Unseen(failure) => Err(failure),
+            Ended::Broken(failure) => {
+                self.fail(failure).await;
+                Ok(())
+            }
+        }
+    }
+
+    async fn acquire(&self, exclude: SmallVec<[CompactString; 2]>) -> Result<Placement, Failure> {
+        let request = &self.request;
+        let acquire = Acquire {
+            service: request.service.clone(),
+            workspace: request.workspace.clone(),
+            share: request.share,
+            max_streams: request.max_streams,
+            max_waiting: request.max_waiting,
+            priority: request.priority.name.as_str().into(),
+            rank: request.priority.rank,
+            max_wait_ms: request.priority.max_wait_ms,
+            needs: [&request.version, &request.adapter]
+                .into_iter()
+                .filter(|need| !need.is_empty())
+                .cloned()
+                .collect(),
+            prompt_tokens: request.prompt_tokens,
+            max_output_tokens: request.max_output_tokens,
+            prefix: routing::prefix_hash(&request.prompt),
+            exclude,
+            traceparent: self.span.traceparent(),
+        };
+        let stopping = |_| Failure::not_run(Code::Unavailable, "the entry is stopping");
+        let placement = self.shared.broker.send(acquire).await.map_err(stopping)??;
+        self.span.set("engine", placement.upstream.to_string());
+        self.span.set("waited_ms", i64::try_from(placement.waited_ms).unwrap_or(i64::MAX));
+        Ok(placement)
+    }
+
+    async fn start(
+        &self,
+        generation: &GenerationId,
+        placement: &Placement,
+    ) -> Result<EngineEvents, EngineError> {
+        let request = &self.request;
+        let start = StartGeneration {
+            generation: generation.to_string(),
+            version: request.version.to_string(),
+            adapter: request.adapter.to_string(),
+            workspace: request.workspace.to_string(),
+            prompt: request.prompt.clone(),
+            max_output_tokens: request.max_output_tokens,
+            priority: request.priority.rank,
+            detach_ms: self.shared.config.timers.resume_window_ms,
+        };
+        let span = self.shared.spans.client("upstream.generation", &self.span);
+        let limit = Duration::from_millis(request.priority.stall_ms);
+        let traceparent = span.traceparent();
+        let starting = self.engine.start(&placement.address, &start, &traceparent);
+        match timeout(limit, starting).await {
+            Ok(result) => result,
+            Err(_) => {
+                self.cancel(generation, &placement.address).await;
+                Err(EngineError::Lost("no answer to the start request".to_string()))
+            }
+        }
+    }
+
+    async fn stream(&self, mut running: Running) -> Ended {
+        let ended = self.pass_on(&mut running).await;
+        if let Some(placement) = running.placement.take() {
+            let tokens = running.next_index;
+            match &ended {
+                Ended::Whole => self.release(placement, tokens, true),
+                Ended::CallerLeft => self.release_after_window(placement, tokens),
+                Ended::Unseen(_) | Ended::Broken(_) => self.release(placement, tokens, false),
+            }
+        }
+        ended
+    }
+
+    async fn pass_on(&self, running: &mut Running) -> Ended {
+        let stall = Duration::from_millis(self.request.priority.stall_ms);
+        loop {
+            let event = tokio::select! {
+                event = timeout(stall, running.events.next()) => event,
+                () = self.sink.closed() => return Ended::CallerLeft,
+            };
+            let failure = match event {
+                Ok(Some(Ok(EngineEvent::Token { index, text }))) => {
+                    if index == running.next_index {
+                        self.observe_token(running);
+                        if self.sink.send(RelayEvent::Token(index, text)).await.is_err() {
+                            return Ended::CallerLeft;
+                        }
+                        continue;
+                    }
+                    if index < running.next_index {
+                        continue;
+                    }
+                    Failure::ran(Code::UpstreamFailed, "the engine skipped a token")
+                }
+                Ok(Some(Ok(EngineEvent::End { reason, output_tokens })))
+                    if output_tokens == running.next_index =>
+                {
+                    let _ = self.sink.send(RelayEvent::End { reason, output_tokens }).await;
+                    return Ended::Whole;
+                }
+                Ok(Some(Ok(EngineEvent::End { output_tokens, .. })))
+                    if output_tokens < running.next_index =>
+                {
+                    let message = "the engine ended the output before a token that it sent";
+                    return Ended::Broken(Failure::ran(Code::UpstreamFailed, message));
+                }
+                Ok(Some(Ok(EngineEvent::End { .. }))) => {
+                    Failure::ran(Code::UpstreamFailed, "the engine ended with tokens missing")
+                }
+                Ok(Some(Err(error))) => Failure::ran(Code::UpstreamFailed, error.to_string()),
+                Ok(None) => Failure::ran(Code::UpstreamFailed, "the engine closed the stream"),
+                Err(_) => {
+                    self.observe_stall(running);
+                    Failure::ran(Code::Stalled, "the engine made no progress")
+                }
+            };
+            if let Some(ended) = self.reconnect(running, failure).await {
+                return ended;
+            }
+        }
+    }
+
+    /// Continues the same generation over a new connection.
+    async fn reconnect(&self, running: &mut Running, failure: Failure) -> Option<Ended> {
+        let workspace = self.request.workspace.as_str();
+        while running.resumes < MAX_RESUMES {
+            running.resumes += 1;
+            let Running { generation, address, next_index, .. } = &*running;
+            let resuming = self.engine.resume(address, generation, *next_index, workspace);
+            let stall = Duration::from_millis(self.request.priority.stall_ms);
+            match timeout(stall, resuming).await {
+                Ok(Ok(events)) => {
+                    running.events = events;
+                    self.shared.metrics.retries.with_label_values(&["resume"]).inc();
+                    return None;
+                }
+                // The engine no longer knows the generation.
+                Ok(Err(EngineError::Refused(..))) => break,
+                Ok(Err(_)) => sleep(RESUME_DELAY * running.resumes).await,
+                Err(_) => {}
+            }
+        }
+        self.cancel(&running.generation, &running.address).await;
+        if running.next_index == 0 && running.placement.is_some() {
+            return Some(Ended::Unseen(failure));
+        }
+        Some(Ended::Broken(failure))
+    }
+
+    fn observe_token(&self, running: &mut Running) {
+        let now = Instant::now();
+        let (service, metrics) = (self.request.service.as_str(), &self.shared.metrics);
+        let gap = now - running.last_token;
+        if running.next_index == 0 {
+            let seconds = (now - running.started).as_secs_f64();
+            metrics.first_token_seconds.with_label_values(&[service]).observe(seconds);
+        } else {
+            let seconds = gap.as_secs_f64();
+            metrics.between_tokens_seconds.with_label_values(&[service]).observe(seconds);
+        }
+        metrics.tokens.with_label_values(&[service]).inc();
+        running.last_token = now;
+        running.next_index += 1;
+        running.resumes = 0;
+        if running.next_index.is_multiple_of(PROGRESS_TOKENS)
+            && let Some(placement) = &running.placement
+        {
+            self.shared.broker.do_send(Progress {
+                upstream: placement.upstream.clone(),
+                credit: placement.credit,
+                output_tokens: running.next_index,
+            });
+        }
+    }
+
+    fn observe_stall(&self, running: &Running) {
+        let seconds = running.last_token.elapsed().as_secs_f64();
+        let service = self.request.service.as_str();
+        self.shared.metrics.stall_seconds.with_label_values(&[service]).observe(seconds);
+        log::warn!(service, generation = running.generation.to_string().as_str(), index = running.next_index; "generation stalled");
+    }
+
+    async fn cancel(&self, generation: &GenerationId, address: &str) {
+        let workspace = self.request.workspace.as_str();
+        if let Err(error) = self.engine.cancel(address, generation, workspace).await {
+            log::debug!(generation = generation.to_string().as_str(), error = error.to_string().as_str(); "cancel was not confirmed");
+        }
+    }
+
+    async fn may_retry(&self) -> bool {
+        let service = self.request.service.clone();
+        let spend = SpendRetry { service, reason: "placement" };
+        self.shared.broker.send(spend).await.unwrap_or(false)
+    }
+
+    fn release(&self, placement: Placement, output_tokens: u64, whole: bool) {
+        self.shared.broker.do_send(self.release_message(placement, output_tokens, whole));
+    }
+
+    /// Keeps the credit while the generation may still be resumed.
+    fn release_after_window(&self, placement: Placement, output_tokens: u64) {
+        let window = Duration::from_millis(self.shared.config.timers.resume_window_ms);
+        let release = self.release_message(placement, output_tokens, false);
+        let broker = self.shared.broker.clone();
+        actix_rt::spawn(async move {
+            sleep(window).await;
+            broker.do_send(release);
+        });
+    }
+
+    fn release_message(&self, placement: Placement, output_tokens: u64, whole: bool) -> Release {
+        Release {
+            placement,
+            service: self.request.service.clone(),
+            workspace: self.request.workspace.clone(),
+            share: self.request.share,
+            prompt_tokens: self.request.prompt_tokens,
+            output_tokens,
+            whole,
+        }
+    }
+
+    async fn fail(&self, failure: Failure) {
+        self.span.fail(failure.to_string());
+        let _ = self.sink.send(RelayEvent::Failed(failure)).await;
+    }
+}
+
+fn start_failure(error: &EngineError) -> Failure {
+    match error {
+        EngineError::Connect(_) | EngineError::Refused(..) => {
+            Failure::not_run(Code::UpstreamFailed, error.to_string())
+        }
+        EngineError::Lost(_) | EngineError::Event(_) => {
+            Failure::may_have_run(Code::UpstreamFailed, error.to_string())
+        }
+    }
+}
--- /dev/null
+++ b/components/journal/src/folder.rs
@@ -0,0 +1,198 @@
+//! Files of a data folder.
+
+use std::fs::{File, OpenOptions, TryLockError};
+use std::io::Write as _;
+use std::path::{Path, PathBuf};
+
+use prost::Message as _;
+use schema::Snapshot;
+use serde::{Deserialize, Serialize};
+
+use crate::segment::Segment;
+use crate::{JournalError, Write, with_suffix};
+
+const IDENTITY_FILE: &str = "identity.json";
+const LOCK_FILE: &str = "lock";
+const SEGMENT_PREFIX: &str = "log-";
+const SEGMENT_SUFFIX: &str = ".segment";
+const SNAPSHOT_PREFIX: &str = "snapshot-";
+const SNAPSHOT_SUFFIX: &str = ".image";
+const CRC_BYTES: usize = 4;
+
+/// Contents of `identity.json`.
+#[derive(Debug, Deserialize, Serialize)]
+struct Identity {
+    replica_id: u64,
+}
+
+/// Locked data folder.
+#[derive(Debug)]
+pub(crate) struct Folder {
+    path: PathBuf,
+    identity: Identity,
+    _lock: File,
+}
+
+impl Folder {
+    pub(crate) fn open(path: &Path) -> Result<Folder, JournalError> {
+        std::fs::create_dir_all(path).map_err(JournalError::io("create", path))?;
+        let lock = lock(&path.join(LOCK_FILE))?;
+        let identity_path = path.join(IDENTITY_FILE);
+        if !identity_path.exists() {
+            initialise(path)?;
+        }
+        let text =
+            std::fs::read(&identity_path).map_err(JournalError::io("read", &identity_path))?;
+        let identity: Identity = serde_json::from_slice(&text)
+            .map_err(|error| JournalError::corrupt(&identity_path, 0, error.to_string()))?;
+        Ok(Folder { path: path.to_path_buf(), identity, _lock: lock })
+    }
+
+    pub(crate) fn replica_id(&self) -> u64 {
+        self.identity.replica_id
+    }
+
+    pub(crate) fn segment_path(&self, index: u64) -> PathBuf {
+        segment_path(&self.path, index)
+    }
+
+    /// Returns the index of the snapshot that the newest segment continues.
+    pub(crate) fn snapshot_index(&self) -> Result<u64, JournalError> {
+        let newest = indices(&self.path, SEGMENT_PREFIX, SEGMENT_SUFFIX)?.into_iter().max();
+        newest.ok_or_else(|| JournalError::lost(self.segment_path(0)))
+    }
+
+    pub(crate) fn read_snapshot(&self, index: u64) -> Result<Option<Snapshot>, JournalError> {
+        if index == 0 {
+            return Ok(None);
+        }
+        let path = snapshot_path(&self.path, index);
+        let bytes = match std::fs::read(&path) {
+            Ok(bytes) => bytes,
+            Err(error) if error.kind() == std::io::ErrorKind::NotFound => {
+                return Err(JournalError::lost(path));
+            }
+            Err(error) => return Err(JournalError::io("read", &path)(error)),
+        };
+        let decoded = decode_snapshot(&bytes).filter(|snapshot| snapshot.index == index);
+        decoded
+            .map(Some)
+            .ok_or_else(|| JournalError::corrupt(&path, 0, "the snapshot's checksum is wrong"))
+    }
+
+    pub(crate) fn write_snapshot(&self, snapshot: &Snapshot) -> Result<(), JournalError> {
+        let encoded = snapshot.encode_to_vec();
+        let crc = crc32fast::hash(&encoded);
+        let path = snapshot_path(&self.path, snapshot.index);
+        write_durably(&path, &[&crc.to_le_bytes(), &encoded])?;
+        self.sync()
+    }
+
+    /// Removes files of other snapshots than the one at `index`.
+    pub(crate) fn remove_stale(&self, index: u64) -> Result<(), JournalError> {
+        for stale in indices(&self.path, SEGMENT_PREFIX, SEGMENT_SUFFIX)? {
+            if stale != index {
+                remove(&self.segment_path(stale))?;
+            }
+        }
+        for stale in indices(&self.path, SNAPSHOT_PREFIX, SNAPSHOT_SUFFIX)? {
+            if stale != index {
+                remove(&snapshot_path(&self.path, stale))?;
+            }
+        }
+        Ok(())
+    }
+
+    pub(crate) fn sync(&self) -> Result<(), JournalError> {
+        sync_folder(&self.path)
+    }
+}
+
+/// Gives an empty folder its segment and then its identity.
+fn initialise(path: &Path) -> Result<(), JournalError> {
+    let found = indices(path, SEGMENT_PREFIX, SEGMENT_SUFFIX)?;
+    let snapshots = indices(path, SNAPSHOT_PREFIX, SNAPSHOT_SUFFIX)?;
+    // A segment at index 0 without records is what a crash in here leaves.
+    if !snapshots.is_empty() || found.iter().any(|index| *index != 0) {
+        return Err(JournalError::lost(path.join(IDENTITY_FILE)));
+    }
+    let segment_path = segment_path(path, 0);
+    if found.contains(&0) {
+        let (_, contents) = Segment::open(&segment_path)?;
+        if !contents.entries.is_empty() || contents.hard_state.term > 0 {
+            return Err(JournalError::lost(path.join(IDENTITY_FILE)));
+        }
+    }
+    Segment::create(&segment_path, Write::default())?;
+    sync_folder(path)?;
+    let identity = Identity { replica_id: rand::random_range(1..=u64::MAX >> 11) };
+    let text = serde_json::to_vec(&identity).expect("an identity has a JSON form");
+    write_durably(&path.join(IDENTITY_FILE), &[&text])?;
+    sync_folder(path)
+}
+
+fn lock(path: &Path) -> Result<File, JournalError> {
+    let file = OpenOptions::new()
+        .write(true)
+        .create(true)
+        .truncate(false)
+        .open(path)
+        .map_err(JournalError::io("open", path))?;
+    match file.try_lock() {
+        Ok(()) => Ok(file),
+        Err(TryLockError::WouldBlock) => {
+            Err(JournalError::Locked { path: path.display().to_string() })
+        }
+        Err(TryLockError::Error(error)) => Err(JournalError::io("lock", path)(error)),
+    }
+}
+
+fn decode_snapshot(bytes: &[u8]) -> Option<Snapshot> {
+    let (crc, encoded) = bytes.split_at_checked(CRC_BYTES)?;
+    let crc = u32::from_le_bytes(crc.try_into().ok()?);
+    if crc32fast::hash(encoded) != crc {
+        return None;
+    }
+    Snapshot::decode(encoded).ok()
+}
+
+fn segment_path(folder: &Path, index: u64) -> PathBuf {
+    folder.join(format!("{SEGMENT_PREFIX}{index}{SEGMENT_SUFFIX}"))
+}
+
+fn snapshot_path(folder: &Path, index: u64) -> PathBuf {
+    folder.join(format!("{SNAPSHOT_PREFIX}{index}{SNAPSHOT_SUFFIX}"))
+}
+
+/// Returns the numbers in the names of a kind of file.
+fn indices(folder: &Path, prefix: &str, suffix: &str) -> Result<Vec<u64>, JournalError> {
+    let mut indices = Vec::new();
+    for file in std::fs::read_dir(folder).map_err(JournalError::io("list", folder))? {
+        let name = file.map_err(JournalError::io("list", folder))?.file_name();
+        let number = name
+            .to_str()
+            .and_then(|name| name.strip_prefix(prefix))
+            .and_then(|name| name.strip_suffix(suffix));
+        indices.extend(number.and_then(|number| number.parse::<u64>().ok()));
+    }
+    Ok(indices)
+}
+
+fn write_durably(path: &Path, parts: &[&[u8]]) -> Result<(), JournalError> {
+    let temporary = with_suffix(path, ".tmp");
+    let mut file = File::create(&temporary).map_err(JournalError::io("create", &temporary))?;
+    for part in parts {
+        file.write_all(part).map_err(JournalError::io("write", &temporary))?;
+    }
+    file.sync_all().map_err(JournalError::io("sync", &temporary))?;
+    std::fs::rename(&temporary, path).map_err(JournalError::io("rename", &temporary))
+}
+
+fn remove(path: &Path) -> Result<(), JournalError> {
+    std::fs::remove_file(path).map_err(JournalError::io("remove", path))
+}
+
+fn sync_folder(path: &Path) -> Result<(), JournalError> {
+    let folder = File::open(path).map_err(JournalError::io("open", path))?;
+    folder.sync_all().map_err(JournalError::io("sync", path))
+}
--- /dev/null
+++ b/components/objects/src/diff.rs
@@ -0,0 +1,86 @@
+//! Differences between two sets.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use schema::ObjectSet;
+
+/// How an object differs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ChangeKind {
+    /// Only the new set has the object.
+    Added,
+    /// Only the old set has the object.
+    Removed,
+    /// Both sets have the object, with other contents.
+    Changed,
+}
+
+/// One object that differs between two sets.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Change {
+    /// How the object differs.
+    pub kind: ChangeKind,
+    /// Kind and name of the object.
+    pub object: String,
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let sign = match self.kind {
+            ChangeKind::Added => '+',
+            ChangeKind::Removed => '-',
+            ChangeKind::Changed => '~',
+        };
+        write!(f, "{sign} {}", self.object)
+    }
+}
+
+/// Returns the objects that differ, in order of their kinds and names.
+///
+/// ```
+/// let model = schema::Model { name: "m".into(), context_tokens: 10 };
+/// let new = schema::ObjectSet { models: vec![model], ..Default::default() };
+/// let changes = objects::diff(&Default::default(), &new);
+/// assert_eq!(changes[0].to_string(), "+ model m");
+/// ```
+pub fn diff(old: &ObjectSet, new: &ObjectSet) -> Vec<Change> {
+    let (old, new) = (objects(old), objects(new));
+    let names: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+    let change = |name: &String| {
+        let kind = match (old.get(name), new.get(name)) {
+            (None, Some(_)) => ChangeKind::Added,
+            (Some(_), None) => ChangeKind::Removed,
+            (Some(old), Some(new)) if old != new => ChangeKind::Changed,
+            _ => return None,
+        };
+        Some(Change { kind, object: name.clone() })
+    };
+    names.into_iter().filter_map(change).collect()
+}
+
+/// Renders each object, so that all kinds compare in one way.
+fn objects(set: &ObjectSet) -> BTreeMap<String, String> {
+    let mut objects = BTreeMap::new();
+    macro_rules! add {
+        ($list:ident, $kind:literal) => {
+            for object in &set.$list {
+                objects.insert(format!("{} {}", $kind, object.name), render(object));
+            }
+        };
+    }
+    add!(priorities, "priority");
+    add!(models, "model");
+    add!(versions, "version");
+    add!(adapters, "adapter");
+    add!(services, "service");
+    add!(workspaces, "workspace");
+    if let Some(weights) = &set.weights {
+        objects.insert("weights".to_string(), render(weights));
+    }
+    objects
+}
+
+fn render(object: &impl fmt::Debug) -> String {
+    format!("{object:?}")
+}
--- /dev/null
+++ b/components/objects/src/lib.rs
@@ -0,0 +1,11 @@
+//! Checks, differences and lookups of published object sets.
+
+mod catalog;
+mod check;
+mod diff;
+mod folder;
+
+pub use catalog::{Catalog, hash_secret};
+pub use check::{Problem, check};
+pub use diff::{Change, ChangeKind, diff};
+pub use folder::{FolderError, read_folder};
--- /dev/null
+++ b/components/routing/src/ownership.rs
@@ -0,0 +1,59 @@
+//! Which entry owns an upstream, and which entries hear of it.
+//!
+//! Both follow from the membership by rendezvous hashing, so all entries with
+//! the same membership agree without a message, and a change of one member
+//! moves only the upstreams of that member.
+
+use schema::EntryMember;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Returns the member that owns an upstream.
+///
+/// ```
+/// let member = |vm: &str| schema::EntryMember { vm: vm.to_string(), ..Default::default() };
+/// let members = [member("vm-1"), member("vm-2"), member("vm-3")];
+/// let owner = routing::owner(&members, "engine-7").unwrap();
+/// let others: Vec<_> = members.iter().filter(|m| m.vm != owner.vm).cloned().collect();
+/// assert_ne!(routing::owner(&others, "engine-7").unwrap().vm, owner.vm);
+/// ```
+pub fn owner<'a>(members: &'a [EntryMember], upstream: &str) -> Option<&'a EntryMember> {
+    let staying = members.iter().filter(|member| !member.leaving);
+    staying.max_by_key(|member| weight(&member.vm, upstream))
+}
+
+/// Returns the members that hear of the upstreams that `owner_vm` owns.
+///
+/// Every member listens to `fan_in` owners: all of them in a small
+/// deployment, and a subset of its own region in a large one, which bounds
+/// what it has to hear and hold.
+pub fn watchers<'a>(
+    members: &'a [EntryMember],
+    owner_vm: &str,
+    fan_in: usize,
+) -> Vec<&'a EntryMember> {
+    let Some(owner) = members.iter().find(|member| member.vm == owner_vm) else {
+        return Vec::new();
+    };
+    let others = members.iter().filter(|member| member.vm != owner_vm);
+    others.filter(|watcher| listens_to(members, watcher, owner, fan_in)).collect()
+}
+
+fn listens_to(
+    members: &[EntryMember],
+    watcher: &EntryMember,
+    owner: &EntryMember,
+    fan_in: usize,
+) -> bool {
+    if members.len() <= fan_in {
+        return true;
+    }
+    let rank =
+        |other: &EntryMember| (other.region == watcher.region, weight(&watcher.vm, &other.vm));
+    let own_rank = rank(owner);
+    let better = members.iter().filter(|m| m.vm != watcher.vm && rank(m) > own_rank).count();
+    better < fan_in
+}
+
+fn weight(vm: &str, key: &str) -> u64 {
+    xxh3_64_with_seed(key.as_bytes(), xxh3_64_with_seed(vm.as_bytes(), 0))
+}
--- /dev/null
+++ b/components/settings/src/checker.rs
@@ -0,0 +1,103 @@
+//! Collects all problems of a file before it is refused.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::str::FromStr;
+
+use jsonc::Document;
+use schema::TlsSettings;
+use serde::de::DeserializeOwned;
+
+use crate::{SettingsError, SettingsProblem};
+
+pub(crate) struct Checker<'a> {
+    document: &'a Document<'a>,
+    problems: Vec<SettingsProblem>,
+}
+
+impl Checker<'_> {
+    pub(crate) fn report(&mut self, field: &str, message: impl Into<String>) {
+        let position = self.document.position(&format!("/{}", field.replace('.', "/")));
+        let field = field.to_string();
+        self.problems.push(SettingsProblem { position, field, message: message.into() });
+    }
+
+    /// Parses a text setting; `None` after a problem was reported.
+    pub(crate) fn parse<T>(&mut self, field: &str, text: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: std::fmt::Display,
+    {
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.report(field, format!("`{text}`: {error}"));
+                None
+            }
+        }
+    }
+
+    pub(crate) fn address(&mut self, field: &str, text: &str) -> Option<SocketAddr> {
+        let address = text.parse().ok();
+        if address.is_none() {
+            self.report(field, format!("`{text}` is no address such as 10.0.0.7:7400"));
+        }
+        address
+    }
+
+    pub(crate) fn addresses(&mut self, field: &str, texts: &[String]) -> Vec<SocketAddr> {
+        if texts.is_empty() {
+            self.report(field, "needs at least one address");
+        }
+        let numbered = texts.iter().enumerate();
+        numbered.filter_map(|(i, text)| self.address(&format!("{field}.{i}"), text)).collect()
+    }
+
+    pub(crate) fn tls(&mut self, tls: Option<TlsSettings>) -> TlsSettings {
+        let tls = tls.unwrap_or_default();
+        let files = [
+            ("tls.ca_path", &tls.ca_path),
+            ("tls.certificate_path", &tls.certificate_path),
+            ("tls.key_path", &tls.key_path),
+        ];
+        for (field, path) in files {
+            if path.is_empty() {
+                self.report(field, "is needed; create the file with `shallottray keys`");
+            } else if !Path::new(path).is_file() {
+                self.report(field, format!("there is no file `{path}`"));
+            }
+        }
+        tls
+    }
+
+    /// Replaces 0 by a default and checks the range.
+    pub(crate) fn number<T>(&mut self, field: &str, value: T, default: T, min: T, max: T) -> T
+    where
+        T: Copy + Default + PartialOrd + std::fmt::Display,
+    {
+        if value == T::default() {
+            return default;
+        }
+        if value < min || value > max {
+            self.report(field, format!("{value} is not from {min} to {max}"));
+        }
+        value
+    }
+}
+
+/// Reads a file, decodes it and lets `check` turn it into checked settings.
+pub(crate) fn load<S: DeserializeOwned, T>(
+    path: &Path,
+    check: impl FnOnce(S, &mut Checker<'_>) -> Option<T>,
+) -> Result<T, SettingsError> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| SettingsError::Io(path.to_path_buf(), error))?;
+    let syntax = |error| SettingsError::Syntax(path.to_path_buf(), error);
+    let document = Document::parse(&text).map_err(syntax)?;
+    let settings = document.decode().map_err(syntax)?;
+    let mut checker = Checker { document: &document, problems: Vec::new() };
+    match check(settings, &mut checker) {
+        Some(config) if checker.problems.is_empty() => Ok(config),
+        _ => Err(SettingsError::Invalid(path.to_path_buf(), checker.problems)),
+    }
+}
--- /dev/null
+++ b/components/settings/src/control.rs
@@ -0,0 +1,142 @@
+//! Settings of `shallottray-control`.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use schema::{ControlLimits, ControlSettings, ControlTimers, TelemetrySettings, TlsSettings};
+use units::{DataCentre, Name, VmName};
+
+use crate::SettingsError;
+use crate::checker::{Checker, load};
+
+const HOUR_MS: u64 = 60 * 60 * 1_000;
+const MIB: u64 = 1 << 20;
+
+/// Checked settings of one control process.
+#[derive(Clone, Debug)]
+pub struct ControlConfig {
+    /// VM that the process runs on.
+    pub vm: VmName,
+    /// Data centre of the VM.
+    pub data_centre: DataCentre,
+    /// Region of the data centre.
+    pub region: Name,
+    /// Address for the system's own processes.
+    pub peer_address: SocketAddr,
+    /// Address for metrics and health checks.
+    pub http_address: SocketAddr,
+    /// Data folder.
+    pub data_path: PathBuf,
+    /// Peer addresses of all control processes.
+    pub control_addresses: Vec<SocketAddr>,
+    /// Certificate files.
+    pub tls: TlsSettings,
+    /// Logs and traces.
+    pub telemetry: TelemetrySettings,
+    /// Number of voters that the group grows to.
+    pub target_voters: u32,
+    /// Time bounds.
+    pub timers: ControlTimers,
+    /// Bounds on the replicated state.
+    pub limits: ControlLimits,
+}
+
+/// Reads and checks the settings of a control process.
+pub fn load_control(path: &Path) -> Result<ControlConfig, SettingsError> {
+    load(path, check)
+}
+
+fn check(settings: ControlSettings, checker: &mut Checker<'_>) -> Option<ControlConfig> {
+    let vm = checker.parse("vm", &settings.vm);
+    let data_centre = checker.parse("data_centre", &settings.data_centre);
+    let region = checker.parse("region", &settings.region);
+    let peer_address = checker.address("peer_address", &settings.peer_address);
+    let http_address = checker.address("http_address", &settings.http_address);
+    let control_addresses = checker.addresses("control_addresses", &settings.control_addresses);
+    if settings.data_path.is_empty() {
+        checker.report("data_path", "must name the data folder");
+    }
+    let tls = checker.tls(settings.tls);
+    let target_voters = checker.number("target_voters", settings.target_voters, 3, 1, 9);
+    if target_voters.is_multiple_of(2) {
+        checker.report("target_voters", "must be odd; an even number tolerates no more failures");
+    }
+    let timers = timers(settings.timers.unwrap_or_default(), checker);
+    let limits = limits(settings.limits.unwrap_or_default(), checker);
+    Some(ControlConfig {
+        vm: vm?,
+        data_centre: data_centre?,
+        region: region?,
+        peer_address: peer_address?,
+        http_address: http_address?,
+        data_path: settings.data_path.into(),
+        control_addresses,
+        tls,
+        telemetry: settings.telemetry.unwrap_or_default(),
+        target_voters,
+        timers,
+        limits,
+    })
+}
+
+fn timers(timers: ControlTimers, checker: &mut Checker<'_>) -> ControlTimers {
+    let mut number = |name: &str, value, default, max| {
+        checker.number(&format!("timers.{name}"), value, default, 1, max)
+    };
+    let timers = ControlTimers {
+        tick_ms: number("tick_ms", timers.tick_ms, 20, 1_000),
+        heartbeat_ms: number("heartbeat_ms", timers.heartbeat_ms, 100, HOUR_MS),
+        election_ms: number("election_ms", timers.election_ms, 800, HOUR_MS),
+        entry_lease_ms: number("entry_lease_ms", timers.entry_lease_ms, 3_000, HOUR_MS),
+        record_retention_ms: number(
+            "record_retention_ms",
+            timers.record_retention_ms,
+            10 * 60 * 1_000,
+            30 * 24 * HOUR_MS,
+        ),
+    };
+    if timers.election_ms < 3 * timers.heartbeat_ms {
+        checker.report("timers.election_ms", "must be at least three times heartbeat_ms");
+    }
+    timers
+}
+
+fn limits(limits: ControlLimits, checker: &mut Checker<'_>) -> ControlLimits {
+    ControlLimits {
+        max_answer_bytes: checker.number(
+            "limits.max_answer_bytes",
+            limits.max_answer_bytes,
+            MIB,
+            1,
+            64 * MIB,
+        ),
+        max_records: checker.number(
+            "limits.max_records",
+            limits.max_records,
+            1_000_000,
+            1,
+            u32::MAX,
+        ),
+        kept_revisions: checker.number(
+            "limits.kept_revisions",
+            limits.kept_revisions,
+            16,
+            1,
+            1_000,
+        ),
+        snapshot_entries: checker.number(
+            "limits.snapshot_entries",
+            limits.snapshot_entries,
+            10_000,
+            10,
+            10_000_000,
+        ),
+        max_queued_proposals: checker.number(
+            "limits.max_queued_proposals",
+            limits.max_queued_proposals,
+            20_000,
+            1,
+            1_000_000,
+        ),
+    }
+}
--- /dev/null
+++ b/components/standin/src/engine/mod.rs
@@ -0,0 +1,7 @@
+//! Stand-in of a model engine.
+
+pub mod batch;
+pub mod http;
+
+pub use batch::{Batch, BatchOptions, Faults};
+pub use http::{EngineOptions, serve};
--- /dev/null
+++ b/components/state/src/lib.rs
@@ -0,0 +1,156 @@
+//! Replicated state machine of the control processes.
+//!
+//! [`State::apply`] is deterministic: time comes from the command, and equal
+//! logs give equal states on every replica.
+
+mod members;
+mod publications;
+mod records;
+
+use prost::Message as _;
+use schema::command::Body;
+use schema::{Command, ObjectSet, PublishOutcome, RecordKey, RecordOutcome, StateImage};
+
+pub use members::Members;
+pub use publications::Publications;
+pub use records::Records;
+
+/// Bounds on the state.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Most records held at a time.
+    pub max_records: usize,
+    /// Revisions whose whole set is kept.
+    pub kept_revisions: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { max_records: 1_000_000, kept_revisions: 16 }
+    }
+}
+
+/// Result of one command for the process that proposed it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    /// Result of a publication.
+    Published(PublishOutcome),
+    /// Result of a record command.
+    Record(RecordOutcome),
+    /// The command has no result.
+    Done,
+}
+
+/// Result of one command, and what it changed for waiting processes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Applied {
+    /// Result for the proposer.
+    pub outcome: Outcome,
+    /// Records that are no longer running.
+    pub ended: Vec<RecordKey>,
+}
+
+impl Applied {
+    fn new(outcome: Outcome) -> Self {
+        Applied { outcome, ended: Vec::new() }
+    }
+}
+
+/// State of the control processes.
+#[derive(Debug, Default)]
+pub struct State {
+    limits: Limits,
+    now_ms: u64,
+    publications: Publications,
+    records: Records,
+    members: Members,
+}
+
+impl State {
+    /// Creates an empty state.
+    pub fn new(limits: Limits) -> Self {
+        State { limits, ..State::default() }
+    }
+
+    /// Applies one committed command.
+    pub fn apply(&mut self, command: Command) -> Applied {
+        self.now_ms = self.now_ms.max(command.now_ms);
+        let now_ms = self.now_ms;
+        match command.body {
+            Some(Body::Publish(publish)) => {
+                let kept = self.limits.kept_revisions;
+                Applied::new(Outcome::Published(self.publications.publish(publish, kept)))
+            }
+            Some(Body::BeginRecord(begin)) => {
+                let is_member = self.members.contains(&begin.vm, begin.epoch);
+                let max_records = self.limits.max_records;
+                let outcome = self.records.begin(begin, is_member, max_records, now_ms);
+                Applied::new(Outcome::Record(outcome))
+            }
+            Some(Body::FinishRecord(finish)) => self.records.finish(finish, now_ms),
+            Some(Body::ReleaseRecord(release)) => self.records.release(release, now_ms),
+            Some(Body::RegisterEntry(register)) => {
+                let member = register.member.unwrap_or_default();
+                let (vm, epoch) = (member.vm.clone(), member.epoch);
+                self.members.register(member);
+                let ended = self.records.abandon(&vm, now_ms, |owner| owner != epoch);
+                Applied { outcome: Outcome::Done, ended }
+            }
+            Some(Body::RemoveEntry(remove)) => {
+                self.members.remove(&remove.vm, remove.epoch);
+                let ended = self.records.abandon(&remove.vm, now_ms, |owner| owner == remove.epoch);
+                Applied { outcome: Outcome::Done, ended }
+            }
+            Some(Body::ExpireRecords(expire)) => {
+                self.records.expire(now_ms.saturating_sub(expire.retention_ms));
+                Applied::new(Outcome::Done)
+            }
+            None => Applied::new(Outcome::Done),
+        }
+    }
+
+    /// Returns the published sets.
+    pub fn publications(&self) -> &Publications {
+        &self.publications
+    }
+
+    /// Returns the at-most-once records.
+    pub fn records(&self) -> &Records {
+        &self.records
+    }
+
+    /// Returns the entry processes.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// Returns the current revision and its set.
+    pub fn current(&self) -> (u64, Option<&ObjectSet>) {
+        self.publications.current()
+    }
+
+    /// Encodes the whole state.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let image = StateImage {
+            publications: self.publications.to_image(),
+            records: self.records.to_image(),
+            members: self.members.to_image(),
+            members_version: self.members.version(),
+            now_ms: self.now_ms,
+            released: self.records.released_to_image(),
+        };
+        image.encode_to_vec()
+    }
+
+    /// Decodes a state written by [`State::to_bytes`].
+    pub fn from_bytes(bytes: &[u8], limits: Limits) -> Result<Self, prost::DecodeError> {
+        let image = StateImage::decode(bytes)?;
+        Ok(State {
+            limits,
+            now_ms: image.now_ms,
+            publications: Publications::from_image(image.publications),
+            records: Records::from_image(image.records, image.released),
+            members: Members::from_image(image.members, image.members_version),
+        })
+    }
+}
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,10 @@
+//! Logs, metrics and traces.
+
+mod logs;
+mod metrics;
+mod spanfile;
+mod spans;
+
+pub use logs::{LogError, start_logs};
+pub use metrics::{LATENCY_BUCKETS_SECONDS, encode_metrics};
+pub use spans::{Span, SpanError, Spans};
--- /dev/null
+++ b/components/telemetry/src/logs.rs
@@ -0,0 +1,72 @@
+//! One line of key=value pairs for each event.
+
+use std::fmt::Write as _;
+use std::time::SystemTime;
+
+use displaydoc::Display;
+use log::LevelFilter;
+use log::kv::{Error, Key, Value, VisitSource};
+
+const DEFAULT_LEVEL: LevelFilter = LevelFilter::Info;
+
+/// Why logging cannot start.
+#[derive(Debug, Display)]
+pub enum LogError {
+    /// the log level `{0}` is none of error, warn, info, debug and trace
+    Level(String),
+    /// logging was started before: {0}
+    Started(log::SetLoggerError),
+}
+
+impl std::error::Error for LogError {}
+
+/// Starts logging to standard error; an empty level means `info`.
+pub fn start_logs(level: &str) -> Result<(), LogError> {
+    let level = match level {
+        "" => DEFAULT_LEVEL,
+        text => text.parse().map_err(|_| LogError::Level(text.to_string()))?,
+    };
+    fern::Dispatch::new()
+        .level(LevelFilter::Warn)
+        .level_for("entry", level)
+        .level_for("control", level)
+        .level_for("standin", level)
+        .level_for("wire", level)
+        .format(|out, message, record| {
+            out.finish(format_args!("{}", line(SystemTime::now(), &message.to_string(), record)));
+        })
+        .chain(std::io::stderr())
+        .apply()
+        .map_err(LogError::Started)
+}
+
+fn line(now: SystemTime, event: &str, record: &log::Record<'_>) -> String {
+    let mut line = format!(
+        "time={} level={} target={} event={}",
+        humantime::format_rfc3339_millis(now),
+        record.level().as_str().to_ascii_lowercase(),
+        record.target(),
+        quote(event)
+    );
+    let _ = record.key_values().visit(&mut Pairs(&mut line));
+    line
+}
+
+struct Pairs<'a>(&'a mut String);
+
+impl<'kvs> VisitSource<'kvs> for Pairs<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let _ = write!(self.0, " {key}={}", quote(&value.to_string()));
+        Ok(())
+    }
+}
+
+/// Quotes a value if a reader could not tell where it ends.
+fn quote(value: &str) -> String {
+    let plain = |c: char| !c.is_whitespace() && !c.is_control() && !matches!(c, '"' | '=');
+    if !value.is_empty() && value.chars().all(plain) {
+        value.to_string()
+    } else {
+        format!("{value:?}")
+    }
+}
--- /dev/null
+++ b/components/telemetry/src/metrics.rs
@@ -0,0 +1,24 @@
+//! Prometheus text format.
+
+use prometheus::{Encoder as _, TextEncoder};
+
+/// Buckets for latencies from a millisecond to a minute, in seconds.
+pub const LATENCY_BUCKETS_SECONDS: [f64; 14] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.37, 0.75, 1.5, 5.0, 15.0, 60.0];
+
+/// Renders a registry in the text format.
+///
+/// ```
+/// let registry = prometheus::Registry::new();
+/// let counter = prometheus::IntCounter::new("requests_total", "Requests.")?;
+/// registry.register(Box::new(counter))?;
+/// assert!(telemetry::encode_metrics(&registry).contains("requests_total 0"));
+/// # Ok::<(), prometheus::Error>(())
+/// ```
+pub fn encode_metrics(registry: &prometheus::Registry) -> String {
+    let mut text = Vec::new();
+    if let Err(error) = TextEncoder::new().encode(&registry.gather(), &mut text) {
+        log::error!(error = error.to_string().as_str(); "cannot encode metrics");
+    }
+    String::from_utf8(text).unwrap_or_default()
+}
--- /dev/null
+++ b/components/wire/src/error.rs
@@ -0,0 +1,38 @@
+//! Errors of calls.
+
+use displaydoc::Display;
+use schema::ErrorReply;
+use verdict::Verdict;
+
+/// Why a call between two processes gave no reply.
+#[derive(Clone, Debug, Display)]
+pub enum CallError {
+    /// cannot connect: {0}
+    Connect(String),
+    /// the connection was lost during the call: {0}
+    Lost(String),
+    /// no reply within the timeout
+    Timeout,
+    /// the peer refused: {0:?}
+    Refused(ErrorReply),
+    /// the peer sent another kind of reply than expected
+    UnexpectedReply,
+}
+
+impl std::error::Error for CallError {}
+
+impl CallError {
+    /// Returns whether the peer may have acted on the request.
+    pub fn verdict(&self) -> Verdict {
+        match self {
+            CallError::Connect(_) => Verdict::NotRun,
+            CallError::Refused(refusal) => match refusal.code() {
+                schema::ErrorCode::UnknownOutcome => Verdict::MayHaveRun,
+                _ => Verdict::NotRun,
+            },
+            CallError::Lost(_) | CallError::Timeout | CallError::UnexpectedReply => {
+                Verdict::MayHaveRun
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/wire/src/frame.rs
@@ -0,0 +1,37 @@
+//! Length-delimited messages on a unidirectional stream.
+
+use bytes::{Bytes, BytesMut};
+use prost::Message;
+use quinn::{ReadExactError, RecvStream, SendStream, WriteError};
+
+use crate::MAX_MESSAGE_BYTES;
+
+const LENGTH_BYTES: usize = 4;
+
+pub(crate) async fn write(
+    stream: &mut SendStream,
+    message: &impl Message,
+) -> Result<(), WriteError> {
+    let mut buffer = BytesMut::with_capacity(LENGTH_BYTES + message.encoded_len());
+    let length = u32::try_from(message.encoded_len()).unwrap_or(u32::MAX);
+    buffer.extend_from_slice(&length.to_le_bytes());
+    message.encode(&mut buffer).expect("a growing buffer has room");
+    stream.write_chunk(buffer.freeze()).await
+}
+
+/// Reads one message; `None` at the end of the stream or on a bad frame.
+pub(crate) async fn read<M: Message + Default>(stream: &mut RecvStream) -> Option<M> {
+    let mut length = [0; LENGTH_BYTES];
+    read_exact(stream, &mut length).await.ok()?;
+    let length = usize::try_from(u32::from_le_bytes(length)).ok()?;
+    if length > MAX_MESSAGE_BYTES {
+        return None;
+    }
+    let mut body = vec![0; length];
+    read_exact(stream, &mut body).await.ok()?;
+    M::decode(Bytes::from(body)).ok()
+}
+
+async fn read_exact(stream: &mut RecvStream, buffer: &mut [u8]) -> Result<(), ReadExactError> {
+    stream.read_exact(buffer).await
+}
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,22 @@
+//! Requests and messages between the system's processes over QUIC.
+//!
+//! Each request takes one bidirectional stream; messages of the consensus
+//! take one long-lived unidirectional stream per direction, which keeps them
+//! in order. Both sides authenticate with certificates of the deployment CA.
+
+mod endpoint;
+mod error;
+mod frame;
+mod link;
+mod server;
+
+pub use endpoint::Endpoint;
+pub use error::CallError;
+pub use link::Link;
+pub use server::{Handler, refuse};
+
+/// Largest request, reply or message.
+pub const MAX_MESSAGE_BYTES: usize = 256 << 20;
+
+/// Protocol name offered in the TLS handshake.
+pub const PROTOCOL: &[u8] = b"shallottray/1";
--- /dev/null
+++ b/components/wire/src/server.rs
@@ -0,0 +1,102 @@
+//! Serving side of connections.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use credentials::Identity;
+use futures::future::BoxFuture;
+use prost::Message as _;
+use quinn::{Connection, RecvStream, SendStream};
+use rustls::pki_types::CertificateDer;
+use schema::{ConsensusMessage, ErrorCode, ErrorReply, Reply, Request, reply};
+
+use crate::{MAX_MESSAGE_BYTES, frame};
+
+/// What a process does with requests of its peers.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers a request.
+    fn handle(&self, peer: Identity, request: Request) -> BoxFuture<'static, Reply>;
+
+    /// Takes a message of the consensus; the default drops it.
+    fn receive(&self, peer: &Identity, message: ConsensusMessage) {
+        let _ = (peer, message);
+    }
+}
+
+/// Builds a reply that refuses a request.
+///
+/// ```
+/// use schema::ErrorCode;
+/// let reply = wire::refuse(ErrorCode::Forbidden, "operators only");
+/// assert!(matches!(reply.body, Some(schema::reply::Body::Error(_))));
+/// ```
+pub fn refuse(code: ErrorCode, message: impl Into<String>) -> Reply {
+    let error =
+        ErrorReply { code: code.into(), message: message.into(), leader_address: String::new() };
+    Reply { body: Some(reply::Body::Error(error)) }
+}
+
+pub(crate) async fn serve(endpoint: &quinn::Endpoint, handler: Arc<impl Handler>) {
+    while let Some(incoming) = endpoint.accept().await {
+        let handler = handler.clone();
+        let address = incoming.remote_address();
+        tokio::spawn(async move {
+            match incoming.await {
+                Ok(connection) => serve_connection(connection, handler).await,
+                Err(error) => {
+                    log::warn!(peer = address.to_string().as_str(), error = error.to_string().as_str(); "connection refused");
+                }
+            }
+        });
+    }
+}
+
+async fn serve_connection(connection: Connection, handler: Arc<impl Handler>) {
+    let address = connection.remote_address().to_string();
+    let Some(identity) = peer_identity(&connection) else {
+        log::warn!(peer = address.as_str(); "connection refused: certificate names no role");
+        connection.close(1u8.into(), b"certificate names no role");
+        return;
+    };
+    loop {
+        tokio::select! {
+            stream = connection.accept_bi() => {
+                let Ok((send, receive)) = stream else { return };
+                tokio::spawn(serve_request(send, receive, identity.clone(), handler.clone()));
+            }
+            stream = connection.accept_uni() => {
+                let Ok(receive) = stream else { return };
+                tokio::spawn(serve_messages(receive, identity.clone(), handler.clone()));
+            }
+        }
+    }
+}
+
+async fn serve_request(
+    mut send: SendStream,
+    mut receive: RecvStream,
+    peer: Identity,
+    handler: Arc<impl Handler>,
+) {
+    let Ok(bytes) = receive.read_to_end(MAX_MESSAGE_BYTES).await else { return };
+    let reply = match Request::decode(Bytes::from(bytes)) {
+        Ok(request) => handler.handle(peer, request).await,
+        Err(error) => refuse(ErrorCode::Invalid, error.to_string()),
+    };
+    let sent = send.write_chunk(Bytes::from(reply.encode_to_vec())).await;
+    if sent.is_ok() {
+        let _ = send.finish();
+    }
+}
+
+async fn serve_messages(mut receive: RecvStream, peer: Identity, handler: Arc<impl Handler>) {
+    while let Some(message) = frame::read::<ConsensusMessage>(&mut receive).await {
+        handler.receive(&peer, message);
+    }
+}
+
+fn peer_identity(connection: &Connection) -> Option<Identity> {
+    let certificates = connection.peer_identity()?;
+    let certificates = certificates.downcast::<Vec<CertificateDer<'static>>>().ok()?;
+    credentials::identity_of(certificates.first()?)
+}
--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,13 @@
+//! `shallottray check`
+
+use std::path::Path;
+
+use crate::error::CommandError;
+
+/// Checks a folder of objects.
+pub fn run(path: &Path) -> Result<(), CommandError> {
+    let set = objects::read_folder(path).map_err(CommandError::Folder)?;
+    let objects = objects::diff(&Default::default(), &set).len();
+    println!("{}: {objects} objects are consistent", path.display());
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,37 @@
+//! Commands, one in each file.
+
+mod bootstrap;
+mod check;
+mod diff;
+mod get;
+mod keys;
+mod publish;
+mod replace;
+mod schema;
+mod status;
+
+use crate::cli::Command;
+use crate::error::CommandError;
+
+/// Runs a command.
+pub fn run(command: Command) -> Result<(), CommandError> {
+    let system = actix_rt::System::new();
+    system.block_on(dispatch(command))
+}
+
+async fn dispatch(command: Command) -> Result<(), CommandError> {
+    match command {
+        Command::Check { path } => check::run(&path),
+        Command::Diff { operator, path } => diff::run(&operator, &path).await,
+        Command::Publish { operator, expect, publication_id, wait, timeout, path } => {
+            let options = publish::PublishOptions { expect, publication_id, wait, timeout };
+            publish::run(&operator, options, &path).await
+        }
+        Command::Get { operator, revision } => get::run(&operator, revision).await,
+        Command::Status { operator, json } => status::run(&operator, json).await,
+        Command::Bootstrap { operator, address } => bootstrap::run(&operator, address).await,
+        Command::Replace { operator, replica_id } => replace::run(&operator, replica_id).await,
+        Command::Keys { keys } => keys::run(keys),
+        Command::Schema { name } => schema::run(&name),
+    }
+}
--- /dev/null
+++ b/src/connection.rs
@@ -0,0 +1,79 @@
+//! Connection of the command line to the control processes.
+
+use std::path::Path;
+use std::time::Duration;
+
+use client::{ControlClient, ControlError};
+use credentials::{Role, TlsConfigs};
+use schema::{Request, StatusReply, StatusRequest, reply, request};
+use settings::OperatorConfig;
+use wire::{CallError, Endpoint};
+
+use crate::error::CommandError;
+
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+const STATUS_LIMIT: Duration = Duration::from_secs(2);
+
+/// Connection to the control processes.
+pub struct Connection {
+    endpoint: Endpoint,
+    client: ControlClient,
+    config: OperatorConfig,
+}
+
+impl Connection {
+    /// Opens a connection with the settings in `path`.
+    pub fn open(path: &Path) -> Result<Self, CommandError> {
+        let config = settings::load_operator(path).map_err(CommandError::Settings)?;
+        let tls =
+            TlsConfigs::load(&config.tls, wire::PROTOCOL).map_err(CommandError::Credentials)?;
+        let any = if config.control_addresses.iter().all(|a| a.is_ipv6()) {
+            "[::]:0"
+        } else {
+            "0.0.0.0:0"
+        };
+        let address = any.parse().expect("a literal address parses");
+        let endpoint = Endpoint::bind(address, &tls).map_err(CommandError::Io)?;
+        let client = ControlClient::new(&endpoint, &config.control_addresses);
+        Ok(Connection { endpoint, client, config })
+    }
+
+    /// Sends a request to the leader.
+    pub async fn call(&self, body: request::Body) -> Result<reply::Body, ControlError> {
+        self.client.call(body, String::new(), CALL_LIMIT).await
+    }
+
+    /// Sends a request to one control process.
+    pub async fn call_one(
+        &self,
+        address: std::net::SocketAddr,
+        body: request::Body,
+        limit: Duration,
+    ) -> Result<reply::Body, CallError> {
+        let link = self.endpoint.link(address, Role::Control);
+        let request = Request { traceparent: String::new(), body: Some(body) };
+        link.call(request, limit).await
+    }
+
+    /// Asks every control process for its status.
+    pub async fn statuses(&self) -> Vec<(std::net::SocketAddr, Result<StatusReply, String>)> {
+        let mut statuses = Vec::new();
+        for address in &self.config.control_addresses {
+            let body = request::Body::Status(StatusRequest {});
+            let status = match self.call_one(*address, body, STATUS_LIMIT).await {
+                Ok(reply::Body::Status(status)) => Ok(status),
+                Ok(_) => Err("unexpected reply".to_string()),
+                Err(error) => Err(error.to_string()),
+            };
+            statuses.push((*address, status));
+        }
+        statuses
+    }
+
+    /// Returns the status of the leader.
+    pub async fn leader_status(&self) -> Option<StatusReply> {
+        let statuses = self.statuses().await.into_iter();
+        let leaders = statuses.filter_map(|(_, status)| status.ok());
+        leaders.filter(|status| status.role == "leader").max_by_key(|status| status.term)
+    }
+}
