--- /dev/null
+++ b/components/consensus/tests/rules.rs
@@ -0,0 +1,240 @@
+//! Single rules of the consensus, each in its smallest situation.
+
+use bytes::Bytes;
+use consensus::{Applied, Node, Options, Position, ProposeError, Restored};
+use schema::consensus_message::Body;
+use schema::log_entry::Payload;
+use schema::{
+    AppendReply, AppendRequest, Configuration, ConsensusMessage, HardState, LogEntry, Replica,
+    Snapshot, VoteReply, VoteRequest,
+};
+
+const ELECTION_MS: u64 = 1_000;
+
+fn voters(ids: &[u64]) -> Configuration {
+    let replica = |id: &u64| Replica { id: *id, voter: true, ..Replica::default() };
+    Configuration { replicas: ids.iter().map(replica).collect() }
+}
+
+fn command(index: u64, term: u64) -> LogEntry {
+    let payload = Some(Payload::Command(Bytes::from(format!("{term}.{index}"))));
+    LogEntry { index, term, payload }
+}
+
+/// Replica 1 of voters 1 to 3 with the given entries after a snapshot at 1.
+fn replica_with(term: u64, entries: Vec<LogEntry>) -> Node {
+    let snapshot =
+        Snapshot { index: 1, term: 1, configuration: Some(voters(&[1, 2, 3])), data: Bytes::new() };
+    let hard_state = HardState { term, voted_for: 0 };
+    let restored = Restored { hard_state, snapshot: Some(snapshot), entries };
+    Node::new(1, restored, Options { election_ms: ELECTION_MS, ..Options::default() }, 7, 0)
+}
+
+fn message(from: u64, term: u64, body: Body) -> ConsensusMessage {
+    ConsensusMessage { from, to: 1, term, body: Some(body) }
+}
+
+fn append(previous: Position, commit: u64, entries: Vec<LogEntry>) -> Body {
+    Body::AppendRequest(AppendRequest {
+        previous_index: previous.index,
+        previous_term: previous.term,
+        commit,
+        read_sequence: 0,
+        entries,
+    })
+}
+
+fn accepted(index: u64) -> Body {
+    Body::AppendReply(AppendReply { accepted: true, index, read_sequence: 0 })
+}
+
+/// Makes everything durable and returns the messages that waited for it.
+fn persist(node: &mut Node) -> Vec<ConsensusMessage> {
+    let Some(batch) = node.take_batch() else { return Vec::new() };
+    node.persisted(batch.last);
+    batch.messages
+}
+
+/// Lets the replica win an election and returns the time.
+fn elect(node: &mut Node, now_ms: u64) -> u64 {
+    let now_ms = now_ms + 2 * ELECTION_MS;
+    node.tick(now_ms);
+    let pre_vote = VoteReply { pre_vote: true, granted: true };
+    node.step(now_ms, message(2, node.term() + 1, Body::VoteReply(pre_vote)));
+    persist(node);
+    let vote = VoteReply { pre_vote: false, granted: true };
+    node.step(now_ms, message(2, node.term(), Body::VoteReply(vote)));
+    assert!(node.is_leader());
+    now_ms
+}
+
+fn commands(applied: Vec<Applied>) -> Vec<u64> {
+    let index = |change: Applied| match change {
+        Applied::Command(at, _) => Some(at.index),
+        Applied::Snapshot(_) | Applied::Configuration(..) | Applied::Noop(_) => None,
+    };
+    applied.into_iter().filter_map(index).collect()
+}
+
+#[test]
+fn a_leader_commits_entries_of_earlier_terms_only_through_one_of_its_own() {
+    let mut node = replica_with(2, vec![command(2, 2)]);
+    let now_ms = elect(&mut node, 0);
+    persist(&mut node);
+
+    node.step(now_ms, message(2, node.term(), accepted(2)));
+    let before = commands(node.take_committed());
+    node.step(now_ms, message(2, node.term(), accepted(3)));
+    let after = commands(node.take_committed());
+
+    assert_eq!(before, Vec::<u64>::new(), "a majority holds the entry, but none of this term");
+    assert_eq!(after, vec![2]);
+}
+
+#[test]
+fn a_leader_does_not_count_its_own_entry_before_it_is_durable() {
+    let mut node = replica_with(1, Vec::new());
+    let now_ms = elect(&mut node, 0);
+
+    node.step(now_ms, message(2, node.term(), accepted(2)));
+    let before = node.commit();
+    persist(&mut node);
+
+    assert_eq!(before, 1);
+    assert_eq!(node.commit(), 2);
+}
+
+#[test]
+fn a_pre_vote_changes_no_term() {
+    let mut node = replica_with(4, Vec::new());
+
+    node.tick(3 * ELECTION_MS);
+
+    assert_eq!(node.term(), 4);
+    let messages = node.take_messages();
+    assert!(messages.iter().all(|m| m.term == 5), "it asks for the next term: {messages:?}");
+}
+
+#[test]
+fn a_replica_that_hears_its_leader_ignores_other_candidates() {
+    let mut node = replica_with(4, Vec::new());
+    let previous = Position { term: 1, index: 1 };
+    node.step(0, message(2, 4, append(previous, 1, Vec::new())));
+    persist(&mut node);
+
+    let request = VoteRequest { pre_vote: false, last_index: 9, last_term: 4, transfer: false };
+    node.step(ELECTION_MS / 2, message(3, 5, Body::VoteRequest(request)));
+
+    assert_eq!(node.term(), 4);
+    assert_eq!(node.leader_id(), 2);
+}
+
+#[test]
+fn a_vote_is_answered_only_with_the_batch_that_makes_it_durable() {
+    let mut node = replica_with(4, Vec::new());
+
+    let request = VoteRequest { pre_vote: false, last_index: 9, last_term: 4, transfer: false };
+    node.step(3 * ELECTION_MS, message(3, 5, Body::VoteRequest(request)));
+
+    assert!(node.take_messages().is_empty());
+    let batch = node.take_batch().expect("the vote is to be stored");
+    assert_eq!(batch.hard_state, Some(HardState { term: 5, voted_for: 3 }));
+    assert_eq!(batch.messages.len(), 1);
+}
+
+#[test]
+fn a_replica_votes_for_one_candidate_in_a_term() {
+    let mut node = replica_with(4, Vec::new());
+    let request = VoteRequest { pre_vote: false, last_index: 9, last_term: 4, transfer: false };
+
+    node.step(3 * ELECTION_MS, message(3, 5, Body::VoteRequest(request)));
+    node.step(3 * ELECTION_MS, message(2, 5, Body::VoteRequest(request)));
+
+    let granted: Vec<bool> = persist(&mut node)
+        .into_iter()
+        .filter_map(|m| match m.body {
+            Some(Body::VoteReply(reply)) => Some(reply.granted),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(granted, vec![true, false]);
+}
+
+#[test]
+fn a_leader_without_a_quorum_steps_down() {
+    let mut node = replica_with(1, Vec::new());
+    let now_ms = elect(&mut node, 0);
+
+    for elapsed_ms in (0..4 * ELECTION_MS).step_by(100) {
+        node.tick(now_ms + elapsed_ms);
+    }
+
+    assert!(!node.is_leader());
+    assert_eq!(node.read_barrier(), Err(ProposeError::NotLeader));
+}
+
+#[test]
+fn a_learner_is_promoted_only_after_it_caught_up() {
+    let mut node = replica_with(1, Vec::new());
+    let now_ms = elect(&mut node, 0);
+    persist(&mut node);
+    node.step(now_ms, message(2, node.term(), accepted(2)));
+    let mut configuration = voters(&[1, 2, 3]);
+    configuration.replicas.push(Replica { id: 4, ..Replica::default() });
+    let at = node.propose_configuration(configuration.clone()).expect("a learner may be added");
+    persist(&mut node);
+    node.step(now_ms, message(2, node.term(), accepted(at.index)));
+    configuration.replicas[3].voter = true;
+
+    let early = node.propose_configuration(configuration.clone());
+    node.step(now_ms, message(4, node.term(), accepted(at.index)));
+    let late = node.propose_configuration(configuration);
+
+    assert_eq!(early, Err(ProposeError::NotCaughtUp));
+    assert!(late.is_ok());
+}
+
+#[test]
+fn one_membership_change_waits_for_the_last() {
+    let mut node = replica_with(1, Vec::new());
+    let now_ms = elect(&mut node, 0);
+    persist(&mut node);
+    node.step(now_ms, message(2, node.term(), accepted(2)));
+
+    let first = node.propose_configuration(voters(&[1, 2]));
+    let second = node.propose_configuration(voters(&[1]));
+    let two_at_once = {
+        let mut node = replica_with(1, Vec::new());
+        let now_ms = elect(&mut node, 0);
+        persist(&mut node);
+        node.step(now_ms, message(2, node.term(), accepted(2)));
+        node.propose_configuration(voters(&[1]))
+    };
+
+    assert!(first.is_ok());
+    assert_eq!(second, Err(ProposeError::ChangePending));
+    assert_eq!(two_at_once, Err(ProposeError::TooManyChanges));
+}
+
+#[test]
+fn a_conflicting_tail_is_replaced() {
+    let mut node = replica_with(3, vec![command(2, 2), command(3, 2)]);
+    let previous = Position { term: 1, index: 1 };
+
+    node.step(0, message(2, 3, append(previous, 2, vec![command(2, 3)])));
+    persist(&mut node);
+
+    assert_eq!(node.last(), Position { term: 3, index: 2 });
+    assert_eq!(commands(node.take_committed()), vec![2]);
+}
+
+#[test]
+fn a_message_for_an_earlier_identity_is_dropped() {
+    let mut node = replica_with(3, Vec::new());
+    let mut stray = message(2, 9, append(Position::default(), 0, Vec::new()));
+    stray.to = 77;
+
+    node.step(0, stray);
+
+    assert_eq!(node.term(), 3);
+}
