Never take a connection that an upstream closed for a refusal

Cause: the first run of the booking fault rows counted two runs of one key: an upstream that ran the call and then cut its answer off was reported by the HTTP client as ConnectError::Disconnected, which the entry took as proof that nothing was sent, freed the key and told not-run. Ruled out: reuse of a stale pooled connection (connections serve one request); a second dispatch by the retry budget (the second device ran it).

--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -18,7 +18,7 @@
 use crate::error::StartError;
 use crate::http;
 use crate::metrics::Metrics;
-use crate::replica::{Call, HandOver, Received, Replica};
+use crate::replica::{Call, HandOver, Received, Replica, Stop};
 
 const HAND_OVER_ATTEMPTS: u32 = 50;
 const HAND_OVER_INTERVAL: Duration = Duration::from_millis(100);
@@ -85,6 +85,7 @@
     /// Stops without handing leadership over.
     pub async fn kill(self) {
         self.endpoint.close();
+        self.replica.do_send(Stop);
         self.http.stop(false).await;
         self.spans.shutdown();
     }
--- a/components/control/src/replica/join.rs
+++ b/components/control/src/replica/join.rs
@@ -50,7 +50,7 @@
         }
         self.joiner.next_attempt_ms = now_ms + JOIN_INTERVAL_MS;
         for address in self.config.control_addresses.clone() {
-            if address == self.config.peer_address {
+            if address == self.config.advertised_peer_address {
                 continue;
             }
             let link = self.link(address);
@@ -72,7 +72,7 @@
         Member {
             id: self.node.id(),
             vm: self.config.vm.to_string(),
-            peer_address: self.config.peer_address.to_string(),
+            peer_address: self.config.advertised_peer_address.to_string(),
             voter: false,
         }
     }
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -17,7 +17,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix::{Actor, Addr, AsyncContext as _, Context, Handler, Message, ResponseFuture};
+use actix::{
+    Actor, ActorContext as _, Addr, AsyncContext as _, Context, Handler, Message, ResponseFuture,
+};
 use clock::Clock;
 use consensus::{Node, Options, Restored};
 use credentials::Identity;
@@ -269,3 +271,18 @@
         nobody_else
     }
 }
+
+/// Stops the replica and lets go of its data folder.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct Stop;
+
+impl Handler<Stop> for Replica {
+    type Result = ();
+
+    fn handle(&mut self, _: Stop, context: &mut Context<Self>) {
+        self.failed = true;
+        self.storage = None;
+        context.stop();
+    }
+}
--- a/components/entry/src/broker/mod.rs
+++ b/components/entry/src/broker/mod.rs
@@ -14,7 +14,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::{Actor, AsyncContext as _, Context, Handler, Message, ResponseFuture};
+use actix::{
+    Actor, ActorContext as _, AsyncContext as _, Context, Handler, Message, ResponseFuture,
+};
 use admission::{Estimator, Reservation};
 use clock::Clock;
 use compact_str::CompactString;
@@ -29,6 +31,7 @@
 
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::shared::Stop;
 use crate::view::View;
 
 pub(crate) use acquire::{Acquire, Placement};
@@ -185,3 +188,11 @@
         Box::pin(std::future::ready(reply))
     }
 }
+
+impl Handler<Stop> for Broker {
+    type Result = ();
+
+    fn handle(&mut self, _: Stop, context: &mut Context<Self>) {
+        context.stop();
+    }
+}
--- a/components/entry/src/engine.rs
+++ b/components/entry/src/engine.rs
@@ -13,13 +13,15 @@
 use awc::error::SendRequestError;
 use awc::http::StatusCode;
 use awc::http::header::ACCEPT;
-use awc::{Client, ClientResponse, Connector};
+use awc::{Client, ClientResponse};
 use displaydoc::Display;
 use eventsource_stream::Eventsource as _;
 use futures::{Stream, StreamExt as _};
 use serde::{Deserialize, Serialize};
 use units::GenerationId;
 
+use crate::http_client;
+
 const EVENT_STREAM: &str = "text/event-stream";
 const WORKSPACE_HEADER: &str = "x-shallottray-workspace";
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -83,11 +85,7 @@
 
 impl EngineClient {
     pub(crate) fn new(connect_timeout: Duration) -> Self {
-        // Streams end with their connection; an old one may be dead already.
-        let connector =
-            Connector::new().timeout(connect_timeout).limit(0).conn_keep_alive(Duration::ZERO);
-        let client = Client::builder().connector(connector).disable_redirects().disable_timeout();
-        EngineClient { client: client.finish() }
+        EngineClient { client: http_client::new_client(connect_timeout) }
     }
 
     /// Starts a generation.
@@ -161,9 +159,9 @@
 where
     S: Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>> + Unpin + 'static,
 {
-    let mut response = response.map_err(|error| match error {
-        SendRequestError::Connect(error) => EngineError::Connect(error.to_string()),
-        error => EngineError::Lost(error.to_string()),
+    let mut response = response.map_err(|error| match http_client::is_unsent(&error) {
+        true => EngineError::Connect(error.to_string()),
+        false => EngineError::Lost(error.to_string()),
     })?;
     let status = response.status();
     if status == StatusCode::OK {
--- a/components/entry/src/http/services.rs
+++ b/components/entry/src/http/services.rs
@@ -5,8 +5,7 @@
 use actix_web::http::Method;
 use actix_web::http::header::{ACCEPT, CONTENT_TYPE};
 use actix_web::{HttpRequest, HttpResponse, web};
-use awc::error::SendRequestError;
-use awc::{Client, Connector};
+use awc::Client;
 use bytes::Bytes;
 use compact_str::CompactString;
 use objects::Catalog;
@@ -21,6 +20,7 @@
 use super::chat::{header, to_response};
 use super::failure::{CallerError, invalid};
 use crate::broker::{EndPlain, PickPlain, SpendRetry};
+use crate::http_client;
 use crate::records::{self, Execution};
 use crate::shared::Shared;
 
@@ -41,12 +41,7 @@
 
 impl PlainClient {
     pub(crate) fn new(connect_timeout: Duration) -> Self {
-        // Without reuse of connections, no answer can reach another caller,
-        // and a refused connection proves that nothing was sent.
-        let connector =
-            Connector::new().timeout(connect_timeout).limit(0).conn_keep_alive(Duration::ZERO);
-        let client = Client::builder().connector(connector).disable_redirects().disable_timeout();
-        PlainClient { client: client.finish() }
+        PlainClient { client: http_client::new_client(connect_timeout) }
     }
 }
 
@@ -296,7 +291,7 @@
         }
         let mut response = match request.send_body(self.body.clone()).await {
             Ok(response) => response,
-            Err(SendRequestError::Connect(error)) => {
+            Err(error) if http_client::is_unsent(&error) => {
                 let message = format!("cannot connect to the upstream: {error}");
                 return Execution::NotSent(Failure::not_run(Code::UpstreamFailed, message));
             }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod engine;
 mod error;
 mod http;
+mod http_client;
 mod membership;
 mod metrics;
 mod peers;
--- a/components/entry/src/membership.rs
+++ b/components/entry/src/membership.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::{Actor, Addr, AsyncContext as _, Context, Handler, Message, ResponseFuture};
+use actix::{
+    Actor, ActorContext as _, Addr, AsyncContext as _, Context, Handler, Message, ResponseFuture,
+};
 use clock::Clock;
 use futures::future::join_all;
 use objects::Catalog;
@@ -17,6 +19,7 @@
 use crate::control::{ControlClient, ControlError};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::shared::Stop;
 use crate::view::{Mode, View};
 
 const TICK: Duration = Duration::from_millis(50);
@@ -263,3 +266,11 @@
         })
     }
 }
+
+impl Handler<Stop> for Membership {
+    type Result = ();
+
+    fn handle(&mut self, _: Stop, context: &mut Context<Self>) {
+        context.stop();
+    }
+}
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -22,7 +22,7 @@
 use crate::membership::{Leave, Membership, StartDraining, StartLeaving};
 use crate::metrics::Metrics;
 use crate::peers::{PeerService, Peers};
-use crate::shared::Shared;
+use crate::shared::{Shared, Stop};
 use crate::view::{Mode, View};
 
 const DRAIN_POLL: Duration = Duration::from_millis(50);
@@ -128,6 +128,8 @@
     pub async fn kill(&self) {
         self.http.stop(false).await;
         self.endpoint.close();
+        self.membership.do_send(Stop);
+        self.shared.broker.do_send(Stop);
         self.shared.spans.shutdown();
     }
 }
@@ -144,7 +146,7 @@
         data_centre: config.data_centre.to_string(),
         region: config.region.to_string(),
         http_address: advertised.to_string(),
-        peer_address: config.peer_address.to_string(),
+        peer_address: config.advertised_peer_address.to_string(),
         leaving: false,
     }
 }
--- a/components/settings/src/control.rs
+++ b/components/settings/src/control.rs
@@ -23,6 +23,8 @@
     pub region: Name,
     /// Address for the system's own processes.
     pub peer_address: SocketAddr,
+    /// Address given to the system's own processes.
+    pub advertised_peer_address: SocketAddr,
     /// Address for metrics and health checks.
     pub http_address: SocketAddr,
     /// Data folder.
@@ -51,6 +53,10 @@
     let data_centre = checker.parse("data_centre", &settings.data_centre);
     let region = checker.parse("region", &settings.region);
     let peer_address = checker.address("peer_address", &settings.peer_address);
+    let advertised_peer = match settings.advertised_peer_address.as_str() {
+        "" => peer_address,
+        text => checker.address("advertised_peer_address", text),
+    };
     let http_address = checker.address("http_address", &settings.http_address);
     let control_addresses = checker.addresses("control_addresses", &settings.control_addresses);
     if settings.data_path.is_empty() {
@@ -68,6 +74,7 @@
         data_centre: data_centre?,
         region: region?,
         peer_address: peer_address?,
+        advertised_peer_address: advertised_peer?,
         http_address: http_address?,
         data_path: settings.data_path.into(),
         control_addresses,
--- a/components/settings/src/entry.rs
+++ b/components/settings/src/entry.rs
@@ -28,6 +28,8 @@
     pub advertised_http_address: SocketAddr,
     /// Address for the system's own processes.
     pub peer_address: SocketAddr,
+    /// Address given to the system's own processes.
+    pub advertised_peer_address: SocketAddr,
     /// Peer addresses of the control processes.
     pub control_addresses: Vec<SocketAddr>,
     /// Certificate files.
@@ -57,6 +59,10 @@
         text => checker.address("advertised_http_address", text),
     };
     let peer_address = checker.address("peer_address", &settings.peer_address);
+    let advertised_peer = match settings.advertised_peer_address.as_str() {
+        "" => peer_address,
+        text => checker.address("advertised_peer_address", text),
+    };
     let control_addresses = checker.addresses("control_addresses", &settings.control_addresses);
     let tls = checker.tls(settings.tls);
     for (index, hash) in settings.upstream_token_sha256.iter().enumerate() {
@@ -74,6 +80,7 @@
         http_address: http_address?,
         advertised_http_address: advertised?,
         peer_address: peer_address?,
+        advertised_peer_address: advertised_peer?,
         control_addresses,
         tls,
         telemetry: settings.telemetry.unwrap_or_default(),
--- /dev/null
+++ b/tests/support/caller.rs
@@ -0,0 +1,147 @@
+//! Caller of entries.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use awc::Client;
+use awc::error::SendRequestError;
+use bytes::Bytes;
+use eventsource_stream::{Event, Eventsource as _};
+use futures::{Stream, StreamExt as _};
+use serde_json::Value;
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// Answer of an entry.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub verdict: String,
+    pub body: Bytes,
+}
+
+impl Reply {
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or(Value::Null)
+    }
+
+    pub fn code(&self) -> String {
+        self.json()["error"]["code"].as_str().unwrap_or_default().to_string()
+    }
+}
+
+/// Caller with the API key of one workspace.
+#[derive(Clone)]
+pub struct Caller {
+    client: Client,
+    api_key: String,
+}
+
+impl Caller {
+    pub fn new(workspace: &str) -> Self {
+        let connector = awc::Connector::new().conn_keep_alive(Duration::ZERO);
+        let client = Client::builder().connector(connector).timeout(TIMEOUT).finish();
+        Caller { client, api_key: format!("{workspace}-demo-key") }
+    }
+
+    /// Sends a request and reads the whole answer; `None` if it was lost.
+    pub async fn send(
+        &self,
+        method: &str,
+        entry: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Option<Reply> {
+        let method = method.parse().expect("an HTTP method");
+        let mut request = self
+            .client
+            .request(method, format!("http://{entry}{path}"))
+            .force_close()
+            .insert_header(("authorization", format!("Bearer {}", self.api_key)));
+        for (name, value) in headers {
+            request = request.insert_header((*name, *value));
+        }
+        let mut response = request.send_body(body.into()).await.ok()?;
+        let verdict = response.headers().get("x-shallottray-verdict");
+        let verdict = verdict.and_then(|value| value.to_str().ok()).unwrap_or_default().to_string();
+        let status = response.status().as_u16();
+        let body = response.body().limit(MAX_BODY_BYTES).await.ok()?;
+        Some(Reply { status, verdict, body })
+    }
+
+    /// Books under a key.
+    pub async fn book(&self, entry: SocketAddr, key: &str, body: &str) -> Option<Reply> {
+        let headers = [("idempotency-key", key), ("content-type", "application/json")];
+        let path = "/services/booking-app/bookings";
+        self.send("POST", entry, path, &headers, body.to_string()).await
+    }
+
+    /// Opens a stream of a generation of `length` tokens.
+    pub async fn stream(
+        &self,
+        entry: SocketAddr,
+        length: u64,
+        last_event_id: Option<&str>,
+    ) -> Result<impl Stream<Item = Option<Event>> + Unpin + use<>, Reply> {
+        let body = chat_body(length, true);
+        let mut request = self
+            .client
+            .post(format!("http://{entry}/v1/chat/completions"))
+            .insert_header(("authorization", format!("Bearer {}", self.api_key)));
+        if let Some(id) = last_event_id {
+            request = request.insert_header(("last-event-id", id));
+        }
+        let lost = |error: SendRequestError| Reply {
+            status: 0,
+            verdict: String::new(),
+            body: Bytes::from(error.to_string()),
+        };
+        let mut response = request.send_body(body).await.map_err(lost)?;
+        if response.status() != 200 {
+            let verdict = response.headers().get("x-shallottray-verdict");
+            let verdict = verdict.and_then(|v| v.to_str().ok()).unwrap_or_default().to_string();
+            let status = response.status().as_u16();
+            let body = response.body().await.unwrap_or_default();
+            return Err(Reply { status, verdict, body });
+        }
+        Ok(Box::pin(response.eventsource().map(Result::ok)))
+    }
+}
+
+pub fn chat_body(length: u64, stream: bool) -> String {
+    serde_json::json!({
+        "model": "coach-llm",
+        "stream": stream,
+        "messages": [{"role": "user", "content": format!("length={length}")}],
+    })
+    .to_string()
+}
+
+/// Token of a stream: generation, index and text.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Token {
+    pub generation: String,
+    pub index: u64,
+    pub text: String,
+}
+
+/// Returns the token of an event, if it is one.
+pub fn token(event: &Event) -> Option<Token> {
+    let (generation, index) = event.id.rsplit_once(':')?;
+    let json: Value = serde_json::from_str(&event.data).ok()?;
+    let text = json["choices"][0]["delta"]["content"].as_str()?.to_string();
+    Some(Token { generation: generation.to_string(), index: index.parse().ok()?, text })
+}
+
+/// Checks that tokens come once, in order, and from one generation.
+pub fn assert_whole(tokens: &[Token], length: u64) {
+    let indices: Vec<u64> = tokens.iter().map(|token| token.index).collect();
+    assert_eq!(indices, (0..length).collect::<Vec<u64>>());
+    let one_generation = tokens.iter().all(|token| token.generation == tokens[0].generation);
+    assert!(one_generation, "tokens of several generations: {tokens:?}");
+    let mark = tokens[0].text.split('.').next().unwrap_or_default().to_string();
+    let one_text = tokens.iter().all(|token| token.text.starts_with(&format!("{mark}.")));
+    assert!(one_text, "texts of several generations: {tokens:?}");
+}
--- /dev/null
+++ b/tests/support/deployment.rs
@@ -0,0 +1,523 @@
+//! Processes of a deployment.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use client::ControlClient;
+use control::Control;
+use credentials::{Identity, Role, TlsConfigs, create_authority, issue};
+use entry::Entry;
+use schema::{
+    AnnounceRequest, BootstrapRequest, ObjectSet, Publish, PublishOutcome, Request, StatusReply,
+    StatusRequest, TlsSettings, UpstreamKind, reply, request,
+};
+use standin::announcer::Announcer;
+use standin::engine::{Batch, BatchOptions, EngineOptions};
+use standin::service::Runs;
+use tempfile::TempDir;
+use tokio::time::sleep;
+use wire::Endpoint;
+
+use super::link::Link;
+use super::{at, eventually, own_address};
+
+pub const TOKEN: &str = "test-upstream-token";
+const DATA_CENTRES: [&str; 3] = ["bkk-a", "bkk-b", "bkk-c"];
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+const RESTART_ATTEMPTS: u32 = 200;
+const RESTART_DELAY: Duration = Duration::from_millis(50);
+
+const CONTROL_PORT: u16 = 17_400;
+const CONTROL_LINK_PORT: u16 = 17_410;
+const CONTROL_HTTP_PORT: u16 = 17_420;
+const ENTRY_PORT: u16 = 17_430;
+const ENTRY_LINK_PORT: u16 = 17_440;
+const ENTRY_HTTP_PORT: u16 = 17_450;
+const ENGINE_PORT: u16 = 17_460;
+const SERVICE_PORT: u16 = 17_470;
+
+/// Engine stand-in.
+pub struct Engine {
+    pub name: String,
+    pub batch: Batch,
+    pub leaving: Arc<AtomicBool>,
+    pub muted: Arc<AtomicBool>,
+    server: actix_web::dev::ServerHandle,
+}
+
+impl Engine {
+    /// Stops the engine at once.
+    pub async fn kill(&self) {
+        self.muted.store(true, Ordering::Relaxed);
+        self.server.stop(false).await;
+    }
+}
+
+/// Plain service stand-in.
+pub struct Service {
+    pub runs: Runs,
+    pub leaving: Arc<AtomicBool>,
+    pub muted: Arc<AtomicBool>,
+    server: actix_web::dev::ServerHandle,
+}
+
+impl Service {
+    /// Stops the service at once.
+    pub async fn kill(&self) {
+        self.muted.store(true, Ordering::Relaxed);
+        self.server.stop(false).await;
+    }
+}
+
+/// Processes of a deployment.
+pub struct Deployment {
+    address: Ipv4Addr,
+    folder: TempDir,
+    pub controls: Vec<Option<Control>>,
+    pub entries: Vec<Option<Entry>>,
+    pub control_links: Vec<Link>,
+    pub entry_links: Vec<Link>,
+    pub engines: Vec<Engine>,
+    pub services: Vec<Service>,
+    operator: Endpoint,
+    client: ControlClient,
+    pub tune: Tune,
+}
+
+/// Settings that tests change.
+#[derive(Clone, Debug)]
+pub struct Tune {
+    pub snapshot_entries: u64,
+    pub address_max_age_ms: u64,
+    pub resume_window_ms: u64,
+    pub max_answer_bytes: u64,
+    pub step: Duration,
+    pub cache_tokens: u64,
+}
+
+impl Default for Tune {
+    fn default() -> Self {
+        Tune {
+            snapshot_entries: 10_000,
+            address_max_age_ms: 200,
+            resume_window_ms: 3_000,
+            max_answer_bytes: 65_536,
+            step: Duration::from_millis(5),
+            cache_tokens: 100_000,
+        }
+    }
+}
+
+impl Deployment {
+    /// Starts control processes and entries and publishes `examples/stride`.
+    pub async fn start(controls: usize, entries: usize, tune: Tune) -> Deployment {
+        let mut deployment = Deployment::bare(controls, entries, tune).await;
+        for index in 0..controls {
+            deployment.start_control(index).await;
+        }
+        deployment.bootstrap().await;
+        deployment.wait_for_voters(controls).await;
+        for index in 0..entries {
+            deployment.start_entry(index).await;
+        }
+        let outcome = deployment.publish("first", 0).await.expect("a leader answers");
+        assert!(outcome.accepted);
+        deployment.wait_in_force(1).await;
+        deployment
+    }
+
+    async fn bare(controls: usize, entries: usize, tune: Tune) -> Deployment {
+        let address = own_address();
+        let folder = tempfile::tempdir().expect("a folder");
+        let keys = folder.path().join("keys");
+        create_authority(&keys, "test").expect("a new CA");
+        let operator = Identity { role: Role::Operator, name: name("alice") };
+        issue(&keys, &operator, &keys).expect("a new certificate");
+        let tls = load_tls(&keys, "operator-alice");
+        let operator = Endpoint::bind(at(address, 0), &tls).expect("a free port");
+        let mut control_links = Vec::new();
+        let mut entry_links = Vec::new();
+        for index in 0..controls {
+            let identity = Identity { role: Role::Control, name: name(&control_vm(index)) };
+            issue(&keys, &identity, &keys).expect("a new certificate");
+            let link = at(address, CONTROL_LINK_PORT + index as u16);
+            let target = at(address, CONTROL_PORT + index as u16);
+            control_links.push(Link::start(link, target).await);
+        }
+        for index in 0..entries {
+            let identity = Identity { role: Role::Entry, name: name(&entry_vm(index)) };
+            issue(&keys, &identity, &keys).expect("a new certificate");
+            let link = at(address, ENTRY_LINK_PORT + index as u16);
+            let target = at(address, ENTRY_PORT + index as u16);
+            entry_links.push(Link::start(link, target).await);
+        }
+        let addresses: Vec<SocketAddr> = control_links.iter().map(Link::address).collect();
+        let client = ControlClient::new(&operator, &addresses);
+        Deployment {
+            address,
+            folder,
+            controls: (0..controls).map(|_| None).collect(),
+            entries: (0..entries).map(|_| None).collect(),
+            control_links,
+            entry_links,
+            engines: Vec::new(),
+            services: Vec::new(),
+            operator,
+            client,
+            tune,
+        }
+    }
+
+    pub async fn start_control(&mut self, index: usize) {
+        let config = self.control_config(index);
+        for _ in 0..RESTART_ATTEMPTS {
+            // The address and the folder of a killed process take a moment
+            // to come free.
+            match Control::start(config.clone()) {
+                Ok(control) => {
+                    self.controls[index] = Some(control);
+                    return;
+                }
+                Err(_) => sleep(RESTART_DELAY).await,
+            }
+        }
+        Control::start(config).expect("the control process starts");
+    }
+
+    pub async fn kill_control(&mut self, index: usize) {
+        if let Some(control) = self.controls[index].take() {
+            control.kill().await;
+        }
+    }
+
+    /// Loses the data folder of a killed control process.
+    pub fn lose_disk(&self, index: usize) {
+        std::fs::remove_dir_all(self.data_path(index)).expect("the folder exists");
+    }
+
+    pub fn data_path(&self, index: usize) -> std::path::PathBuf {
+        self.folder.path().join(control_vm(index))
+    }
+
+    pub async fn start_entry(&mut self, index: usize) {
+        let config = self.entry_config(index);
+        for _ in 0..RESTART_ATTEMPTS {
+            match Entry::start(config.clone()) {
+                Ok(entry) => {
+                    self.entries[index] = Some(entry);
+                    return;
+                }
+                Err(_) => sleep(RESTART_DELAY).await,
+            }
+        }
+        Entry::start(config).expect("the entry starts");
+    }
+
+    pub async fn kill_entry(&mut self, index: usize) {
+        if let Some(entry) = self.entries[index].take() {
+            entry.kill().await;
+        }
+    }
+
+    pub fn entry_address(&self, index: usize) -> SocketAddr {
+        at(self.address, ENTRY_HTTP_PORT + index as u16)
+    }
+
+    /// Cuts, or heals, all paths between a control process and the rest.
+    pub fn isolate_control(&self, index: usize, cut: bool) {
+        self.control_links[index].cut(cut);
+        let source = at(self.address, CONTROL_PORT + index as u16);
+        self.control_links.iter().for_each(|link| link.cut_from(source, cut));
+    }
+
+    /// Cuts, or heals, all paths between an entry and the other processes.
+    pub fn isolate_entry(&self, index: usize, cut: bool) {
+        self.entry_links[index].cut(cut);
+        self.cut_entry_from_controls(index, cut);
+        let source = at(self.address, ENTRY_PORT + index as u16);
+        self.entry_links.iter().for_each(|link| link.cut_from(source, cut));
+    }
+
+    /// Cuts, or heals, the paths from an entry to the control processes.
+    pub fn cut_entry_from_controls(&self, index: usize, cut: bool) {
+        let source = at(self.address, ENTRY_PORT + index as u16);
+        self.control_links.iter().for_each(|link| link.cut_from(source, cut));
+    }
+
+    /// Starts an engine that serves the example's generation services.
+    pub async fn start_engine(&mut self, index: usize) {
+        let batch = Batch::new(BatchOptions {
+            cache_tokens: self.tune.cache_tokens,
+            max_running: 64,
+            step: self.tune.step,
+            prefill_tokens: 2_000,
+        });
+        let announcer = self.announcer();
+        let address = at(self.address, ENGINE_PORT + index as u16);
+        let (server, address) =
+            standin::engine::serve(address, batch.clone(), announcer.muted.clone())
+                .expect("a free address");
+        let handle = server.handle();
+        actix_rt::spawn(server);
+        actix_rt::spawn(batch.clone().run());
+        let options = EngineOptions {
+            name: format!("engine-{}", index + 1),
+            data_centre: DATA_CENTRES[index % 3].to_string(),
+            serves: vec!["coach-7".to_string(), "coach-thai".to_string()],
+        };
+        let engine = Engine {
+            name: options.name.clone(),
+            batch: batch.clone(),
+            leaving: announcer.leaving.clone(),
+            muted: announcer.muted.clone(),
+            server: handle,
+        };
+        let epoch = rand::random();
+        let current = move || options.announcement(address, epoch, &batch);
+        actix_rt::spawn(announcer.run(current));
+        self.engines.push(engine);
+        self.wait_for_upstream(&format!("engine-{}", index + 1)).await;
+    }
+
+    /// Starts an upstream of the example's plain service.
+    pub async fn start_service(&mut self, index: usize) {
+        let runs = Runs::default();
+        let address = at(self.address, SERVICE_PORT + index as u16);
+        let (server, address) =
+            standin::service::serve(address, runs.clone()).expect("a free address");
+        let handle = server.handle();
+        actix_rt::spawn(server);
+        let announcer = self.announcer();
+        let service = Service {
+            runs,
+            leaving: announcer.leaving.clone(),
+            muted: announcer.muted.clone(),
+            server: handle,
+        };
+        let upstream = format!("booking-{}", index + 1);
+        let epoch = rand::random();
+        let announced = upstream.clone();
+        let current = move || AnnounceRequest {
+            upstream: announced.clone(),
+            kind: UpstreamKind::Plain.into(),
+            address: address.to_string(),
+            data_centre: DATA_CENTRES[index % 3].to_string(),
+            epoch,
+            serves: vec!["booking-app".to_string()],
+            ..AnnounceRequest::default()
+        };
+        actix_rt::spawn(announcer.run(current));
+        self.services.push(service);
+        self.wait_for_upstream(&upstream).await;
+    }
+
+    fn announcer(&self) -> Announcer {
+        let entries = (0..self.entries.len()).map(|i| self.entry_address(i).to_string());
+        Announcer {
+            entries: entries.collect(),
+            token: TOKEN.to_string(),
+            muted: Arc::default(),
+            leaving: Arc::default(),
+        }
+    }
+
+    /// Waits until every running entry knows of the upstreams started so far.
+    async fn wait_for_upstream(&self, upstream: &str) {
+        let count = self.engines.len() + self.services.len();
+        eventually(&format!("{upstream} known at every entry"), || async {
+            let running = self.entries.iter().filter(|entry| entry.is_some()).count();
+            let mut known = 0;
+            for (index, entry) in self.entries.iter().enumerate() {
+                if entry.is_some() && self.known_upstreams(index).await >= count {
+                    known += 1;
+                }
+            }
+            known == running
+        })
+        .await;
+    }
+
+    pub async fn known_upstreams(&self, entry: usize) -> usize {
+        let caller = super::Caller::new("nobody");
+        let reply = caller.send("GET", self.entry_address(entry), "/metrics", &[], "").await;
+        let text = reply.map(|r| String::from_utf8_lossy(&r.body).into_owned()).unwrap_or_default();
+        let line = text.lines().find(|l| l.starts_with("shallottray_entry_known_upstreams "));
+        line.and_then(|l| l.rsplit_once(' ')).and_then(|(_, n)| n.parse().ok()).unwrap_or(0)
+    }
+
+    pub async fn bootstrap(&self) {
+        let address = self.control_links[0].address();
+        let link = self.operator.link(address, Role::Control);
+        let request = Request {
+            traceparent: String::new(),
+            body: Some(request::Body::Bootstrap(BootstrapRequest {})),
+        };
+        link.call(request, CALL_LIMIT).await.expect("the first control process answers");
+    }
+
+    pub async fn wait_for_voters(&self, count: usize) {
+        eventually("the group reaches its voters", || async {
+            let leader = self.leader_status().await;
+            leader.is_some_and(|(_, status)| {
+                consensus::voter_count(&status.configuration.unwrap_or_default()) == count
+            })
+        })
+        .await;
+    }
+
+    pub async fn status(&self, index: usize) -> Option<StatusReply> {
+        let link = self.operator.link(self.control_links[index].address(), Role::Control);
+        let request = Request {
+            traceparent: String::new(),
+            body: Some(request::Body::Status(StatusRequest {})),
+        };
+        match link.call(request, Duration::from_secs(1)).await {
+            Ok(reply::Body::Status(status)) => Some(status),
+            _ => None,
+        }
+    }
+
+    /// Returns the index and the status of the leader.
+    pub async fn leader_status(&self) -> Option<(usize, StatusReply)> {
+        let mut leader: Option<(usize, StatusReply)> = None;
+        for index in 0..self.controls.len() {
+            let Some(status) = self.status(index).await else { continue };
+            let newer = leader.as_ref().is_none_or(|(_, known)| status.term > known.term);
+            if status.role == "leader" && newer {
+                leader = Some((index, status));
+            }
+        }
+        leader
+    }
+
+    pub async fn leader(&self) -> usize {
+        let leads = || async { self.leader_status().await.is_some() };
+        eventually("a leader is elected", leads).await;
+        self.leader_status().await.expect("the leader stays").0
+    }
+
+    /// Publishes the example set with a mark that tells revisions apart.
+    pub async fn publish(&self, id: &str, expected_revision: u64) -> Option<PublishOutcome> {
+        let publish = Publish {
+            publication_id: id.to_string(),
+            expected_revision,
+            author: String::new(),
+            set: Some(example_set()),
+        };
+        match self.call(request::Body::Publish(publish)).await {
+            Some(reply::Body::Publish(outcome)) => Some(outcome),
+            _ => None,
+        }
+    }
+
+    pub async fn call(&self, body: request::Body) -> Option<reply::Body> {
+        self.client.call(body, String::new(), CALL_LIMIT).await.ok()
+    }
+
+    /// Waits until all running entries serve a revision.
+    pub async fn wait_in_force(&self, revision: u64) {
+        let running = self.entries.iter().filter(|entry| entry.is_some()).count();
+        eventually("the revision is in force", || async {
+            let Some((_, status)) = self.leader_status().await else { return false };
+            let current = status.entries.iter().filter(|e| e.revision >= revision);
+            current.count() >= running
+        })
+        .await;
+    }
+
+    fn control_config(&self, index: usize) -> settings::ControlConfig {
+        let text = serde_json::json!({
+            "vm": control_vm(index),
+            "data_centre": DATA_CENTRES[index % 3],
+            "region": "th-central",
+            "peer_address": at(self.address, CONTROL_PORT + index as u16).to_string(),
+            "advertised_peer_address": self.control_links[index].address().to_string(),
+            "http_address": at(self.address, CONTROL_HTTP_PORT + index as u16).to_string(),
+            "data_path": self.data_path(index).display().to_string(),
+            "control_addresses": self.control_addresses(),
+            "tls": self.tls_json(&format!("control-{}", control_vm(index))),
+            "target_voters": self.controls.len() | 1,
+            "timers": {
+                "tick_ms": 10, "heartbeat_ms": 50, "election_ms": 300, "entry_lease_ms": 1500,
+            },
+            "limits": {
+                "snapshot_entries": self.tune.snapshot_entries,
+                "max_answer_bytes": self.tune.max_answer_bytes,
+            },
+        });
+        let path = self.folder.path().join(format!("control-{index}.json"));
+        std::fs::write(&path, text.to_string()).expect("writable");
+        settings::load_control(&path).expect("valid settings")
+    }
+
+    fn entry_config(&self, index: usize) -> settings::EntryConfig {
+        let text = serde_json::json!({
+            "vm": entry_vm(index),
+            "data_centre": DATA_CENTRES[index % 3],
+            "region": "th-central",
+            "http_address": self.entry_address(index).to_string(),
+            "peer_address": at(self.address, ENTRY_PORT + index as u16).to_string(),
+            "advertised_peer_address": self.entry_links[index].address().to_string(),
+            "control_addresses": self.control_addresses(),
+            "tls": self.tls_json(&format!("entry-{}", entry_vm(index))),
+            "upstream_token_sha256": [objects::hash_secret(TOKEN)],
+            "limits": { "max_answer_bytes": self.tune.max_answer_bytes, "max_body_bytes": 65536 },
+            "timers": {
+                "heartbeat_ms": 100,
+                "revision_lease_ms": 1200,
+                "address_max_age_ms": self.tune.address_max_age_ms,
+                "upstream_lease_ms": 1500,
+                "credit_lease_ms": 1500,
+                "resume_window_ms": self.tune.resume_window_ms,
+            },
+        });
+        let path = self.folder.path().join(format!("entry-{index}.json"));
+        std::fs::write(&path, text.to_string()).expect("writable");
+        settings::load_entry(&path).expect("valid settings")
+    }
+
+    fn control_addresses(&self) -> Vec<String> {
+        self.control_links.iter().map(|link| link.address().to_string()).collect()
+    }
+
+    fn tls_json(&self, stem: &str) -> serde_json::Value {
+        let TlsSettings { ca_path, certificate_path, key_path } =
+            tls_settings(&self.folder.path().join("keys"), stem);
+        serde_json::json!({
+            "ca_path": ca_path, "certificate_path": certificate_path, "key_path": key_path,
+        })
+    }
+}
+
+pub fn example_set() -> ObjectSet {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/stride");
+    objects::read_folder(&path).expect("the example is consistent")
+}
+
+pub fn control_vm(index: usize) -> String {
+    format!("control-{}", index + 1)
+}
+
+pub fn entry_vm(index: usize) -> String {
+    format!("entry-{}", index + 1)
+}
+
+fn name(text: &str) -> units::VmName {
+    text.parse().expect("a valid name")
+}
+
+fn tls_settings(keys: &Path, stem: &str) -> TlsSettings {
+    let file = |name: String| keys.join(name).display().to_string();
+    TlsSettings {
+        ca_path: file("ca.pem".to_string()),
+        certificate_path: file(format!("{stem}.pem")),
+        key_path: file(format!("{stem}.key")),
+    }
+}
+
+fn load_tls(keys: &Path, stem: &str) -> TlsConfigs {
+    TlsConfigs::load(&tls_settings(keys, stem), wire::PROTOCOL).expect("valid certificates")
+}
