Prove streams and publication under failure; end message tasks with their link

Cause: restarting a killed process in a test failed with 'address in use'. The task that sends consensus messages held the link that held the task's queue, so neither was ever freed: a leak with each change of the membership too. Ruled out: QUIC's close delay (other restarts succeeded within milliseconds). Change: the queue's sender moved out of what the task holds. A waiting request is told no_upstream rather than overloaded when no engine serves it (both came due at the same moment).

--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -43,8 +43,9 @@
 use waiters::Waiters;
 
 const MAILBOX_CAPACITY: usize = 65_536;
-/// Entries kept in memory before the last snapshot for lagging replicas.
-const KEPT_ENTRIES: u64 = 2_000;
+/// Share of the entries between two snapshots that is kept in memory after
+/// one, for replicas that lag a little.
+const KEPT_SHARE: u64 = 5;
 
 /// Actor that owns consensus and state.
 pub(crate) struct Replica {
@@ -231,7 +232,8 @@
             Stored::Batch(batch, last) => self.finish_batch(batch, last),
             Stored::Compact(snapshot) => {
                 self.snapshot_index = snapshot.index;
-                self.node.compact(snapshot, KEPT_ENTRIES);
+                let kept_entries = self.config.limits.snapshot_entries / KEPT_SHARE;
+                self.node.compact(snapshot, kept_entries);
             }
             Stored::Failed(error) => self.fail(&error),
         }
--- a/components/control/src/replica/requests.rs
+++ b/components/control/src/replica/requests.rs
@@ -279,7 +279,7 @@
             leader_address: self.leader_address(),
             commit: self.node.commit(),
             applied: self.node.applied(),
-            first_index: self.node.first_index(),
+            snapshot_index: self.snapshot_index,
             last_index: self.node.last().index,
             configuration: Some(self.node.configuration().clone()),
             revision: self.state.current().0,
--- a/components/entry/src/broker/acquire.rs
+++ b/components/entry/src/broker/acquire.rs
@@ -194,7 +194,7 @@
 
     /// Refuses a request that no engine has served for a while.
     fn refuse_without_engine(&mut self, service: &str, ticket: &Ticket, now_ms: u64) -> bool {
-        if now_ms < ticket.queued_ms + NO_ENGINE_GRACE_MS.min(ticket.max_wait_ms) {
+        if now_ms < ticket.queued_ms + NO_ENGINE_GRACE_MS.min(ticket.max_wait_ms / 2) {
             return false;
         }
         let message = format!("no engine serves `{service}` now");
--- a/components/wire/src/link.rs
+++ b/components/wire/src/link.rs
@@ -22,6 +22,9 @@
 #[derive(Clone, Debug)]
 pub struct Link {
     inner: Arc<Inner>,
+    /// Queue of the task that sends messages; the task ends with its last
+    /// sender, so it must not hold one itself.
+    messages: Arc<Mutex<Option<mpsc::Sender<ConsensusMessage>>>>,
 }
 
 #[derive(Debug)]
@@ -30,13 +33,13 @@
     address: SocketAddr,
     role: Role,
     connection: Mutex<Option<Connection>>,
-    messages: Mutex<Option<mpsc::Sender<ConsensusMessage>>>,
 }
 
 impl Link {
     pub(crate) fn new(endpoint: quinn::Endpoint, address: SocketAddr, role: Role) -> Self {
-        let (connection, messages) = (Mutex::new(None), Mutex::new(None));
-        Link { inner: Arc::new(Inner { endpoint, address, role, connection, messages }) }
+        let connection = Mutex::new(None);
+        let inner = Arc::new(Inner { endpoint, address, role, connection });
+        Link { inner, messages: Arc::default() }
     }
 
     /// Returns the address of the other process.
@@ -55,7 +58,7 @@
     /// Queues a message of the consensus; it is dropped when the queue is full
     /// or the connection is lost.
     pub async fn send(&self, message: ConsensusMessage) {
-        let mut messages = self.inner.messages.lock().await;
+        let mut messages = self.messages.lock().await;
         let sender = messages.get_or_insert_with(|| {
             let (sender, receiver) = mpsc::channel(QUEUED_MESSAGES);
             tokio::spawn(send_messages(self.inner.clone(), receiver));
--- a/tests/booking_faults.rs
+++ b/tests/booking_faults.rs
@@ -9,8 +9,9 @@
 use futures::future::join;
 use serde::Deserialize;
 use standin::service::Faults;
+use support::caller::Reply;
 use support::deployment::Tune;
-use support::{Caller, Deployment, Reply, eventually};
+use support::{Caller, Deployment, eventually};
 use tokio::time::sleep;
 
 const BODY: &str = r#"{"member": "m-1", "trainer": "t-1", "slot": "s-1"}"#;
--- a/tests/support/deployment.rs
+++ b/tests/support/deployment.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use client::ControlClient;
-use control::Control;
+use control::{Control, StartError};
 use credentials::{Identity, Role, TlsConfigs, create_authority, issue};
 use entry::Entry;
+use journal::JournalError;
 use schema::{
     AnnounceRequest, BootstrapRequest, ObjectSet, Publish, PublishOutcome, Request, StatusReply,
     StatusRequest, TlsSettings, UpstreamKind, reply, request,
@@ -172,19 +173,24 @@
     }
 
     pub async fn start_control(&mut self, index: usize) {
+        let control = self.try_start_control(index).await;
+        self.controls[index] = Some(control.expect("the control process starts"));
+    }
+
+    /// Starts a control process, or returns why it cannot start.
+    pub async fn try_start_control(&self, index: usize) -> Result<Control, StartError> {
         let config = self.control_config(index);
         for _ in 0..RESTART_ATTEMPTS {
-            // The address and the folder of a killed process take a moment
-            // to come free.
             match Control::start(config.clone()) {
-                Ok(control) => {
-                    self.controls[index] = Some(control);
-                    return;
+                // A killed process takes a moment to let go of its address
+                // and its folder.
+                Err(StartError::Listen(..) | StartError::Journal(JournalError::Locked { .. })) => {
+                    sleep(RESTART_DELAY).await;
                 }
-                Err(_) => sleep(RESTART_DELAY).await,
+                result => return result,
             }
         }
-        Control::start(config).expect("the control process starts");
+        Control::start(config)
     }
 
     pub async fn kill_control(&mut self, index: usize) {
--- a/tests/support/link.rs
+++ b/tests/support/link.rs
@@ -1,5 +1,6 @@
 //! UDP relay in front of a process, which can be cut.
 
+use std::collections::hash_map::Entry;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -71,17 +72,28 @@
         if is_cut {
             continue;
         }
-        if !upstreams.contains_key(&source) {
-            let any = SocketAddr::new(socket.local_addr().expect("a bound socket").ip(), 0);
-            let upstream = Arc::new(UdpSocket::bind(any).await.expect("a free port"));
-            upstream.connect(target).await.expect("a loopback address");
-            actix_rt::spawn(back(upstream.clone(), socket.clone(), source, cuts.clone()));
-            upstreams.insert(source, upstream);
-        }
-        let _ = upstreams[&source].send(&buffer[..length]).await;
+        let upstream = match upstreams.entry(source) {
+            Entry::Occupied(known) => known.into_mut(),
+            Entry::Vacant(new) => new.insert(open(&socket, target, source, &cuts).await),
+        };
+        let _ = upstream.send(&buffer[..length]).await;
     }
 }
 
+/// Opens the socket that stands for one source towards the process.
+async fn open(
+    socket: &Arc<UdpSocket>,
+    target: SocketAddr,
+    source: SocketAddr,
+    cuts: &Arc<Mutex<Cuts>>,
+) -> Arc<UdpSocket> {
+    let any = SocketAddr::new(socket.local_addr().expect("a bound socket").ip(), 0);
+    let upstream = Arc::new(UdpSocket::bind(any).await.expect("a free port"));
+    upstream.connect(target).await.expect("a loopback address");
+    actix_rt::spawn(back(upstream.clone(), socket.clone(), source, cuts.clone()));
+    upstream
+}
+
 async fn back(
     upstream: Arc<UdpSocket>,
     socket: Arc<UdpSocket>,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -13,7 +13,7 @@
 
 use tokio::time::sleep;
 
-pub use caller::{Caller, Reply};
+pub use caller::Caller;
 pub use deployment::Deployment;
 
 /// Longest time for anything to happen; far above what it takes.
