Decide placement without input or output; leave a silent leader within a lease

Cause (placement): the entry's decisions were part of an actor, so neither a test nor a measurement could drive them step by step. Change: component placement with the Placer, whose effects the broker actor carries out; attempts take a fifth of a request's time limit (200 ms to 1 s) and heartbeats half of the revision's lease, so a silent leader is left within a fraction of the lease; the test deployment's lease is 2.5 s.

--- a/components/admission/src/ledger.rs
+++ b/components/admission/src/ledger.rs
@@ -22,11 +22,13 @@
     pub deviations: f64,
     /// Life of a credit that its holder does not renew.
     pub credit_lease_ms: u64,
+    /// Grant by the forecast of memory, and not only by free slots.
+    pub forecast: bool,
 }
 
 impl Default for LedgerOptions {
     fn default() -> Self {
-        LedgerOptions { deviations: 2.0, credit_lease_ms: 3_000 }
+        LedgerOptions { deviations: 2.0, credit_lease_ms: 3_000, forecast: true }
     }
 }
 
@@ -138,7 +140,7 @@
             let all = self.credits.values().map(|credit| &credit.running);
             peak_tokens(all.chain(std::iter::once(&running)), self.options.deviations)
         };
-        if peak + self.unknown_tokens as f64 > capacity {
+        if self.options.forecast && peak + self.unknown_tokens as f64 > capacity {
             return None;
         }
         let id = self.next_credit;
--- a/components/admission/src/queue.rs
+++ b/components/admission/src/queue.rs
@@ -41,6 +41,8 @@
 #[derive(Debug)]
 pub struct Queue {
     limit: usize,
+    /// Serve workspaces by tokens received, and not in order of arrival.
+    fair: bool,
     len: usize,
     lanes: BTreeMap<(u32, CompactString), VecDeque<Ticket>>,
     /// Tokens that each workspace was served, divided by its share.
@@ -52,7 +54,13 @@
 impl Queue {
     /// Creates a queue of at most `limit` requests.
     pub fn new(limit: usize) -> Self {
-        Queue { limit, len: 0, lanes: BTreeMap::new(), served: HashMap::new(), floor: 0.0 }
+        let (lanes, served) = (BTreeMap::new(), HashMap::new());
+        Queue { limit, fair: true, len: 0, lanes, served, floor: 0.0 }
+    }
+
+    /// Creates a queue that serves each rank in order of arrival.
+    pub fn in_order(limit: usize) -> Self {
+        Queue { fair: false, ..Queue::new(limit) }
     }
 
     /// Returns the number of waiting requests.
@@ -153,7 +161,7 @@
             // Whole ranks, so that the fair order holds within a rank.
             let rank = f64::from(key.0) - aged.floor();
             let served = self.served.get(&key.1).copied().unwrap_or_default();
-            Some((rank, served))
+            Some((rank, if self.fair { served } else { head.queued_ms as f64 }))
         };
         let lanes = self.lanes.iter().filter_map(|(key, lane)| Some((score(key, lane)?, key)));
         let best = lanes.min_by(|((a_rank, a_served), _), ((b_rank, b_served), _)| {
--- /dev/null
+++ b/components/bench/src/lib.rs
@@ -0,0 +1,11 @@
+//! Measurements of a running system and of its decisions.
+
+mod caller;
+mod latency;
+mod load;
+mod overhead;
+
+pub use caller::BenchError;
+pub use latency::Latency;
+pub use load::{LoadOptions, LoadReport, run_load};
+pub use overhead::{OverheadOptions, OverheadReport, run_overhead};
--- a/components/client/src/lib.rs
+++ b/components/client/src/lib.rs
@@ -12,7 +12,11 @@
 use tokio::time::{Instant, sleep};
 use wire::{CallError, Endpoint, Link};
 
-const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Attempts that fit into the time of one request, so that a silent leader
+/// leaves time to find the next one.
+const ATTEMPTS: u32 = 5;
+const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(200);
+const MAX_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_000);
 const RETRY_DELAY_MS: std::ops::Range<u64> = 20..80;
 
 /// Why the control processes gave no answer.
@@ -53,7 +57,7 @@
     ) -> Result<reply::Body, ControlError> {
         let deadline = Instant::now() + limit;
         let request = Request { traceparent, body: Some(body) };
-        let attempt_limit = attempt_limit(&request);
+        let attempt_limit = attempt_limit(&request, limit);
         let mut last_error = String::from("none");
         loop {
             let left = deadline.saturating_duration_since(Instant::now());
@@ -61,8 +65,7 @@
                 return Err(ControlError::Unavailable(last_error));
             }
             let index = self.leader.load(Ordering::Relaxed) % self.links.len();
-            let limit = attempt_limit.min(left);
-            match self.links[index].call(request.clone(), limit).await {
+            match self.links[index].call(request.clone(), attempt_limit.min(left)).await {
                 Ok(body) => return Ok(body),
                 Err(CallError::Refused(error)) if is_final(error.code()) => {
                     return Err(ControlError::Refused(error.message));
@@ -104,11 +107,10 @@
 }
 
 /// Returns how long one attempt may take; a wait for a record takes its time.
-fn attempt_limit(request: &Request) -> Duration {
+fn attempt_limit(request: &Request, limit: Duration) -> Duration {
+    let attempt = (limit / ATTEMPTS).clamp(MIN_ATTEMPT_TIMEOUT, MAX_ATTEMPT_TIMEOUT);
     match &request.body {
-        Some(request::Body::AwaitRecord(wait)) => {
-            ATTEMPT_TIMEOUT + Duration::from_millis(wait.timeout_ms)
-        }
-        _ => ATTEMPT_TIMEOUT,
+        Some(request::Body::AwaitRecord(wait)) => attempt + Duration::from_millis(wait.timeout_ms),
+        _ => attempt,
     }
 }
--- /dev/null
+++ b/components/entry/src/broker/effects.rs
@@ -0,0 +1,172 @@
+//! Carries out the placer's effects.
+
+use std::time::Duration;
+
+use actix::{AsyncContext as _, Context, Handler, Message};
+use compact_str::CompactString;
+use placement::{AskId, Effect, Placement, TicketId};
+use schema::{CreditReply, CreditRequest, DigestRequest, EntryMember, reply, request};
+use telemetry::Span;
+use verdict::Failure;
+use wire::CallError;
+
+use super::Broker;
+
+const CREDIT_TIMEOUT: Duration = Duration::from_millis(400);
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
+const DIGEST_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Answer of another entry to a request for a credit.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct CreditAnswered(AskId, Option<CreditReply>);
+
+/// Whether another entry accepted a digest.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct DigestAnswered(CompactString, bool);
+
+impl Broker {
+    pub(super) fn carry_out(&mut self, context: &mut Context<Self>) {
+        // Giving up a place adds effects of its own.
+        loop {
+            let effects = self.placer.take_effects();
+            if effects.is_empty() {
+                return;
+            }
+            for effect in effects {
+                self.carry_out_one(effect, context);
+            }
+        }
+    }
+
+    fn carry_out_one(&mut self, effect: Effect, context: &mut Context<Self>) {
+        match effect {
+            Effect::Placed(ticket, placement) => self.finish(ticket, Ok(placement)),
+            Effect::Refused(ticket, failure) => self.finish(ticket, Err(failure)),
+            Effect::AskOwner { ask, ticket, owner_vm, request } => {
+                self.ask_owner(ask, ticket, &owner_vm, request, context);
+            }
+            Effect::Release(owner_vm, release) => {
+                self.notify(&owner_vm, request::Body::CreditRelease(release));
+            }
+            Effect::Renew(owner_vm, renew) => {
+                // Credits that are gone are counted from the engine's reports.
+                self.notify(&owner_vm, request::Body::CreditRenew(renew));
+            }
+            Effect::Digest(watcher_vm, digest) => self.send_digest(watcher_vm, digest, context),
+        }
+    }
+
+    fn finish(&mut self, ticket: TicketId, outcome: Result<Placement, Failure>) {
+        let Some(waiting) = self.waiting.remove(&ticket) else { return };
+        if let Ok(placement) = &outcome {
+            let seconds = placement.waited_ms as f64 / 1_000.0;
+            let service = waiting.service.as_str();
+            self.metrics.queue_seconds.with_label_values(&[service]).observe(seconds);
+            if placement.owner_vm == self.placer.vm() {
+                self.metrics.credits.with_label_values(&["own"]).inc();
+            }
+        }
+        if let Err(Ok(placement)) = waiting.result.send(outcome) {
+            self.placer.give_up(&waiting.service, &placement, self.clock.now_ms());
+        }
+    }
+
+    fn ask_owner(
+        &mut self,
+        ask: AskId,
+        ticket: TicketId,
+        owner_vm: &str,
+        request: CreditRequest,
+        context: &mut Context<Self>,
+    ) {
+        let owner = self.placer.member(owner_vm).cloned();
+        let traceparent = self.waiting.get(&ticket).map(|waiting| waiting.traceparent.clone());
+        let span = self.spans.server("credit.request", &traceparent.unwrap_or_default());
+        let (peers, metrics) = (self.peers.clone(), self.metrics.clone());
+        let address = context.address();
+        actix_rt::spawn(async move {
+            let reply = match owner {
+                Some(owner) => {
+                    let body = request::Body::Credit(request);
+                    let called = peers.call(&owner, body, span.traceparent(), CREDIT_TIMEOUT).await;
+                    credit_reply(&span, called)
+                }
+                None => None,
+            };
+            let outcome = match &reply {
+                Some(reply) if reply.granted => "granted",
+                Some(_) => "refused",
+                None => "unanswered",
+            };
+            metrics.credits.with_label_values(&[outcome]).inc();
+            address.do_send(CreditAnswered(ask, reply));
+        });
+    }
+
+    fn send_digest(
+        &mut self,
+        watcher_vm: CompactString,
+        digest: DigestRequest,
+        context: &mut Context<Self>,
+    ) {
+        let watcher = self.placer.member(&watcher_vm).cloned();
+        let (peers, address) = (self.peers.clone(), context.address());
+        actix_rt::spawn(async move {
+            let accepted = match watcher {
+                Some(watcher) => {
+                    let body = request::Body::Digest(digest);
+                    peers.call(&watcher, body, String::new(), DIGEST_TIMEOUT).await.is_ok()
+                }
+                None => false,
+            };
+            address.do_send(DigestAnswered(watcher_vm, accepted));
+        });
+    }
+
+    /// Sends a request whose loss a lease makes up for.
+    fn notify(&self, vm: &str, body: request::Body) {
+        let Some(member) = self.placer.member(vm).cloned() else { return };
+        let peers = self.peers.clone();
+        actix_rt::spawn(async move { notify(peers, member, body).await });
+    }
+}
+
+async fn notify(peers: crate::peers::Peers, member: EntryMember, body: request::Body) {
+    if let Err(error) = peers.call(&member, body, String::new(), RELEASE_TIMEOUT).await {
+        log::debug!(vm = member.vm.as_str(), error = error.to_string().as_str(); "notice was not delivered");
+    }
+}
+
+fn credit_reply(span: &Span, called: Result<reply::Body, CallError>) -> Option<CreditReply> {
+    match called {
+        Ok(reply::Body::Credit(reply)) => {
+            span.set("granted", reply.granted);
+            Some(reply)
+        }
+        Ok(_) => None,
+        Err(error) => {
+            span.fail(error.to_string());
+            None
+        }
+    }
+}
+
+impl Handler<CreditAnswered> for Broker {
+    type Result = ();
+
+    fn handle(&mut self, CreditAnswered(ask, reply): CreditAnswered, context: &mut Context<Self>) {
+        self.placer.credit_answered(ask, reply, self.clock.now_ms());
+        self.carry_out(context);
+    }
+}
+
+impl Handler<DigestAnswered> for Broker {
+    type Result = ();
+
+    fn handle(&mut self, answered: DigestAnswered, _: &mut Context<Self>) {
+        let DigestAnswered(watcher_vm, accepted) = answered;
+        self.placer.digest_answered(&watcher_vm, accepted);
+    }
+}
--- /dev/null
+++ b/components/entry/src/broker/messages.rs
@@ -0,0 +1,195 @@
+//! Messages of the entry's other parts.
+
+use std::time::Duration;
+
+use actix::{Context, Handler, Message, ResponseFuture};
+use compact_str::CompactString;
+use placement::{Acquire, Announced, Placement, PlainPlacement, Release};
+use schema::{AnnounceRequest, LocateReply, LocateRequest, reply, request};
+use smallvec::SmallVec;
+use tokio::sync::oneshot;
+use verdict::{Code, Failure};
+
+use super::{Broker, Waiting};
+use crate::view::Mode;
+
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(1);
+const LOCATE_TIMEOUT: Duration = Duration::from_millis(800);
+const RETRY_AFTER_MS: u64 = 500;
+
+/// Asks for a place on an engine.
+#[derive(Message)]
+#[rtype(result = "Result<Placement, Failure>")]
+pub(crate) struct AcquirePlace {
+    pub(crate) acquire: Acquire,
+    pub(crate) traceparent: String,
+}
+
+impl Handler<AcquirePlace> for Broker {
+    type Result = ResponseFuture<Result<Placement, Failure>>;
+
+    fn handle(&mut self, message: AcquirePlace, context: &mut Context<Self>) -> Self::Result {
+        let AcquirePlace { acquire, traceparent } = message;
+        let service = acquire.service.clone();
+        let ticket = match self.placer.acquire(acquire, self.clock.now_ms()) {
+            Ok(ticket) => ticket,
+            Err(failure) => return Box::pin(std::future::ready(Err(failure))),
+        };
+        let (result, receiver) = oneshot::channel();
+        self.waiting.insert(ticket, Waiting { service, traceparent, result });
+        self.carry_out(context);
+        Box::pin(async move {
+            let stopping = || Failure::not_run(Code::Unavailable, "the entry is stopping");
+            receiver.await.unwrap_or_else(|_| Err(stopping()))
+        })
+    }
+}
+
+/// Notes the output so far of a generation.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Progress {
+    pub(crate) upstream: CompactString,
+    pub(crate) credit: u64,
+    pub(crate) output_tokens: u64,
+}
+
+impl Handler<Progress> for Broker {
+    type Result = ();
+
+    fn handle(&mut self, progress: Progress, _: &mut Context<Self>) {
+        let Progress { upstream, credit, output_tokens } = progress;
+        self.placer.progress(&upstream, credit, output_tokens);
+    }
+}
+
+/// Ends a generation.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct ReleasePlace(pub(crate) Release);
+
+impl Handler<ReleasePlace> for Broker {
+    type Result = ();
+
+    fn handle(&mut self, ReleasePlace(release): ReleasePlace, context: &mut Context<Self>) {
+        self.placer.release(release, self.clock.now_ms());
+        self.carry_out(context);
+    }
+}
+
+/// Asks for a plain upstream of a service.
+#[derive(Message)]
+#[rtype(result = "Result<PlainPlacement, Failure>")]
+pub(crate) struct PickPlain {
+    pub(crate) service: CompactString,
+    pub(crate) exclude: SmallVec<[CompactString; 2]>,
+}
+
+impl Handler<PickPlain> for Broker {
+    type Result = Result<PlainPlacement, Failure>;
+
+    fn handle(&mut self, pick: PickPlain, _: &mut Context<Self>) -> Self::Result {
+        self.placer.pick_plain(&pick.service, &pick.exclude, self.clock.now_ms())
+    }
+}
+
+/// Ends a call to a plain upstream.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct EndPlain(pub(crate) CompactString);
+
+impl Handler<EndPlain> for Broker {
+    type Result = ();
+
+    fn handle(&mut self, EndPlain(upstream): EndPlain, _: &mut Context<Self>) {
+        self.placer.end_plain(&upstream);
+    }
+}
+
+/// Asks whether a request of a service may be retried.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub(crate) struct SpendRetry {
+    pub(crate) service: CompactString,
+    pub(crate) reason: &'static str,
+}
+
+impl Handler<SpendRetry> for Broker {
+    type Result = bool;
+
+    fn handle(&mut self, spend: SpendRetry, _: &mut Context<Self>) -> bool {
+        let allowed = self.placer.try_retry(&spend.service);
+        if allowed {
+            self.metrics.retries.with_label_values(&[spend.reason]).inc();
+        }
+        allowed
+    }
+}
+
+/// Asks where an engine takes requests, whether or not it takes new work.
+#[derive(Message)]
+#[rtype(result = "Option<CompactString>")]
+pub(crate) struct Locate(pub(crate) CompactString);
+
+impl Handler<Locate> for Broker {
+    type Result = ResponseFuture<Option<CompactString>>;
+
+    fn handle(&mut self, Locate(upstream): Locate, _: &mut Context<Self>) -> Self::Result {
+        if let Some(address) = self.placer.address_of(&upstream) {
+            return Box::pin(std::future::ready(Some(address)));
+        }
+        let Some(owner) = self.placer.owner_of(&upstream).cloned() else {
+            return Box::pin(std::future::ready(None));
+        };
+        let peers = self.peers.clone();
+        Box::pin(async move {
+            let body = request::Body::Locate(LocateRequest { upstream: upstream.to_string() });
+            match peers.call(&owner, body, String::new(), LOCATE_TIMEOUT).await {
+                Ok(reply::Body::Locate(LocateReply { digest: Some(digest) })) => {
+                    Some(digest.address.into())
+                }
+                Ok(_) | Err(_) => None,
+            }
+        })
+    }
+}
+
+/// Announcement that arrived over HTTP.
+#[derive(Message)]
+#[rtype(result = "Result<Announced, Failure>")]
+pub(crate) struct Announce(pub(crate) AnnounceRequest);
+
+impl Handler<Announce> for Broker {
+    type Result = ResponseFuture<Result<Announced, Failure>>;
+
+    fn handle(&mut self, message: Announce, context: &mut Context<Self>) -> Self::Result {
+        let Announce(announce) = message;
+        let owner = self.placer.owner_of(&announce.upstream).cloned();
+        let Some(owner) = owner.filter(|_| self.mode != Mode::Unconfirmed) else {
+            let message = "this entry does not know the membership now; announce at another one";
+            return Box::pin(std::future::ready(Err(unavailable(message))));
+        };
+        if self.is_own(&announce.upstream) {
+            let announced = self.placer.announce(announce, self.clock.now_ms());
+            self.carry_out(context);
+            return Box::pin(std::future::ready(announced));
+        }
+        let peers = self.peers.clone();
+        Box::pin(async move {
+            let body = request::Body::Announce(announce);
+            match peers.call(&owner, body, String::new(), FORWARD_TIMEOUT).await {
+                Ok(reply::Body::Announce(reply)) => Ok(Announced {
+                    lease_ms: reply.lease_ms,
+                    owner_http_address: reply.owner_http_address.into(),
+                }),
+                Ok(_) | Err(_) => {
+                    Err(unavailable(format!("the owner {} cannot be reached now", owner.vm)))
+                }
+            }
+        })
+    }
+}
+
+fn unavailable(message: impl Into<String>) -> Failure {
+    Failure::not_run(Code::Unavailable, message).retry_after_ms(RETRY_AFTER_MS)
+}
--- a/components/entry/src/broker/mod.rs
+++ b/components/entry/src/broker/mod.rs
@@ -1,131 +1,105 @@
-//! Actor that places requests on upstreams.
-//!
-//! It owns the ledgers of the upstreams that this entry owns, the directory
-//! of all that it knows of, and the queues of requests that wait.
-
-mod acquire;
-mod announce;
-mod credits;
-mod digest;
-mod plain;
-mod service;
+//! Actor around the [`Placer`]: passes requests and replies in, and carries
+//! out its effects.
+
+mod effects;
+mod messages;
+mod peers;
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::{
-    Actor, ActorContext as _, AsyncContext as _, Context, Handler, Message, ResponseFuture,
-};
-use admission::{Estimator, Reservation};
+use actix::{Actor, ActorContext as _, AsyncContext as _, Context, Handler, Message};
 use clock::Clock;
 use compact_str::CompactString;
-use credentials::Identity;
-use rand::SeedableRng as _;
-use rand::rngs::SmallRng;
-use routing::{Directory, PrefixHints};
-use schema::{EntryMember, ErrorCode, Reply, request};
+use placement::{Mechanisms, Placement, Placer, PlacerOptions, TicketId};
 use settings::EntryConfig;
 use telemetry::Spans;
-use wire::refuse;
+use tokio::sync::oneshot;
+use verdict::Failure;
 
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::shared::Stop;
-use crate::view::View;
+use crate::view::{Mode, View};
 
-pub(crate) use acquire::{Acquire, Placement};
-pub(crate) use announce::Announce;
-pub(crate) use credits::{Progress, Release};
-pub(crate) use plain::{EndPlain, Locate, PickPlain, SpendRetry};
-
-use announce::Owned;
-use credits::Held;
-use digest::Watcher;
-use service::ServiceQueue;
+pub(crate) use messages::{
+    AcquirePlace, Announce, EndPlain, Locate, PickPlain, Progress, ReleasePlace, SpendRetry,
+};
+pub(crate) use peers::FromPeer;
 
 const MAILBOX_CAPACITY: usize = 65_536;
 const TICK: Duration = Duration::from_millis(50);
-const MAX_PREFIX_HINTS: usize = 50_000;
-const PREFIX_HINT_LIFE_MS: u64 = 60_000;
+
+/// Request that waits for its place.
+struct Waiting {
+    service: CompactString,
+    traceparent: String,
+    result: oneshot::Sender<Result<Placement, Failure>>,
+}
 
 /// Actor that places requests on upstreams.
 pub(crate) struct Broker {
-    config: Arc<EntryConfig>,
     clock: Clock,
-    epoch: u64,
     peers: Peers,
     metrics: Metrics,
     spans: Spans,
-    view: Arc<View>,
-    reservations: Vec<Reservation>,
-    directory: Directory,
-    hints: PrefixHints,
-    owned: HashMap<CompactString, Owned>,
-    estimator: Estimator,
-    queues: HashMap<CompactString, ServiceQueue>,
-    /// Credits that this entry holds, by upstream and credit.
-    held: HashMap<(CompactString, u64), Held>,
-    streams_of: HashMap<CompactString, u32>,
-    watchers: HashMap<CompactString, Watcher>,
-    next_ticket: u64,
-    next_renewal_ms: u64,
-    next_digest_ms: u64,
-    rng: SmallRng,
+    mode: Mode,
+    placer: Placer,
+    waiting: HashMap<TicketId, Waiting>,
 }
 
 impl Broker {
     pub(crate) fn new(
-        config: Arc<EntryConfig>,
+        config: &EntryConfig,
         clock: Clock,
         epoch: u64,
         peers: Peers,
         metrics: Metrics,
         spans: Spans,
     ) -> Self {
-        Broker {
-            config,
-            clock,
+        let options = PlacerOptions {
+            vm: config.vm.as_str().into(),
+            data_centre: config.data_centre.as_str().into(),
             epoch,
-            peers,
-            metrics,
-            spans,
-            view: Arc::default(),
-            reservations: Vec::new(),
-            directory: Directory::default(),
-            hints: PrefixHints::new(MAX_PREFIX_HINTS, PREFIX_HINT_LIFE_MS),
-            owned: HashMap::new(),
-            estimator: Estimator::default(),
-            queues: HashMap::new(),
-            held: HashMap::new(),
-            streams_of: HashMap::new(),
-            watchers: HashMap::new(),
-            next_ticket: 1,
-            next_renewal_ms: 0,
-            next_digest_ms: 0,
-            rng: SmallRng::seed_from_u64(epoch),
-        }
+            http_address: config.advertised_http_address.to_string().into(),
+            upstream_lease_ms: config.timers.upstream_lease_ms,
+            credit_lease_ms: config.timers.credit_lease_ms,
+            max_waiting: config.limits.max_waiting as usize,
+            max_upstreams: config.limits.max_upstreams as usize,
+            mechanisms: Mechanisms::default(),
+        };
+        let placer = Placer::new(options);
+        let mode = Mode::Starting;
+        Broker { clock, peers, metrics, spans, mode, placer, waiting: HashMap::new() }
     }
 
-    fn vm(&self) -> &str {
-        self.config.vm.as_str()
+    fn tick(&mut self, context: &mut Context<Self>) {
+        self.drop_abandoned();
+        self.placer.tick(self.clock.now_ms());
+        self.carry_out(context);
+        self.publish_metrics();
     }
 
-    fn member(&self, vm: &str) -> Option<&EntryMember> {
-        self.view.members.iter().find(|member| member.vm == vm)
+    /// Takes requests out of the queue whose callers went away.
+    fn drop_abandoned(&mut self) {
+        let placer = &mut self.placer;
+        self.waiting.retain(|ticket, waiting| {
+            let abandoned = waiting.result.is_closed();
+            if abandoned {
+                placer.abandon(&waiting.service, *ticket);
+            }
+            !abandoned
+        });
     }
 
-    fn tick(&mut self, context: &mut Context<Self>) {
-        let now_ms = self.clock.now_ms();
-        self.expire_upstreams(now_ms);
-        self.directory.expire(now_ms);
-        self.renew_credits(context, now_ms);
-        self.send_digests(context, now_ms);
-        self.refuse_late(now_ms);
-        self.pump_all(context);
+    fn publish_metrics(&self) {
         let number = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
-        self.metrics.owned_upstreams.set(number(self.owned.len()));
-        self.metrics.known_upstreams.set(number(self.directory.iter().count()));
+        self.metrics.owned_upstreams.set(number(self.placer.owned_count()));
+        self.metrics.known_upstreams.set(number(self.placer.known_count()));
+        for (service, count) in self.placer.waiting() {
+            self.metrics.waiting.with_label_values(&[service]).set(number(count));
+        }
     }
 }
 
@@ -147,45 +121,16 @@
     type Result = ();
 
     fn handle(&mut self, ViewChanged(view): ViewChanged, context: &mut Context<Self>) {
-        let members_changed = view.members_version != self.view.members_version;
-        let priorities = view.catalog.set().priorities.iter();
-        self.reservations = priorities
-            .filter(|priority| priority.reserved_share > 0.0)
-            .map(|priority| Reservation {
-                priority: priority.name.as_str().into(),
-                share: priority.reserved_share,
-            })
-            .collect();
-        self.view = view;
-        if members_changed {
-            self.give_up_moved_upstreams();
-            self.follow_watchers();
-        }
-        self.pump_all(context);
-    }
-}
-
-/// Request of another entry.
-#[derive(Message)]
-#[rtype(result = "Reply")]
-pub(crate) struct FromPeer(pub(crate) Identity, pub(crate) request::Body);
-
-impl Handler<FromPeer> for Broker {
-    type Result = ResponseFuture<Reply>;
-
-    fn handle(&mut self, message: FromPeer, context: &mut Context<Self>) -> ResponseFuture<Reply> {
-        use request::Body;
-        let FromPeer(peer, body) = message;
-        let reply = match body {
-            Body::Announce(announce) => self.announce_from_peer(announce, context),
-            Body::Credit(credit) => self.answer_credit(&peer, &credit),
-            Body::CreditRenew(renew) => self.answer_renewal(&renew),
-            Body::CreditRelease(release) => self.answer_release(&release, context),
-            Body::Digest(digest) => self.take_digest(&peer, digest, context),
-            Body::Locate(locate) => self.answer_locate(&locate),
-            _ => refuse(ErrorCode::Invalid, "entries take no such request"),
+        self.mode = view.mode;
+        let view = placement::View {
+            members: view.members.clone(),
+            members_version: view.members_version,
+            priorities: view.catalog.set().priorities.clone(),
+            weights: view.catalog.weights(),
+            takes_work: view.mode.takes_work(),
         };
-        Box::pin(std::future::ready(reply))
+        self.placer.set_view(view, self.clock.now_ms());
+        self.carry_out(context);
     }
 }
 
--- /dev/null
+++ b/components/entry/src/broker/peers.rs
@@ -0,0 +1,88 @@
+//! Requests of other entries.
+
+use actix::{Context, Handler, Message};
+use credentials::Identity;
+use schema::{
+    AnnounceReply, AnnounceRequest, DigestRequest, Empty, ErrorCode, LocateReply, Reply, reply,
+    request,
+};
+use wire::refuse;
+
+use super::Broker;
+
+/// Request of another entry.
+#[derive(Message)]
+#[rtype(result = "Reply")]
+pub(crate) struct FromPeer(pub(crate) Identity, pub(crate) request::Body);
+
+impl Handler<FromPeer> for Broker {
+    type Result = actix::MessageResult<FromPeer>;
+
+    fn handle(&mut self, message: FromPeer, context: &mut Context<Self>) -> Self::Result {
+        let FromPeer(peer, body) = message;
+        let reply = self.answer(&peer, body);
+        self.carry_out(context);
+        actix::MessageResult(reply)
+    }
+}
+
+impl Broker {
+    fn answer(&mut self, peer: &Identity, body: request::Body) -> Reply {
+        use request::Body;
+        let now_ms = self.clock.now_ms();
+        match body {
+            Body::Announce(announce) => self.answer_announcement(announce),
+            Body::Credit(credit) => {
+                match self.placer.answer_credit(peer.name.as_str(), &credit, now_ms) {
+                    Some(reply) => to_reply(reply::Body::Credit(reply)),
+                    None => refuse(ErrorCode::NotOwner, "this entry grants no such credit now"),
+                }
+            }
+            Body::CreditRenew(renew) => {
+                let reply = self.placer.answer_renewal(&renew, now_ms);
+                to_reply(reply::Body::CreditRenew(reply))
+            }
+            Body::CreditRelease(release) => {
+                self.placer.answer_release(&release, now_ms);
+                to_reply(reply::Body::Empty(Empty {}))
+            }
+            Body::Digest(digest) => self.answer_digest(peer, digest),
+            Body::Locate(locate) => {
+                let digest = self.placer.own_digest(&locate.upstream);
+                to_reply(reply::Body::Locate(LocateReply { digest }))
+            }
+            _ => refuse(ErrorCode::Invalid, "entries take no such request"),
+        }
+    }
+
+    fn answer_announcement(&mut self, announce: AnnounceRequest) -> Reply {
+        if !self.is_own(&announce.upstream) {
+            return refuse(ErrorCode::NotOwner, "another entry owns the upstream");
+        }
+        match self.placer.announce(announce, self.clock.now_ms()) {
+            Ok(announced) => to_reply(reply::Body::Announce(AnnounceReply {
+                lease_ms: announced.lease_ms,
+                owner_http_address: announced.owner_http_address.to_string(),
+            })),
+            Err(failure) => refuse(ErrorCode::Overloaded, failure.message),
+        }
+    }
+
+    fn answer_digest(&mut self, peer: &Identity, digest: DigestRequest) -> Reply {
+        if digest.vm != peer.name.as_str() {
+            return refuse(ErrorCode::Forbidden, "an entry tells of its own upstreams only");
+        }
+        if self.placer.take_digest(digest, self.clock.now_ms()) {
+            return to_reply(reply::Body::Empty(Empty {}));
+        }
+        refuse(ErrorCode::Invalid, "out of sequence; send the whole list")
+    }
+
+    pub(super) fn is_own(&self, upstream: &str) -> bool {
+        self.placer.owner_of(upstream).is_some_and(|owner| owner.vm == self.placer.vm())
+    }
+}
+
+fn to_reply(body: reply::Body) -> Reply {
+    Reply { body: Some(body) }
+}
--- a/components/entry/src/http/upstreams.rs
+++ b/components/entry/src/http/upstreams.rs
@@ -26,7 +26,7 @@
     let announced = shared.broker.send(Announce(announce)).await.map_err(stopping)??;
     let reply = AnnounceReply {
         lease_ms: announced.lease_ms,
-        owner_http_address: announced.owner_http_address,
+        owner_http_address: announced.owner_http_address.to_string(),
     };
     Ok(HttpResponse::Ok().json(reply))
 }
--- a/components/entry/src/membership.rs
+++ b/components/entry/src/membership.rs
@@ -24,6 +24,8 @@
 
 const TICK: Duration = Duration::from_millis(50);
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
+/// Heartbeats that may fail one after the other within a revision's lease.
+const HEARTBEATS_PER_LEASE: u64 = 2;
 /// Peers that are asked whether they can confirm the revision.
 const CONFIRM_PEERS: usize = 5;
 
@@ -64,7 +66,8 @@
         self.heartbeat_open = true;
         self.next_heartbeat_ms = now_ms + self.config.timers.heartbeat_ms;
         let control = self.control.clone();
-        let limit = Duration::from_millis(self.config.timers.control_timeout_ms);
+        let limit =
+            Duration::from_millis(self.config.timers.revision_lease_ms / HEARTBEATS_PER_LEASE);
         let address = context.address();
         actix_rt::spawn(async move {
             let body = request::Body::Heartbeat(heartbeat);
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -79,7 +79,7 @@
 
 impl Metrics {
     pub(crate) fn new() -> Result<Self, prometheus::Error> {
-        let builder = Builder(Registry::new());
+        let builder = Builder(telemetry::new_registry()?);
         Ok(Metrics {
             requests: builder.counters(
                 "requests_total",
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -57,15 +57,9 @@
         let (view_sender, view) = watch::channel(Arc::new(View::default()));
         let peers = Peers::new(endpoint.clone());
         let control = ControlClient::new(&endpoint, &config.control_addresses, metrics.clone());
-        let broker = Broker::new(
-            config.clone(),
-            clock,
-            epoch,
-            peers.clone(),
-            metrics.clone(),
-            spans.clone(),
-        )
-        .start();
+        let broker =
+            Broker::new(&config, clock, epoch, peers.clone(), metrics.clone(), spans.clone())
+                .start();
         let shared = Shared {
             config: config.clone(),
             epoch,
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -10,6 +10,7 @@
 
 use compact_str::CompactString;
 use futures::StreamExt as _;
+use placement::{Acquire, Placement, Release};
 use rand::RngExt as _;
 use smallvec::SmallVec;
 use telemetry::Span;
@@ -18,7 +19,7 @@
 use units::{GenerationId, UpstreamName};
 use verdict::{Code, Failure};
 
-use crate::broker::{Acquire, Placement, Progress, Release, SpendRetry};
+use crate::broker::{AcquirePlace, Progress, ReleasePlace, SpendRetry};
 use crate::engine::{EngineClient, EngineError, EngineEvent, EngineEvents, StartGeneration};
 use crate::shared::Shared;
 
@@ -210,10 +211,10 @@
             max_output_tokens: request.max_output_tokens,
             prefix: routing::prefix_hash(&request.prompt),
             exclude,
-            traceparent: self.span.traceparent(),
         };
+        let message = AcquirePlace { acquire, traceparent: self.span.traceparent() };
         let stopping = |_| Failure::not_run(Code::Unavailable, "the entry is stopping");
-        let placement = self.shared.broker.send(acquire).await.map_err(stopping)??;
+        let placement = self.shared.broker.send(message).await.map_err(stopping)??;
         self.span.set("engine", placement.upstream.to_string());
         self.span.set("waited_ms", i64::try_from(placement.waited_ms).unwrap_or(i64::MAX));
         Ok(placement)
@@ -398,8 +399,13 @@
         });
     }
 
-    fn release_message(&self, placement: Placement, output_tokens: u64, whole: bool) -> Release {
-        Release {
+    fn release_message(
+        &self,
+        placement: Placement,
+        output_tokens: u64,
+        whole: bool,
+    ) -> ReleasePlace {
+        ReleasePlace(Release {
             placement,
             service: self.request.service.clone(),
             workspace: self.request.workspace.clone(),
@@ -407,7 +413,7 @@
             prompt_tokens: self.request.prompt_tokens,
             output_tokens,
             whole,
-        }
+        })
     }
 
     async fn fail(&self, failure: Failure) {
--- a/components/entry/src/broker/digest.rs
+++ b/components/placement/src/digest.rs
@@ -1,28 +1,24 @@
 //! Coarse state of upstreams, told by each owner to the entries that listen.
 
 use std::collections::HashMap;
-use std::time::Duration;
 
-use actix::{AsyncContext as _, Context, Handler, Message};
 use compact_str::CompactString;
-use credentials::Identity;
-use schema::{DigestRequest, Empty, ErrorCode, Reply, UpstreamDigest, reply, request};
-use wire::refuse;
+use schema::{DigestRequest, UpstreamDigest};
 
-use super::Broker;
+use crate::effect::Effect;
+use crate::placer::Placer;
 
 const DIGEST_INTERVAL_MS: u64 = 250;
 /// Interval after which owners speak up even without a change.
 const KEEP_ALIVE_MS: u64 = 750;
-const DIGEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Owners that one entry listens to.
 const FAN_IN: usize = 24;
 /// Steps in which the free share of a cache is told.
 const FREE_STEPS: u64 = 32;
 
 /// Entry that listens to this one.
-#[derive(Default)]
-pub(super) struct Watcher {
+#[derive(Debug, Default)]
+pub(crate) struct Watcher {
     sequence: u64,
     /// What the watcher was told, by upstream.
     told: HashMap<String, UpstreamDigest>,
@@ -31,19 +27,10 @@
     last_sent_ms: u64,
 }
 
-/// Result of a digest.
-#[derive(Message)]
-#[rtype(result = "()")]
-struct DigestSent {
-    watcher_vm: CompactString,
-    accepted: bool,
-}
-
-impl Broker {
+impl Placer {
     /// Works out who listens after a change of the membership.
-    pub(super) fn follow_watchers(&mut self) {
-        let members = self.view.members.clone();
-        let watchers = routing::watchers(&members, self.config.vm.as_str(), FAN_IN);
+    pub(crate) fn follow_watchers(&mut self) {
+        let watchers = routing::watchers(&self.view.members, &self.options.vm, FAN_IN);
         let names: Vec<CompactString> = watchers.iter().map(|m| m.vm.as_str().into()).collect();
         self.watchers.retain(|vm, _| names.contains(vm));
         for name in names {
@@ -52,7 +39,7 @@
         }
     }
 
-    pub(super) fn send_digests(&mut self, context: &mut Context<Self>, now_ms: u64) {
+    pub(crate) fn send_digests(&mut self, now_ms: u64) {
         if now_ms < self.next_digest_ms {
             return;
         }
@@ -63,66 +50,30 @@
         }
         let current = names.iter().filter_map(|name| self.own_digest(name));
         let current: Vec<UpstreamDigest> = current.map(coarse).collect();
-        let (vm, epoch) = (self.vm().to_string(), self.epoch);
-        let mut requests = Vec::new();
         for (watcher_vm, watcher) in &mut self.watchers {
             if let Some(digest) = watcher.next(&current, now_ms) {
-                let digest = DigestRequest { vm: vm.clone(), epoch, ..digest };
-                requests.push((watcher_vm.clone(), digest));
+                let vm = self.options.vm.to_string();
+                let digest = DigestRequest { vm, epoch: self.options.epoch, ..digest };
+                self.effects.push(Effect::Digest(watcher_vm.clone(), digest));
             }
         }
-        for (watcher_vm, digest) in requests {
-            self.send_digest(watcher_vm, digest, context);
-        }
     }
 
-    fn send_digest(
-        &mut self,
-        watcher_vm: CompactString,
-        digest: DigestRequest,
-        context: &mut Context<Self>,
-    ) {
-        let member = self.member(&watcher_vm).cloned();
-        let peers = self.peers.clone();
-        let address = context.address();
-        actix_rt::spawn(async move {
-            let accepted = match member {
-                Some(member) => {
-                    let body = request::Body::Digest(digest);
-                    peers.call(&member, body, String::new(), DIGEST_TIMEOUT).await.is_ok()
-                }
-                None => false,
-            };
-            address.do_send(DigestSent { watcher_vm, accepted });
-        });
-    }
-
-    pub(super) fn take_digest(
-        &mut self,
-        peer: &Identity,
-        digest: DigestRequest,
-        context: &mut Context<Self>,
-    ) -> Reply {
-        if digest.vm != peer.name.as_str() {
-            return refuse(ErrorCode::Forbidden, "an entry tells of its own upstreams only");
-        }
-        let now_ms = self.clock.now_ms();
-        let lease_ms = self.config.timers.upstream_lease_ms;
-        if !self.directory.apply(digest, lease_ms, now_ms) {
-            return refuse(ErrorCode::Invalid, "out of sequence; send the whole list");
+    /// Takes what an owner tells; false if the owner is to send a whole list.
+    pub fn take_digest(&mut self, digest: DigestRequest, now_ms: u64) -> bool {
+        let lease_ms = self.options.upstream_lease_ms;
+        let applied = self.directory.apply(digest, lease_ms, now_ms);
+        if applied {
+            self.room_reported(now_ms);
         }
-        self.room_reported(context);
-        Reply { body: Some(reply::Body::Empty(Empty {})) }
+        applied
     }
-}
-
-impl Handler<DigestSent> for Broker {
-    type Result = ();
 
-    fn handle(&mut self, sent: DigestSent, _: &mut Context<Self>) {
-        if let Some(watcher) = self.watchers.get_mut(&sent.watcher_vm) {
+    /// Takes whether a watcher accepted a digest.
+    pub fn digest_answered(&mut self, watcher_vm: &str, accepted: bool) {
+        if let Some(watcher) = self.watchers.get_mut(watcher_vm) {
             watcher.in_flight = false;
-            watcher.needs_whole |= !sent.accepted;
+            watcher.needs_whole |= !accepted;
         }
     }
 }
--- /dev/null
+++ b/components/placement/src/placer.rs
@@ -0,0 +1,154 @@
+//! State of a placer.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use admission::{Estimator, Reservation};
+use compact_str::CompactString;
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+use routing::{Directory, PrefixHints};
+use schema::{EntryMember, Priority, Weights};
+
+use crate::announce::Owned;
+use crate::credits::Held;
+use crate::digest::Watcher;
+use crate::effect::{AskId, Effect};
+use crate::options::PlacerOptions;
+use crate::service::{Asked, ServiceQueue};
+
+const MAX_PREFIX_HINTS: usize = 50_000;
+const PREFIX_HINT_LIFE_MS: u64 = 60_000;
+
+/// What a placer has to know of the deployment.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Entries that hold a lease.
+    pub members: Arc<[EntryMember]>,
+    /// Number that changes with the members.
+    pub members_version: u64,
+    /// Priorities of the published set.
+    pub priorities: Vec<Priority>,
+    /// Cost weights of the deployment.
+    pub weights: Weights,
+    /// Whether the entry takes new work.
+    pub takes_work: bool,
+}
+
+/// Places requests on upstreams.
+#[derive(Debug)]
+pub struct Placer {
+    pub(crate) options: PlacerOptions,
+    pub(crate) view: View,
+    pub(crate) reservations: Vec<Reservation>,
+    pub(crate) directory: Directory,
+    pub(crate) hints: PrefixHints,
+    pub(crate) owned: HashMap<CompactString, Owned>,
+    pub(crate) estimator: Estimator,
+    pub(crate) queues: HashMap<CompactString, ServiceQueue>,
+    /// Credits that this entry holds, by upstream and credit.
+    pub(crate) held: HashMap<(CompactString, u64), Held>,
+    pub(crate) streams_of: HashMap<CompactString, u32>,
+    pub(crate) watchers: HashMap<CompactString, Watcher>,
+    /// Requests for credits that wait for an answer.
+    pub(crate) asked: HashMap<AskId, Asked>,
+    pub(crate) next_ticket: u64,
+    pub(crate) next_ask: u64,
+    pub(crate) next_renewal_ms: u64,
+    pub(crate) next_digest_ms: u64,
+    pub(crate) rng: SmallRng,
+    pub(crate) effects: Vec<Effect>,
+}
+
+impl Placer {
+    /// Creates a placer that knows of nothing yet.
+    pub fn new(options: PlacerOptions) -> Self {
+        Placer {
+            rng: SmallRng::seed_from_u64(options.epoch),
+            options,
+            view: View::default(),
+            reservations: Vec::new(),
+            directory: Directory::default(),
+            hints: PrefixHints::new(MAX_PREFIX_HINTS, PREFIX_HINT_LIFE_MS),
+            owned: HashMap::new(),
+            estimator: Estimator::default(),
+            queues: HashMap::new(),
+            held: HashMap::new(),
+            streams_of: HashMap::new(),
+            watchers: HashMap::new(),
+            asked: HashMap::new(),
+            next_ticket: 1,
+            next_ask: 1,
+            next_renewal_ms: 0,
+            next_digest_ms: 0,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Takes a new view of the deployment.
+    pub fn set_view(&mut self, view: View, now_ms: u64) {
+        let members_changed = view.members_version != self.view.members_version;
+        let reserve = self.options.mechanisms.reservations;
+        let reserved = |priority: &&Priority| reserve && priority.reserved_share > 0.0;
+        self.reservations = view
+            .priorities
+            .iter()
+            .filter(reserved)
+            .map(|priority| Reservation {
+                priority: priority.name.as_str().into(),
+                share: priority.reserved_share,
+            })
+            .collect();
+        self.view = view;
+        if members_changed {
+            self.give_up_moved_upstreams(now_ms);
+            self.follow_watchers();
+        }
+        self.pump_all(now_ms);
+    }
+
+    /// Advances time: leases, renewals, digests, late requests.
+    pub fn tick(&mut self, now_ms: u64) {
+        self.expire_upstreams(now_ms);
+        self.directory.expire(now_ms);
+        self.renew_credits(now_ms);
+        self.send_digests(now_ms);
+        self.refuse_late(now_ms);
+        self.pump_all(now_ms);
+    }
+
+    /// Takes what the driver is to do.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Returns the entry on a VM.
+    pub fn member(&self, vm: &str) -> Option<&EntryMember> {
+        self.view.members.iter().find(|member| member.vm == vm)
+    }
+
+    /// Returns the entry that owns an upstream.
+    pub fn owner_of(&self, upstream: &str) -> Option<&EntryMember> {
+        routing::owner(&self.view.members, upstream)
+    }
+
+    /// Returns the number of upstreams that this entry owns.
+    pub fn owned_count(&self) -> usize {
+        self.owned.len()
+    }
+
+    /// Returns the number of upstreams that this entry knows of.
+    pub fn known_count(&self) -> usize {
+        self.directory.iter().count()
+    }
+
+    /// Returns how many requests wait, by service.
+    pub fn waiting(&self) -> impl Iterator<Item = (&str, usize)> {
+        self.queues.iter().map(|(service, queue)| (service.as_str(), queue.queue.len()))
+    }
+
+    /// Returns the VM of the entry.
+    pub fn vm(&self) -> &str {
+        self.options.vm.as_str()
+    }
+}
--- a/components/standin/src/bin/standin-engine.rs
+++ b/components/standin/src/bin/standin-engine.rs
@@ -44,6 +44,8 @@
     /// Prompt tokens that are computed in one step
     #[bpaf(argument("TOKENS"), fallback(2_000))]
     prefill_tokens: u64,
+    /// Put the time of sending into each token
+    stamp: bool,
 }
 
 fn main() -> ExitCode {
@@ -61,6 +63,7 @@
         max_running: options.max_running,
         step: Duration::from_micros(options.step_us),
         prefill_tokens: options.prefill_tokens,
+        stamp: options.stamp,
     });
     let announcer = Announcer {
         entries: options.entry.clone(),
--- a/components/standin/src/engine/batch.rs
+++ b/components/standin/src/engine/batch.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use schema::EngineLoad;
 use serde::{Deserialize, Serialize};
@@ -27,6 +27,8 @@
     pub step: Duration,
     /// Prompt tokens that are computed in one step.
     pub prefill_tokens: u64,
+    /// Puts the time of sending into each token.
+    pub stamp: bool,
 }
 
 /// Faults that can be switched on.
@@ -215,7 +217,8 @@
         let state = self.lock();
         let Some(generation) = state.generations.get(id) else { return Step::Gone };
         if index < generation.produced {
-            return Step::Token(index, token(generation, index));
+            let stamp = if self.options.stamp { sent_stamp() } else { String::new() };
+            return Step::Token(index, token(generation, index) + &stamp);
         }
         match generation.ended {
             Some((_, reason)) => Step::End(reason, generation.produced),
@@ -361,6 +364,11 @@
     format!("{:x}.{index} ", xxh3_64(generation.start.generation.as_bytes()) & 0xffff)
 }
 
+fn sent_stamp() -> String {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    format!("sent_us={} ", since.as_micros())
+}
+
 /// Returns the output length of a prompt: the one that it names, or a heavy
 /// tailed one that follows from its text.
 fn output_length(prompt: &str) -> u64 {
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -6,5 +6,5 @@
 mod spans;
 
 pub use logs::{LogError, start_logs};
-pub use metrics::{LATENCY_BUCKETS_SECONDS, encode_metrics};
+pub use metrics::{LATENCY_BUCKETS_SECONDS, encode_metrics, new_registry};
 pub use spans::{Span, SpanError, Spans};
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -1,11 +1,25 @@
 //! Prometheus text format.
 
-use prometheus::{Encoder as _, TextEncoder};
+use prometheus::process_collector::ProcessCollector;
+use prometheus::{Encoder as _, Registry, TextEncoder};
 
 /// Buckets for latencies from a millisecond to a minute, in seconds.
 pub const LATENCY_BUCKETS_SECONDS: [f64; 14] =
     [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.37, 0.75, 1.5, 5.0, 15.0, 60.0];
 
+/// Creates a registry that also tells the process's own CPU time and memory.
+///
+/// ```
+/// let registry = telemetry::new_registry()?;
+/// assert!(telemetry::encode_metrics(&registry).contains("process_cpu_seconds_total"));
+/// # Ok::<(), prometheus::Error>(())
+/// ```
+pub fn new_registry() -> Result<Registry, prometheus::Error> {
+    let registry = Registry::new();
+    registry.register(Box::new(ProcessCollector::for_self()))?;
+    Ok(registry)
+}
+
 /// Renders a registry in the text format.
 ///
 /// ```
@@ -15,7 +29,7 @@
 /// assert!(telemetry::encode_metrics(&registry).contains("requests_total 0"));
 /// # Ok::<(), prometheus::Error>(())
 /// ```
-pub fn encode_metrics(registry: &prometheus::Registry) -> String {
+pub fn encode_metrics(registry: &Registry) -> String {
     let mut text = Vec::new();
     if let Err(error) = TextEncoder::new().encode(&registry.gather(), &mut text) {
         log::error!(error = error.to_string().as_str(); "cannot encode metrics");
--- a/demo.sh
+++ b/demo.sh
@@ -96,7 +96,7 @@
 start_engine() {
   start "engine-$1" "$BIN/standin-engine" --listen "$(engine_http "$1")" --name "engine-$1" \
     --data-centre "${DATA_CENTRES[$1 - 1]}" --serves coach-7 --serves coach-thai \
-    --entry "$(entry_http 1)" --entry "$(entry_http 2)" --token "$TOKEN" --step-us "$STEP_US"
+    --entry "$(entry_http 1)" --entry "$(entry_http 2)" --token "$TOKEN" --step-us "$STEP_US" --stamp
 }
 
 # Runs a command until it succeeds, at most 20 seconds.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -91,6 +91,12 @@
         #[bpaf(external)]
         keys: Keys,
     },
+    /// Measure a running system
+    #[bpaf(command)]
+    Bench {
+        #[bpaf(external)]
+        bench: Bench,
+    },
     /// Print the schema of settings and objects
     #[bpaf(command)]
     Schema {
@@ -149,3 +155,67 @@
     #[bpaf(command)]
     Hash,
 }
+
+/// What to measure; each prints one JSON object.
+#[derive(Bpaf, Clone, Debug)]
+pub enum Bench {
+    /// Open-loop load: requests start on schedule whatever the system does
+    #[bpaf(command)]
+    Load {
+        /// Entry that is asked for addresses
+        #[bpaf(argument("IP:PORT"))]
+        entry: String,
+        /// API key of a workspace
+        #[bpaf(argument("KEY"))]
+        key: String,
+        /// Generation service
+        #[bpaf(argument("NAME"), fallback("coach-llm".into()))]
+        model: String,
+        /// Plain service that takes POST /bookings
+        #[bpaf(argument("NAME"), fallback("booking-app".into()))]
+        service: String,
+        /// Requests started in each second
+        #[bpaf(argument("RATE"), fallback(10.0))]
+        rate: f64,
+        /// Length of the run
+        #[bpaf(argument("DURATION"), fallback(Millis(10_000)), display_fallback)]
+        duration: Millis,
+        /// Mean output length in tokens
+        #[bpaf(argument("TOKENS"), fallback(50.0))]
+        mean_tokens: f64,
+        /// Share of requests that are bookings
+        #[bpaf(argument("SHARE"), fallback(0.1))]
+        bookings: f64,
+        /// Bound on the first token of a request on time
+        #[bpaf(argument("DURATION"), fallback(Millis(370)), display_fallback)]
+        first_token: Millis,
+        /// Bound on each gap of a request on time
+        #[bpaf(argument("DURATION"), fallback(Millis(50)), display_fallback)]
+        between_tokens: Millis,
+        /// Seed of arrivals and lengths
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+    },
+    /// Time that an entry adds over direct access to the stand-ins
+    #[bpaf(command)]
+    Overhead {
+        /// Entry
+        #[bpaf(argument("IP:PORT"))]
+        entry: String,
+        /// Engine stand-in, started with --stamp
+        #[bpaf(argument("IP:PORT"))]
+        engine: String,
+        /// Service stand-in
+        #[bpaf(argument("IP:PORT"))]
+        upstream: String,
+        /// API key of a workspace
+        #[bpaf(argument("KEY"))]
+        key: String,
+        /// Streams, and calls, on each path
+        #[bpaf(argument("COUNT"), fallback(100))]
+        rounds: u64,
+        /// Tokens of each stream
+        #[bpaf(argument("TOKENS"), fallback(50))]
+        tokens: u64,
+    },
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! Commands, one in each file.
 
+mod bench;
 mod bootstrap;
 mod check;
 mod diff;
@@ -31,6 +32,7 @@
         Command::Status { operator, json } => status::run(&operator, json).await,
         Command::Bootstrap { operator, address } => bootstrap::run(&operator, address).await,
         Command::Replace { operator, replica_id } => replace::run(&operator, replica_id).await,
+        Command::Bench { bench } => bench::run(bench).await,
         Command::Keys { keys } => keys::run(keys),
         Command::Schema { name } => schema::run(&name),
     }
--- a/tests/support/deployment.rs
+++ b/tests/support/deployment.rs
@@ -260,6 +260,7 @@
             max_running: 64,
             step: self.tune.step,
             prefill_tokens: 2_000,
+            stamp: false,
         });
         let announcer = self.announcer();
         let address = at(self.address, ENGINE_PORT + index as u16);
@@ -447,7 +448,7 @@
             "tls": self.tls_json(&format!("control-{}", control_vm(index))),
             "target_voters": self.controls.len() | 1,
             "timers": {
-                "tick_ms": 10, "heartbeat_ms": 50, "election_ms": 300, "entry_lease_ms": 1500,
+                "tick_ms": 10, "heartbeat_ms": 50, "election_ms": 300, "entry_lease_ms": 2500,
             },
             "limits": {
                 "snapshot_entries": self.tune.snapshot_entries,
