--- a/components/admission/src/ledger.rs
+++ b/components/admission/src/ledger.rs
@@ -7,7 +7,7 @@
 use schema::EngineLoad;
 
 use crate::curve::Curve;
-use crate::forecast::{Running, peak_tokens};
+use crate::forecast::{Running, fits, peak_tokens};
 
 /// Capacity left after each preemption, and regained per second without one.
 const PREEMPTION_BACKOFF: f64 = 0.95;
@@ -135,12 +135,9 @@
         if self.running_count() as f64 + 1.0 > slots {
             return None;
         }
-        let capacity = self.capacity_tokens() * limit;
-        let peak = {
-            let all = self.credits.values().map(|credit| &credit.running);
-            peak_tokens(all.chain(std::iter::once(&running)), self.options.deviations)
-        };
-        if self.options.forecast && peak + self.unknown_tokens as f64 > capacity {
+        let capacity = self.capacity_tokens() * limit - self.unknown_tokens as f64;
+        let all = self.credits.values().map(|credit| &credit.running);
+        if self.options.forecast && !fits(all, &running, self.options.deviations, capacity) {
             return None;
         }
         let id = self.next_credit;
--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use curve::Curve;
 pub use estimator::Estimator;
-pub use forecast::{Running, peak_tokens};
+pub use forecast::{Running, fits, peak_tokens};
 pub use ledger::{Ask, Credit, Ledger, LedgerOptions, Reservation};
 pub use queue::{Queue, QueueFull, Ticket, TicketId};
 pub use retry::RetryBudget;
--- a/components/admission/src/queue.rs
+++ b/components/admission/src/queue.rs
@@ -27,6 +27,8 @@
     pub max_wait_ms: u64,
     /// When it was queued.
     pub queued_ms: u64,
+    /// When it has to start to be on time.
+    pub due_ms: u64,
     /// Tokens that it is expected to cost.
     pub expected_tokens: f64,
 }
@@ -37,14 +39,20 @@
 
 impl std::error::Error for QueueFull {}
 
+type Lanes = BTreeMap<(u32, CompactString), VecDeque<Ticket>>;
+
 /// Requests that wait for an engine, fair between workspaces by tokens.
+///
+/// Requests that can no longer start on time give way to those that can.
 #[derive(Debug)]
 pub struct Queue {
     limit: usize,
     /// Serve workspaces by tokens received, and not in order of arrival.
     fair: bool,
     len: usize,
-    lanes: BTreeMap<(u32, CompactString), VecDeque<Ticket>>,
+    lanes: Lanes,
+    /// Requests that are past their due time.
+    late: Lanes,
     /// Tokens that each workspace was served, divided by its share.
     served: HashMap<CompactString, f64>,
     /// Least served tokens at which a workspace that was idle starts.
@@ -54,8 +62,15 @@
 impl Queue {
     /// Creates a queue of at most `limit` requests.
     pub fn new(limit: usize) -> Self {
-        let (lanes, served) = (BTreeMap::new(), HashMap::new());
-        Queue { limit, fair: true, len: 0, lanes, served, floor: 0.0 }
+        Queue {
+            limit,
+            fair: true,
+            len: 0,
+            lanes: BTreeMap::new(),
+            late: BTreeMap::new(),
+            served: HashMap::new(),
+            floor: 0.0,
+        }
     }
 
     /// Creates a queue that serves each rank in order of arrival.
@@ -98,11 +113,19 @@
     /// Removes and returns the request to serve next, and charges its
     /// workspace with the tokens that it is expected to cost.
     pub fn pop(&mut self, now_ms: u64) -> Option<Ticket> {
-        let key = self.best_lane(now_ms)?;
-        let lane = self.lanes.get_mut(&key)?;
+        self.set_late_aside(now_ms);
+        let on_time = self.best_lane(&self.lanes, now_ms);
+        let (lanes, key) = match on_time {
+            Some(key) => (&mut self.lanes, key),
+            None => {
+                let key = self.best_lane(&self.late, now_ms)?;
+                (&mut self.late, key)
+            }
+        };
+        let lane = lanes.get_mut(&key)?;
         let ticket = lane.pop_front()?;
         if lane.is_empty() {
-            self.lanes.remove(&key);
+            lanes.remove(&key);
         }
         self.len -= 1;
         let served = self.served.get(&ticket.workspace).copied().unwrap_or_default();
@@ -120,19 +143,20 @@
     pub fn expire(&mut self, now_ms: u64) -> Vec<Ticket> {
         let late = |ticket: &Ticket| now_ms >= ticket.queued_ms + ticket.max_wait_ms;
         let mut expired = Vec::new();
-        for lane in self.lanes.values_mut() {
+        for lane in self.lanes.values_mut().chain(self.late.values_mut()) {
             while lane.front().is_some_and(late) {
                 expired.extend(lane.pop_front());
             }
         }
         self.lanes.retain(|_, lane| !lane.is_empty());
+        self.late.retain(|_, lane| !lane.is_empty());
         self.len -= expired.len();
         expired
     }
 
     /// Removes a request whose caller went away.
     pub fn remove(&mut self, id: TicketId) -> Option<Ticket> {
-        for lane in self.lanes.values_mut() {
+        for lane in self.lanes.values_mut().chain(self.late.values_mut()) {
             if let Some(index) = lane.iter().position(|ticket| ticket.id == id) {
                 self.len -= 1;
                 return lane.remove(index);
@@ -143,8 +167,9 @@
 
     /// Returns the number of waiting requests of a workspace.
     pub fn len_of(&self, workspace: &str) -> usize {
-        let lanes = self.lanes.iter().filter(|((_, owner), _)| owner == workspace);
-        lanes.map(|(_, lane)| lane.len()).sum()
+        let lanes = self.lanes.iter().chain(&self.late);
+        let own = lanes.filter(|((_, owner), _)| owner == workspace);
+        own.map(|(_, lane)| lane.len()).sum()
     }
 
     /// Returns the number of requests that are served before a new one of `rank`.
@@ -153,7 +178,19 @@
         lanes.map(|(_, lane)| lane.len()).sum()
     }
 
-    fn best_lane(&self, now_ms: u64) -> Option<(u32, CompactString)> {
+    /// Moves requests that can no longer start on time out of the way.
+    fn set_late_aside(&mut self, now_ms: u64) {
+        for (key, lane) in &mut self.lanes {
+            while lane.front().is_some_and(|ticket| now_ms > ticket.due_ms) {
+                if let Some(ticket) = lane.pop_front() {
+                    self.late.entry(key.clone()).or_default().push_back(ticket);
+                }
+            }
+        }
+        self.lanes.retain(|_, lane| !lane.is_empty());
+    }
+
+    fn best_lane(&self, lanes: &Lanes, now_ms: u64) -> Option<(u32, CompactString)> {
         let score = |key: &(u32, CompactString), lane: &VecDeque<Ticket>| {
             let head = lane.front()?;
             let waited = now_ms.saturating_sub(head.queued_ms) as f64;
@@ -163,7 +200,7 @@
             let served = self.served.get(&key.1).copied().unwrap_or_default();
             Some((rank, if self.fair { served } else { head.queued_ms as f64 }))
         };
-        let lanes = self.lanes.iter().filter_map(|(key, lane)| Some((score(key, lane)?, key)));
+        let lanes = lanes.iter().filter_map(|(key, lane)| Some((score(key, lane)?, key)));
         let best = lanes.min_by(|((a_rank, a_served), _), ((b_rank, b_served), _)| {
             a_rank.total_cmp(b_rank).then(a_served.total_cmp(b_served))
         });
@@ -171,7 +208,8 @@
     }
 
     fn least_served(&self) -> f64 {
-        let waiting = self.lanes.keys().filter_map(|(_, workspace)| self.served.get(workspace));
+        let lanes = self.lanes.keys().chain(self.late.keys());
+        let waiting = lanes.filter_map(|(_, workspace)| self.served.get(workspace));
         waiting.copied().fold(f64::INFINITY, f64::min)
     }
 
--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -4,8 +4,12 @@
 mod latency;
 mod load;
 mod overhead;
+mod policy;
 
 pub use caller::BenchError;
 pub use latency::Latency;
 pub use load::{LoadOptions, LoadReport, run_load};
 pub use overhead::{OverheadOptions, OverheadReport, run_overhead};
+pub use policy::{
+    Disturbance, MixName, Policy, PolicyOptions, PolicyRow, run_policies, table, write_plots,
+};
--- a/components/bench/src/load.rs
+++ b/components/bench/src/load.rs
@@ -24,6 +24,8 @@
 pub struct LoadOptions {
     /// Entry that is asked for addresses first.
     pub entry: String,
+    /// Send everything to that entry.
+    pub pin: bool,
     /// API key of a workspace.
     pub api_key: String,
     /// Generation service.
@@ -92,7 +94,10 @@
 /// Runs the load and waits for all of its requests.
 pub async fn run_load(options: LoadOptions) -> Result<LoadReport, BenchError> {
     let caller = Caller::new(&options.api_key);
-    let entries = caller.entries(&options.entry).await?;
+    let entries = match options.pin {
+        true => vec![options.entry.clone()],
+        false => caller.entries(&options.entry).await?,
+    };
     let options = Rc::new(options);
     let collected = Rc::new(RefCell::new(Collected::default()));
     let mut rng = SmallRng::seed_from_u64(options.seed);
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -202,6 +202,7 @@
             priority: request.priority.name.as_str().into(),
             rank: request.priority.rank,
             max_wait_ms: request.priority.max_wait_ms,
+            due_in_ms: request.priority.first_token_ms,
             needs: [&request.version, &request.adapter]
                 .into_iter()
                 .filter(|need| !need.is_empty())
--- a/components/placement/src/acquire.rs
+++ b/components/placement/src/acquire.rs
@@ -12,6 +12,7 @@
 
 use crate::credits::Held;
 use crate::effect::{AskId, Effect};
+use crate::options::Mechanisms;
 use crate::placer::Placer;
 use crate::service::{Asked, ServiceQueue};
 
@@ -45,6 +46,8 @@
     pub rank: u32,
     /// Longest wait of the priority.
     pub max_wait_ms: u64,
+    /// Wait after which the first token comes too late.
+    pub due_in_ms: u64,
     /// Version and adapter that the engine must serve.
     pub needs: SmallVec<[CompactString; 2]>,
     /// Length of the prompt.
@@ -84,7 +87,7 @@
         }
         let service = acquire.service.clone();
         let expected_tokens = self.expected_tokens(&acquire);
-        let early_refusal = self.options.mechanisms.early_refusal;
+        let Mechanisms { early_refusal, deadlines, .. } = self.options.mechanisms;
         let id = TicketId(self.next_ticket);
         self.next_ticket += 1;
         let queue = self.service_queue(&service);
@@ -105,6 +108,7 @@
             rank: acquire.rank,
             max_wait_ms: acquire.max_wait_ms,
             queued_ms: now_ms,
+            due_ms: if deadlines { now_ms + acquire.due_in_ms } else { u64::MAX },
             expected_tokens,
         };
         queue.queue.push(ticket).map_err(|error| {
--- a/components/placement/src/digest.rs
+++ b/components/placement/src/digest.rs
@@ -15,6 +15,8 @@
 const FAN_IN: usize = 24;
 /// Steps in which the free share of a cache is told.
 const FREE_STEPS: u64 = 32;
+/// Steps in which the number of running generations is told.
+const RUNNING_STEPS: u32 = 16;
 
 /// Entry that listens to this one.
 #[derive(Debug, Default)]
@@ -120,13 +122,17 @@
 /// Rounds the load, so that small changes need no message.
 fn coarse(digest: UpstreamDigest) -> UpstreamDigest {
     let step = (digest.cache_tokens / FREE_STEPS).max(1);
-    UpstreamDigest { free_tokens: digest.free_tokens / step * step, running: 0, ..digest }
+    let slots = (digest.max_running / RUNNING_STEPS).max(1);
+    UpstreamDigest {
+        free_tokens: digest.free_tokens / step * step,
+        running: digest.running / slots * slots,
+        ..digest
+    }
 }
 
 fn is_same_but_load(told: &UpstreamDigest, digest: &UpstreamDigest) -> bool {
-    let free_tokens = digest.free_tokens;
-    let leaving = digest.leaving;
-    UpstreamDigest { free_tokens, leaving, ..told.clone() } == *digest
+    let UpstreamDigest { free_tokens, running, leaving, .. } = *digest;
+    UpstreamDigest { free_tokens, running, leaving, ..told.clone() } == *digest
 }
 
 /// Leaves out what the watcher has been told before.
@@ -134,6 +140,7 @@
     UpstreamDigest {
         upstream: digest.upstream.clone(),
         free_tokens: digest.free_tokens,
+        running: digest.running,
         leaving: digest.leaving,
         ..Default::default()
     }
--- a/components/placement/src/options.rs
+++ b/components/placement/src/options.rs
@@ -38,6 +38,8 @@
     pub reservations: bool,
     /// Refuse a request that is expected to wait too long.
     pub early_refusal: bool,
+    /// Let requests that are late give way to those that can be on time.
+    pub deadlines: bool,
     /// Pause with jitter after an attempt that found no room.
     pub jitter: bool,
 }
@@ -50,6 +52,7 @@
             fairness: true,
             reservations: true,
             early_refusal: true,
+            deadlines: true,
             jitter: true,
         }
     }
--- a/components/routing/src/choose.rs
+++ b/components/routing/src/choose.rs
@@ -8,8 +8,8 @@
 
 /// Upstreams that are looked at for one request.
 const SAMPLE: usize = 3;
-/// Free share of the cache below which affinity is ignored.
-const AFFINITY_MIN_FREE: f64 = 0.2;
+/// How much more crowded an upstream may be for the prefix that it holds.
+const AFFINITY_MARGIN: f64 = 0.05;
 
 /// Upstream to try for a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -27,7 +27,8 @@
 /// A few candidates are drawn at random and ordered by load: with reports
 /// that lag, always taking the best of all would send every entry to the same
 /// one. An upstream that holds the prompt's prefix comes first unless it is
-/// crowded, and one in the entry's own data centre wins between equals.
+/// more crowded than the best one drawn, and one in the entry's own data
+/// centre wins between equals.
 pub fn choose<'a>(
     candidates: impl Iterator<Item = &'a Known>,
     preferred: Option<&str>,
@@ -36,10 +37,9 @@
 ) -> SmallVec<[Choice; SAMPLE]> {
     let mut drawn: SmallVec<[&Known; 32]> = candidates.collect();
     let preferred = preferred.and_then(|name| {
-        let known = drawn.iter().position(|known| known.digest.upstream == name)?;
-        (free_share(drawn[known]) >= AFFINITY_MIN_FREE).then_some(known)
+        let index = drawn.iter().position(|known| known.digest.upstream == name)?;
+        Some(drawn.swap_remove(index))
     });
-    let first = preferred.map(|index| drawn.swap_remove(index));
     let sample = SAMPLE.min(drawn.len());
     for index in 0..sample {
         let other = rng.random_range(index..drawn.len());
@@ -47,7 +47,13 @@
     }
     drawn.truncate(sample);
     drawn.sort_by(|a, b| cost(a, data_centre).total_cmp(&cost(b, data_centre)));
-    first.into_iter().chain(drawn).take(SAMPLE).map(to_choice).collect()
+    let best = drawn.first().map_or(f64::INFINITY, |known| cost(known, data_centre));
+    let (mut first, mut last) = (None, None);
+    if let Some(known) = preferred {
+        let near = cost(known, data_centre) <= best + AFFINITY_MARGIN;
+        *(if near { &mut first } else { &mut last }) = Some(known);
+    }
+    first.into_iter().chain(drawn).chain(last).take(SAMPLE).map(to_choice).collect()
 }
 
 fn to_choice(known: &Known) -> Choice {
@@ -58,22 +64,20 @@
     }
 }
 
-fn free_share(known: &Known) -> f64 {
-    let digest = &known.digest;
-    if digest.cache_tokens == 0 {
-        return 1.0;
-    }
-    digest.free_tokens as f64 / digest.cache_tokens as f64
-}
-
-/// Cost of a hop to another data centre, as a share of the cache.
-const REMOTE_COST: f64 = 0.02;
+/// Cost of a hop to another data centre, as a share of a full upstream.
+const REMOTE_COST: f64 = 0.01;
 /// Cost of a request in flight at a plain upstream.
 const IN_FLIGHT_COST: f64 = 0.05;
 
+/// Returns how crowded an upstream is: 0 is idle, 1 is full.
 fn cost(known: &Known, data_centre: &str) -> f64 {
-    let remote = if known.digest.data_centre == data_centre { 0.0 } else { REMOTE_COST };
-    let in_flight = f64::from(known.in_flight) * IN_FLIGHT_COST;
-    let used = if known.digest.cache_tokens == 0 { in_flight } else { 1.0 - free_share(known) };
-    used + remote
+    let digest = &known.digest;
+    let remote = if digest.data_centre == data_centre { 0.0 } else { REMOTE_COST };
+    if digest.cache_tokens == 0 {
+        return f64::from(known.in_flight) * IN_FLIGHT_COST + remote;
+    }
+    let memory = 1.0 - digest.free_tokens as f64 / digest.cache_tokens as f64;
+    let slots = f64::from(digest.running) / f64::from(digest.max_running.max(1));
+    // Memory decides about preemptions, slots about the time between tokens.
+    (memory + slots) / 2.0 + remote
 }
--- a/components/standin/src/service.rs
+++ b/components/standin/src/service.rs
@@ -114,11 +114,11 @@
 
 async fn run(http: HttpRequest, runs: web::Data<Runs>) -> HttpResponse {
     let faults = runs.lock().faults.clone();
-    sleep(Duration::from_millis(faults.delay_ms)).await;
+    pause(faults.delay_ms).await;
     let key = http.headers().get(KEY_HEADER).and_then(|value| value.to_str().ok());
     let key = key.unwrap_or_default().to_string();
     let run = runs.count(&key);
-    sleep(Duration::from_millis(faults.answer_delay_ms)).await;
+    pause(faults.answer_delay_ms).await;
     let answer = Answer {
         service: "standin",
         method: http.method().to_string(),
@@ -136,3 +136,10 @@
     }
     HttpResponse::Ok().json(answer)
 }
+
+/// Sleeps unless there is no need to, which would still wait for a timer tick.
+async fn pause(delay_ms: u64) {
+    if delay_ms > 0 {
+        sleep(Duration::from_millis(delay_ms)).await;
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use bench::{MixName, Policy};
 use bpaf::Bpaf;
 use credentials::Role;
 use units::{Millis, VmName};
@@ -165,6 +166,8 @@
         /// Entry that is asked for addresses
         #[bpaf(argument("IP:PORT"))]
         entry: String,
+        /// Send everything to that entry
+        pin: bool,
         /// API key of a workspace
         #[bpaf(argument("KEY"))]
         key: String,
@@ -196,6 +199,39 @@
         #[bpaf(argument("SEED"), fallback(1))]
         seed: u64,
     },
+    /// Placement decisions under load, on engine fakes in simulated time
+    #[bpaf(command)]
+    Policy {
+        /// `stride` or `lidworks`; may be repeated, both when left out
+        #[bpaf(argument("MIX"))]
+        mix: Vec<MixName>,
+        /// Policy; may be repeated, all when left out
+        #[bpaf(argument("POLICY"))]
+        policy: Vec<Policy>,
+        /// Share of capacity; may be repeated, 0.7, 0.9, 1.1 and 1.5 when left out
+        #[bpaf(argument("LOAD"))]
+        load: Vec<f64>,
+        /// Runs of each combination
+        #[bpaf(argument("COUNT"), fallback(5))]
+        seeds: u64,
+        /// Simulated seconds of one run
+        #[bpaf(argument("SECONDS"), fallback(120))]
+        seconds: u64,
+        /// Runs at a time
+        #[bpaf(argument("COUNT"), fallback(4))]
+        threads: usize,
+        /// One engine is lost during each run
+        engine_lost: bool,
+        /// One engine turns slow during each run
+        engine_slow: bool,
+        /// The arrival rate doubles for five seconds, every thirty
+        bursts: bool,
+        /// Print JSON
+        json: bool,
+        /// Folder for plots
+        #[bpaf(argument("FOLDER"))]
+        plots: Option<PathBuf>,
+    },
     /// Time that an entry adds over direct access to the stand-ins
     #[bpaf(command)]
     Overhead {
--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -2,18 +2,25 @@
 
 use std::time::Duration;
 
-use bench::{BenchError, LoadOptions, OverheadOptions, run_load, run_overhead};
+use bench::{
+    BenchError, Disturbance, LoadOptions, MixName, OverheadOptions, Policy, PolicyOptions,
+    run_load, run_overhead, run_policies, table, write_plots,
+};
 use serde::Serialize;
 use units::Millis;
 
 use crate::cli::Bench;
 use crate::error::CommandError;
 
+/// Shares of capacity that are offered unless others are named.
+const LOADS: [f64; 4] = [0.7, 0.9, 1.1, 1.5];
+
 /// Measures a running system.
 pub async fn run(bench: Bench) -> Result<(), CommandError> {
     match bench {
         Bench::Load {
             entry,
+            pin,
             key,
             model,
             service,
@@ -27,6 +34,7 @@
         } => {
             let options = LoadOptions {
                 entry,
+                pin,
                 api_key: key,
                 model,
                 service,
@@ -40,6 +48,44 @@
             };
             print(&run_load(options).await.map_err(unavailable)?)
         }
+        Bench::Policy {
+            mix,
+            policy,
+            load,
+            seeds,
+            seconds,
+            threads,
+            engine_lost,
+            engine_slow,
+            bursts,
+            json,
+            plots,
+        } => {
+            let disturbance = match (engine_lost, engine_slow, bursts) {
+                (true, _, _) => Disturbance::EngineLost,
+                (_, true, _) => Disturbance::EngineSlow,
+                (_, _, true) => Disturbance::Bursts,
+                _ => Disturbance::None,
+            };
+            let options = PolicyOptions {
+                mixes: or_all(mix, &[MixName::Stride, MixName::Lidworks]),
+                policies: or_all(policy, &Policy::all()),
+                loads: or_all(load, &LOADS),
+                seeds,
+                seconds,
+                threads,
+                disturbance,
+            };
+            let rows = run_policies(&options);
+            if let Some(folder) = plots {
+                write_plots(&rows, &folder).map_err(CommandError::Invalid)?;
+            }
+            if json {
+                return print(&rows);
+            }
+            print!("{}", table(&rows));
+            Ok(())
+        }
         Bench::Overhead { entry, engine, upstream, key, rounds, tokens } => {
             let options = OverheadOptions {
                 entry,
@@ -57,6 +103,11 @@
     }
 }
 
+/// Returns the named values, or all of them if none is named.
+fn or_all<T: Clone>(named: Vec<T>, all: &[T]) -> Vec<T> {
+    if named.is_empty() { all.to_vec() } else { named }
+}
+
 fn to_duration(millis: Millis) -> Duration {
     Duration::from_millis(millis.0)
 }
