--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -5,6 +5,7 @@
 mod load;
 mod overhead;
 mod policy;
+mod slopes;
 
 pub use caller::BenchError;
 pub use latency::Latency;
@@ -13,3 +14,4 @@
 pub use policy::{
     Disturbance, MixName, Policy, PolicyOptions, PolicyRow, run_policies, table, write_plots,
 };
+pub use slopes::{CommitRate, Slopes, measure_slopes};
--- a/components/entry/src/http/health.rs
+++ b/components/entry/src/http/health.rs
@@ -5,7 +5,13 @@
 use crate::shared::Shared;
 
 pub(crate) async fn metrics(shared: web::Data<Shared>) -> HttpResponse {
-    shared.metrics.streams.set(i64::try_from(shared.in_flight.count()).unwrap_or(i64::MAX));
+    let number = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
+    let metrics = &shared.metrics;
+    metrics.streams.set(number(shared.in_flight.count()));
+    let traffic = wire::traffic();
+    metrics.peer_bytes.with_label_values(&["sent"]).set(number(traffic.sent_bytes));
+    metrics.peer_bytes.with_label_values(&["received"]).set(number(traffic.received_bytes));
+    metrics.peer_messages.set(number(traffic.messages));
     HttpResponse::Ok()
         .content_type("text/plain; version=0.0.4")
         .body(telemetry::encode_metrics(&shared.metrics.registry))
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -25,6 +25,8 @@
     pub(crate) mode: IntGaugeVec,
     pub(crate) owned_upstreams: IntGauge,
     pub(crate) known_upstreams: IntGauge,
+    pub(crate) peer_bytes: IntGaugeVec,
+    pub(crate) peer_messages: IntGauge,
 }
 
 struct Builder(Registry);
@@ -116,6 +118,13 @@
             mode: builder.gauges("mode", "1 for the mode that the entry is in.", "mode")?,
             owned_upstreams: builder.gauge("owned_upstreams", "Upstreams that this entry owns.")?,
             known_upstreams: builder.gauge("known_upstreams", "Upstreams that it knows of.")?,
+            peer_bytes: builder.gauges(
+                "peer_bytes",
+                "Payload exchanged with other processes since the start.",
+                "direction",
+            )?,
+            peer_messages: builder
+                .gauge("peer_messages", "Messages exchanged with other processes.")?,
             registry: builder.0,
         })
     }
--- a/components/placement/src/acquire.rs
+++ b/components/placement/src/acquire.rs
@@ -135,6 +135,9 @@
         if let Some(queue) = self.queues.get_mut(&service) {
             queue.attempts = queue.attempts.saturating_sub(1);
         }
+        if reply.is_none() {
+            self.directory.distrust(&choice.owner_vm);
+        }
         let granted = reply.as_ref().is_some_and(|reply| reply.granted);
         let credit = reply.as_ref().map_or(0, |reply| reply.credit);
         if let Some(digest) = reply.and_then(|reply| reply.digest) {
--- a/components/placement/src/announce.rs
+++ b/components/placement/src/announce.rs
@@ -125,6 +125,10 @@
     pub(crate) fn expire_upstreams(&mut self, now_ms: u64) {
         let expired = self.owned.iter().filter(|(_, owned)| now_ms >= owned.expires_ms);
         let expired: Vec<CompactString> = expired.map(|(name, _)| name.clone()).collect();
+        if !expired.is_empty() {
+            // Nobody is to send work there any more.
+            self.next_digest_ms = 0;
+        }
         for name in expired {
             log::warn!(upstream = name.as_str(); "upstream lease expired");
             self.owned.remove(&name);
--- a/components/placement/src/digest.rs
+++ b/components/placement/src/digest.rs
@@ -8,9 +8,14 @@
 use crate::effect::Effect;
 use crate::placer::Placer;
 
+/// Shortest interval between two digests to one watcher.
 const DIGEST_INTERVAL_MS: u64 = 250;
+/// Digests that an owner sends in each second, however many listen.
+const DIGESTS_PER_S: u64 = 16;
 /// Interval after which owners speak up even without a change.
-const KEEP_ALIVE_MS: u64 = 750;
+const KEEP_ALIVE_MS: u64 = 1_500;
+/// Time for which a digest is believed without another one.
+const DIGEST_LEASE_MS: u64 = 4_000;
 /// Owners that one entry listens to.
 const FAN_IN: usize = 24;
 /// Steps in which the free share of a cache is told.
@@ -18,6 +23,8 @@
 /// Steps in which the number of running generations is told.
 const RUNNING_STEPS: u32 = 16;
 
+const MS_PER_S: u64 = 1_000;
+
 /// Entry that listens to this one.
 #[derive(Debug, Default)]
 pub(crate) struct Watcher {
@@ -45,7 +52,8 @@
         if now_ms < self.next_digest_ms {
             return;
         }
-        self.next_digest_ms = now_ms + DIGEST_INTERVAL_MS;
+        let spread_ms = self.watchers.len() as u64 * MS_PER_S / DIGESTS_PER_S;
+        self.next_digest_ms = now_ms + spread_ms.max(DIGEST_INTERVAL_MS);
         let names: Vec<CompactString> = self.owned.keys().cloned().collect();
         for name in &names {
             self.refresh_own(name, now_ms);
@@ -63,8 +71,7 @@
 
     /// Takes what an owner tells; false if the owner is to send a whole list.
     pub fn take_digest(&mut self, digest: DigestRequest, now_ms: u64) -> bool {
-        let lease_ms = self.options.upstream_lease_ms;
-        let applied = self.directory.apply(digest, lease_ms, now_ms);
+        let applied = self.directory.apply(digest, DIGEST_LEASE_MS, now_ms);
         if applied {
             self.room_reported(now_ms);
         }
--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -16,12 +16,14 @@
     pub expires_ms: u64,
     /// Requests that this entry has in flight there.
     pub in_flight: u32,
+    /// Its owner did not answer since it last told of the upstream.
+    pub distrusted: bool,
 }
 
 impl Known {
     /// Returns whether new work may be sent there.
     pub fn takes_work(&self, now_ms: u64) -> bool {
-        !self.digest.leaving && now_ms < self.expires_ms
+        !self.digest.leaving && !self.distrusted && now_ms < self.expires_ms
     }
 
     /// Returns whether the upstream serves all of `needs`.
@@ -70,6 +72,7 @@
         let expires_ms = now_ms + lease_ms;
         for known in self.known.values_mut().filter(|known| known.owner_vm == owner_vm) {
             known.expires_ms = expires_ms;
+            known.distrusted = false;
         }
         true
     }
@@ -94,7 +97,8 @@
             None if digest.address.is_empty() => return,
             _ => digest,
         };
-        let known = Known { digest, owner_vm: owner_vm.into(), expires_ms, in_flight };
+        let owner_vm = owner_vm.into();
+        let known = Known { digest, owner_vm, expires_ms, in_flight, distrusted: false };
         self.known.insert(name, known);
     }
 
@@ -103,6 +107,14 @@
         self.known.retain(|_, known| now_ms < known.expires_ms || known.in_flight > 0);
     }
 
+    /// Sends no new work to the upstreams of an owner until it tells of them
+    /// again.
+    pub fn distrust(&mut self, owner_vm: &str) {
+        for known in self.known.values_mut().filter(|known| known.owner_vm == owner_vm) {
+            known.distrusted = true;
+        }
+    }
+
     /// Returns an upstream by its name.
     pub fn get(&self, upstream: &str) -> Option<&Known> {
         self.known.get(upstream)
--- a/components/wire/src/endpoint.rs
+++ b/components/wire/src/endpoint.rs
@@ -13,7 +13,9 @@
 
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(1_500);
-const MAX_CONCURRENT_REQUESTS: u32 = 16_384;
+/// Requests that one peer may have open at a time; each connection holds memory
+/// for all of them from its start.
+const MAX_CONCURRENT_REQUESTS: u32 = 512;
 const WINDOW_BYTES: u32 = 16 << 20;
 
 /// Local end of all connections of a process.
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -4,7 +4,7 @@
 use prost::Message;
 use quinn::{ReadExactError, RecvStream, SendStream, WriteError};
 
-use crate::MAX_MESSAGE_BYTES;
+use crate::{MAX_MESSAGE_BYTES, traffic};
 
 const LENGTH_BYTES: usize = 4;
 
@@ -16,6 +16,7 @@
     let length = u32::try_from(message.encoded_len()).unwrap_or(u32::MAX);
     buffer.extend_from_slice(&length.to_le_bytes());
     message.encode(&mut buffer).expect("a growing buffer has room");
+    traffic::count_sent(buffer.len());
     stream.write_chunk(buffer.freeze()).await
 }
 
@@ -29,6 +30,7 @@
     }
     let mut body = vec![0; length];
     read_exact(stream, &mut body).await.ok()?;
+    traffic::count_received(length);
     M::decode(Bytes::from(body)).ok()
 }
 
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -9,11 +9,13 @@
 mod frame;
 mod link;
 mod server;
+mod traffic;
 
 pub use endpoint::Endpoint;
 pub use error::CallError;
 pub use link::Link;
 pub use server::{Handler, refuse};
+pub use traffic::{Traffic, traffic};
 
 /// Largest request, reply or message.
 pub const MAX_MESSAGE_BYTES: usize = 256 << 20;
--- a/components/wire/src/link.rs
+++ b/components/wire/src/link.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{Mutex, mpsc};
 use tokio::time::{sleep, timeout};
 
-use crate::{CallError, MAX_MESSAGE_BYTES, frame};
+use crate::{CallError, MAX_MESSAGE_BYTES, frame, traffic};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
@@ -75,9 +75,11 @@
         let (mut send, mut receive) =
             connection.open_bi().await.map_err(|error| CallError::Connect(error.to_string()))?;
         let bytes = Bytes::from(request.encode_to_vec());
+        traffic::count_sent(bytes.len());
         send.write_chunk(bytes).await.map_err(|error| lost(&error))?;
         send.finish().map_err(|error| lost(&error))?;
         let bytes = receive.read_to_end(MAX_MESSAGE_BYTES).await.map_err(|error| lost(&error))?;
+        traffic::count_received(bytes.len());
         let reply = Reply::decode(Bytes::from(bytes)).map_err(|error| lost(&error))?;
         match reply.body {
             Some(reply::Body::Error(error)) => Err(CallError::Refused(error)),
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -10,7 +10,7 @@
 use rustls::pki_types::CertificateDer;
 use schema::{ConsensusMessage, ErrorCode, ErrorReply, Reply, Request, reply};
 
-use crate::{MAX_MESSAGE_BYTES, frame};
+use crate::{MAX_MESSAGE_BYTES, frame, traffic};
 
 /// What a process does with requests of its peers.
 pub trait Handler: Send + Sync + 'static {
@@ -79,11 +79,14 @@
     handler: Arc<impl Handler>,
 ) {
     let Ok(bytes) = receive.read_to_end(MAX_MESSAGE_BYTES).await else { return };
+    traffic::count_received(bytes.len());
     let reply = match Request::decode(Bytes::from(bytes)) {
         Ok(request) => handler.handle(peer, request).await,
         Err(error) => refuse(ErrorCode::Invalid, error.to_string()),
     };
-    let sent = send.write_chunk(Bytes::from(reply.encode_to_vec())).await;
+    let bytes = Bytes::from(reply.encode_to_vec());
+    traffic::count_sent(bytes.len());
+    let sent = send.write_chunk(bytes).await;
     if sent.is_ok() {
         let _ = send.finish();
     }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -232,6 +232,13 @@
         #[bpaf(argument("FOLDER"))]
         plots: Option<PathBuf>,
     },
+    /// Costs per unit that docs/CAPACITY.md builds on
+    #[bpaf(command)]
+    Slopes {
+        /// New folder on the disk to measure
+        #[bpaf(positional("FOLDER"))]
+        folder: PathBuf,
+    },
     /// Time that an entry adds over direct access to the stand-ins
     #[bpaf(command)]
     Overhead {
--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -4,7 +4,7 @@
 
 use bench::{
     BenchError, Disturbance, LoadOptions, MixName, OverheadOptions, Policy, PolicyOptions,
-    run_load, run_overhead, run_policies, table, write_plots,
+    measure_slopes, run_load, run_overhead, run_policies, table, write_plots,
 };
 use serde::Serialize;
 use units::Millis;
@@ -86,6 +86,11 @@
             print!("{}", table(&rows));
             Ok(())
         }
+        Bench::Slopes { folder } => {
+            let slopes = measure_slopes(&folder)
+                .map_err(|error| CommandError::Invalid(error.to_string()))?;
+            print(&slopes)
+        }
         Bench::Overhead { entry, engine, upstream, key, rounds, tokens } => {
             let options = OverheadOptions {
                 entry,
