--- a/components/bench/src/slopes.rs
+++ b/components/bench/src/slopes.rs
@@ -52,6 +52,10 @@
     pub record_state_bytes: usize,
     /// Set of 4500 workspaces, in bytes.
     pub set_bytes: usize,
+    /// Difference of one workspace in that set, in bytes.
+    pub set_delta_bytes: usize,
+    /// Time to work such a difference out, and to apply it.
+    pub set_delta_us: u64,
     /// Time to index that set at an entry.
     pub set_index_us: u64,
     /// Time to apply the two commands of one booking.
@@ -97,6 +101,7 @@
     let started = Instant::now();
     black_box(Catalog::new(1, set.clone()));
     let set_index_us = micros(started.elapsed()) as u64;
+    let (set_delta_bytes, set_delta_us) = delta(&set);
     let digest = digest();
     let change = UpstreamDigest {
         upstream: digest.upstream.clone(),
@@ -125,6 +130,8 @@
         record_log_bytes: begin(1).encoded_len() + finish(1).encoded_len(),
         record_state_bytes,
         set_bytes,
+        set_delta_bytes,
+        set_delta_us,
         set_index_us,
         record_apply_us,
         snapshot_us_per_1000_records,
@@ -193,6 +200,16 @@
     ObjectSet { workspaces: (0..WORKSPACES).map(workspace).collect(), ..ObjectSet::default() }
 }
 
+fn delta(set: &ObjectSet) -> (usize, u64) {
+    let mut new = set.clone();
+    new.workspaces[0].max_streams += 1;
+    let started = Instant::now();
+    let delta = objects::delta(1, set, &new);
+    let bytes = delta.encoded_len();
+    black_box(objects::apply_delta(set, delta));
+    (bytes, micros(started.elapsed()) as u64)
+}
+
 fn key(number: u32) -> RecordKey {
     RecordKey {
         workspace: "bangkok-north".to_string(),
--- a/components/control/src/replica/drive.rs
+++ b/components/control/src/replica/drive.rs
@@ -75,7 +75,11 @@
     /// Returns the job that replaces the applied log by a snapshot, if due.
     fn next_compaction(&self) -> Option<Job> {
         let index = self.node.applied();
-        if index < self.snapshot_index + self.config.limits.snapshot_entries {
+        let limits = &self.config.limits;
+        let entries_due = index >= self.snapshot_index + limits.snapshot_entries;
+        let log_bytes = u64::try_from(self.metrics.log_bytes.get()).unwrap_or_default();
+        let bytes_due = index > self.snapshot_index && log_bytes >= limits.snapshot_log_bytes;
+        if !entries_due && !bytes_due {
             return None;
         }
         let term = self.node.term_at(index)?;
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -13,6 +13,7 @@
 mod requests;
 mod waiters;
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -40,6 +41,7 @@
 use proposals::Proposals;
 use reads::Reads;
 use reconcile::Candidates;
+use requests::DeltaCache;
 use waiters::Waiters;
 
 const MAILBOX_CAPACITY: usize = 65_536;
@@ -67,6 +69,7 @@
     waiters: Waiters,
     leases: Leases,
     candidates: Candidates,
+    deltas: RefCell<DeltaCache>,
     joiner: Joiner,
     was_leader: bool,
     next_expiry_ms: u64,
@@ -119,6 +122,7 @@
             waiters: Waiters::default(),
             leases: Leases::default(),
             candidates: Candidates::default(),
+            deltas: RefCell::default(),
             joiner: Joiner::default(),
             was_leader: false,
             next_expiry_ms: 0,
--- a/components/control/src/replica/requests.rs
+++ b/components/control/src/replica/requests.rs
@@ -1,13 +1,15 @@
 //! Requests of entries, operators and other control processes.
 
+use std::collections::HashMap;
+
 use actix::ResponseFuture;
 use consensus::ProposeError;
 use credentials::{Identity, Role};
 use schema::{
     AwaitRecordRequest, Empty, EntryMember, EntryStatus, ErrorCode, ErrorReply, GetSetReply,
     GetSetRequest, HeartbeatReply, HeartbeatRequest, JoinReply, JoinRequest, LeaveRequest, Publish,
-    RegisterEntry, RemoveEntry, ReplaceRequest, Reply, Request, StatusReply, command, reply,
-    request,
+    RegisterEntry, RemoveEntry, ReplaceRequest, Reply, Request, SetDelta, StatusReply, command,
+    reply, request,
 };
 use state::Outcome;
 use tokio::sync::oneshot;
@@ -18,6 +20,13 @@
 
 const MAX_AWAIT_MS: u64 = 60_000;
 
+/// Differences that lead to the current revision, by the one they start from.
+#[derive(Debug, Default)]
+pub(super) struct DeltaCache {
+    revision: u64,
+    by_base: HashMap<u64, SetDelta>,
+}
+
 impl Replica {
     pub(super) fn answer(&mut self, peer: &Identity, request: Request) -> ResponseFuture<Reply> {
         let Some(body) = request.body else {
@@ -167,17 +176,35 @@
         let (revision, set) = self.state.current();
         let members_version = self.state.members().version();
         let newer = revision > heartbeat.revision;
+        let delta = if newer { self.delta_from(heartbeat.revision) } else { None };
         let changed = members_version != heartbeat.members_version;
         let members = self.state.members().iter().filter(|_| changed);
         to_heartbeat(HeartbeatReply {
             revision,
-            set: set.filter(|_| newer).cloned(),
+            set: set.filter(|_| newer && delta.is_none()).cloned(),
+            delta,
             members_version,
             members: members.cloned().collect(),
             lease_ms: self.config.timers.entry_lease_ms,
         })
     }
 
+    /// Returns what turns a kept revision into the current one.
+    fn delta_from(&self, base_revision: u64) -> Option<SetDelta> {
+        let (revision, current) = self.state.current();
+        let mut cache = self.deltas.borrow_mut();
+        if cache.revision != revision {
+            *cache = DeltaCache { revision, ..DeltaCache::default() };
+        }
+        if let Some(delta) = cache.by_base.get(&base_revision) {
+            return Some(delta.clone());
+        }
+        let base = self.state.publications().get(base_revision)?.set.as_ref()?;
+        let delta = objects::delta(base_revision, base, current?);
+        cache.by_base.insert(base_revision, delta.clone());
+        Some(delta)
+    }
+
     fn leave(&mut self, peer: &Identity, leave: LeaveRequest) -> ResponseFuture<Reply> {
         if leave.vm != peer.name.as_str() {
             return ready(refuse(ErrorCode::Forbidden, "an entry ends its own lease only"));
--- a/components/entry/src/membership.rs
+++ b/components/entry/src/membership.rs
@@ -10,7 +10,8 @@
 use futures::future::join_all;
 use objects::Catalog;
 use schema::{
-    ConfirmRequest, EntryMember, HeartbeatReply, HeartbeatRequest, LeaveRequest, reply, request,
+    ConfirmRequest, EntryMember, HeartbeatReply, HeartbeatRequest, LeaveRequest, ObjectSet,
+    SetDelta, reply, request,
 };
 use settings::EntryConfig;
 use tokio::sync::watch;
@@ -29,6 +30,9 @@
 /// Peers that are asked whether they can confirm the revision.
 const CONFIRM_PEERS: usize = 5;
 
+/// A difference between two sets does not lead to the set that it promises.
+struct DeltaMismatch;
+
 /// Actor that keeps the view up to date.
 pub(crate) struct Membership {
     pub(crate) config: Arc<EntryConfig>,
@@ -43,6 +47,8 @@
     pub(crate) heartbeat_open: bool,
     pub(crate) next_heartbeat_ms: u64,
     pub(crate) poll_open: bool,
+    /// The last difference did not fit the set that is in force.
+    pub(crate) needs_whole_set: bool,
     /// What the peers said when the revision could last not be confirmed.
     pub(crate) peers_verdict: Mode,
 }
@@ -60,7 +66,7 @@
         let view = self.view.borrow().clone();
         let heartbeat = HeartbeatRequest {
             member: Some(self.member.clone()),
-            revision: view.catalog.revision(),
+            revision: if self.needs_whole_set { 0 } else { view.catalog.revision() },
             members_version: view.members_version,
         };
         self.heartbeat_open = true;
@@ -88,9 +94,17 @@
             log::error!(revision = reply.revision, current; "control names an older revision; it is not taken");
             return;
         }
-        if let Some(set) = reply.set {
-            log::info!(revision = reply.revision; "published set in force");
-            view.catalog = Arc::new(Catalog::new(reply.revision, set));
+        match self.new_set(&view, reply.set, reply.delta) {
+            Ok(None) => {}
+            Ok(Some(set)) => {
+                log::info!(revision = reply.revision; "published set in force");
+                view.catalog = Arc::new(Catalog::new(reply.revision, set));
+            }
+            Err(DeltaMismatch) => {
+                log::warn!(revision = reply.revision; "a difference does not fit; asking for the whole set");
+                self.next_heartbeat_ms = 0;
+                return;
+            }
         }
         if reply.members_version != view.members_version {
             view.members_version = reply.members_version;
@@ -101,6 +115,23 @@
         self.replace_view(view);
     }
 
+    /// Returns the set that a heartbeat brought, whole or as a difference.
+    fn new_set(
+        &mut self,
+        view: &View,
+        set: Option<ObjectSet>,
+        delta: Option<SetDelta>,
+    ) -> Result<Option<ObjectSet>, DeltaMismatch> {
+        let Some(delta) = delta else {
+            self.needs_whole_set &= set.is_none();
+            return Ok(set);
+        };
+        let fits = delta.base_revision == view.catalog.revision();
+        let applied = objects::apply_delta(view.catalog.set(), delta).filter(|_| fits);
+        self.needs_whole_set = applied.is_none();
+        applied.map(Some).ok_or(DeltaMismatch)
+    }
+
     fn update_mode(&mut self, context: &mut Context<Self>, now_ms: u64) {
         let view = self.view.borrow().clone();
         let age_ms = now_ms.saturating_sub(view.confirmed_ms);
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -85,6 +85,7 @@
             heartbeat_open: false,
             next_heartbeat_ms: 0,
             poll_open: false,
+            needs_whole_set: false,
             peers_verdict: Mode::Unconfirmed,
         }
         .start();
--- /dev/null
+++ b/components/objects/src/delta.rs
@@ -0,0 +1,92 @@
+//! Differences that turn one published set into another.
+//!
+//! A change of one object among thousands travels as that object, not as the
+//! whole set. The checksum proves that both sides hold the same set in the end.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use prost::Message as _;
+use schema::{ObjectSet, SetDelta};
+use sha2::{Digest as _, Sha256};
+
+/// Returns what turns `old`, published as `base_revision`, into `new`.
+///
+/// ```
+/// let model = |name: &str| schema::Model { name: name.into(), context_tokens: 1 };
+/// let old = schema::ObjectSet { models: vec![model("a"), model("b")], ..Default::default() };
+/// let new = schema::ObjectSet { models: vec![model("c"), model("b")], ..Default::default() };
+/// let delta = objects::delta(7, &old, &new);
+/// assert_eq!(delta.removed, ["model a"]);
+/// assert_eq!(objects::apply_delta(&old, delta).unwrap().models, [model("b"), model("c")]);
+/// ```
+pub fn delta(base_revision: u64, old: &ObjectSet, new: &ObjectSet) -> SetDelta {
+    let mut delta = SetDelta {
+        base_revision,
+        changed: Some(ObjectSet { weights: new.weights, ..ObjectSet::default() }),
+        removed: Vec::new(),
+        checksum: checksum(&in_order(new.clone())),
+    };
+    let changed = delta.changed.get_or_insert_default();
+    macro_rules! compare {
+        ($list:ident, $kind:literal) => {{
+            let before: BTreeMap<&str, _> =
+                old.$list.iter().map(|object| (object.name.as_str(), object)).collect();
+            let now: BTreeSet<&str> = new.$list.iter().map(|object| object.name.as_str()).collect();
+            let differs = |name: &str, object| before.get(name) != Some(&object);
+            let differing = new.$list.iter().filter(|object| differs(&object.name, *object));
+            changed.$list = differing.cloned().collect();
+            let gone = before.keys().filter(|name| !now.contains(**name));
+            delta.removed.extend(gone.map(|name| format!("{} {name}", $kind)));
+        }};
+    }
+    compare!(priorities, "priority");
+    compare!(models, "model");
+    compare!(versions, "version");
+    compare!(adapters, "adapter");
+    compare!(services, "service");
+    compare!(workspaces, "workspace");
+    delta
+}
+
+/// Applies a difference to the set that it was made for; `None` if the result
+/// is not the set that the other side holds.
+pub fn apply_delta(old: &ObjectSet, delta: SetDelta) -> Option<ObjectSet> {
+    let mut set = old.clone();
+    let changed = delta.changed.unwrap_or_default();
+    let removed: BTreeSet<&str> = delta.removed.iter().map(String::as_str).collect();
+    set.weights = changed.weights;
+    macro_rules! merge {
+        ($list:ident, $kind:literal) => {{
+            let replaced: BTreeSet<&str> =
+                changed.$list.iter().map(|object| object.name.as_str()).collect();
+            set.$list.retain(|object| {
+                let gone = removed.contains(format!("{} {}", $kind, object.name).as_str());
+                !gone && !replaced.contains(object.name.as_str())
+            });
+            set.$list.extend(changed.$list.iter().cloned());
+        }};
+    }
+    merge!(priorities, "priority");
+    merge!(models, "model");
+    merge!(versions, "version");
+    merge!(adapters, "adapter");
+    merge!(services, "service");
+    merge!(workspaces, "workspace");
+    let set = in_order(set);
+    (checksum(&set) == delta.checksum).then_some(set)
+}
+
+/// Returns a set with each list in order of names.
+fn in_order(mut set: ObjectSet) -> ObjectSet {
+    set.priorities.sort_by(|a, b| a.name.cmp(&b.name));
+    set.models.sort_by(|a, b| a.name.cmp(&b.name));
+    set.versions.sort_by(|a, b| a.name.cmp(&b.name));
+    set.adapters.sort_by(|a, b| a.name.cmp(&b.name));
+    set.services.sort_by(|a, b| a.name.cmp(&b.name));
+    set.workspaces.sort_by(|a, b| a.name.cmp(&b.name));
+    set
+}
+
+fn checksum(set: &ObjectSet) -> prost::bytes::Bytes {
+    prost::bytes::Bytes::copy_from_slice(&Sha256::digest(set.encode_to_vec()))
+}
--- a/components/objects/src/lib.rs
+++ b/components/objects/src/lib.rs
@@ -2,10 +2,12 @@
 
 mod catalog;
 mod check;
+mod delta;
 mod diff;
 mod folder;
 
 pub use catalog::{Catalog, hash_secret};
 pub use check::{Problem, check};
+pub use delta::{apply_delta, delta};
 pub use diff::{Change, ChangeKind, diff};
 pub use folder::{FolderError, read_folder};
--- a/components/settings/src/control.rs
+++ b/components/settings/src/control.rs
@@ -138,6 +138,13 @@
             10,
             10_000_000,
         ),
+        snapshot_log_bytes: checker.number(
+            "limits.snapshot_log_bytes",
+            limits.snapshot_log_bytes,
+            64 * MIB,
+            64 << 10,
+            64 << 30,
+        ),
         max_queued_proposals: checker.number(
             "limits.max_queued_proposals",
             limits.max_queued_proposals,
--- a/tests/publication.rs
+++ b/tests/publication.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use futures::future::join;
-use support::deployment::Tune;
+use support::deployment::{Tune, example_set};
 use support::{Caller, Deployment, eventually};
 
 async fn mode(deployment: &Deployment, entry: usize) -> String {
@@ -250,3 +250,29 @@
         assert!(error.contains("is damaged at byte"), "{error}");
     });
 }
+
+#[test]
+fn a_changed_set_is_in_force_whole_though_only_its_difference_travels() {
+    support::run(async {
+        let deployment = Deployment::start(3, 2, Tune::default()).await;
+        let mut set = example_set();
+        set.services.retain(|service| service.name != "coach-plans");
+        for workspace in &mut set.workspaces {
+            workspace.services.retain(|service| service != "coach-plans");
+        }
+        set.workspaces.retain(|workspace| workspace.name != "phuket");
+
+        let outcome = deployment.publish_set("smaller", 1, set).await.expect("an answer");
+        deployment.wait_in_force(2).await;
+
+        assert!(outcome.accepted);
+        for entry in 0..2 {
+            let address = deployment.entry_address(entry);
+            let kept = Caller::new("head-office").send("GET", address, "/v1/models", &[], "").await;
+            let gone = Caller::new("phuket").send("GET", address, "/v1/models", &[], "").await;
+            let models = kept.expect("an answer").json()["data"].as_array().map(Vec::len);
+            assert_eq!(models, Some(1));
+            assert_eq!(gone.expect("an answer").status, 401);
+        }
+    });
+}
--- a/tests/support/deployment.rs
+++ b/tests/support/deployment.rs
@@ -406,13 +406,22 @@
         self.leader_status().await.expect("the leader stays").0
     }
 
-    /// Publishes the example set with a mark that tells revisions apart.
+    /// Publishes the example set.
     pub async fn publish(&self, id: &str, expected_revision: u64) -> Option<PublishOutcome> {
+        self.publish_set(id, expected_revision, example_set()).await
+    }
+
+    pub async fn publish_set(
+        &self,
+        id: &str,
+        expected_revision: u64,
+        set: ObjectSet,
+    ) -> Option<PublishOutcome> {
         let publish = Publish {
             publication_id: id.to_string(),
             expected_revision,
             author: String::new(),
-            set: Some(example_set()),
+            set: Some(set),
         };
         match self.call(request::Body::Publish(publish)).await {
             Some(reply::Body::Publish(outcome)) => Some(outcome),
