--- a/components/settings/src/entry.rs
+++ b/components/settings/src/entry.rs
@@ -129,7 +129,7 @@
         heartbeat_ms: number("heartbeat_ms", timers.heartbeat_ms, 500, 10),
         revision_lease_ms: number("revision_lease_ms", timers.revision_lease_ms, 4_000, 100),
         address_max_age_ms: number("address_max_age_ms", timers.address_max_age_ms, 5_000, 100),
-        upstream_lease_ms: number("upstream_lease_ms", timers.upstream_lease_ms, 2_000, 100),
+        upstream_lease_ms: number("upstream_lease_ms", timers.upstream_lease_ms, 4_000, 100),
         credit_lease_ms: number("credit_lease_ms", timers.credit_lease_ms, 3_000, 100),
         control_timeout_ms: number("control_timeout_ms", timers.control_timeout_ms, 5_000, 100),
         connect_timeout_ms: number("connect_timeout_ms", timers.connect_timeout_ms, 1_000, 10),
