Let a fallback service take over; answer a bootstrap once it is durable

Cause: reading the schema as a newcomer, a service's fallback was checked when published and then never used; a bootstrap was answered before its first entry was on disk. Change: a request that finds no engine goes on with the fallback service, as long as the caller has seen nothing; the bootstrap's answer waits for a read barrier, which a group of one passes once its entry is committed.

--- a/components/control/src/replica/requests.rs
+++ b/components/control/src/replica/requests.rs
@@ -53,7 +53,7 @@
         use request::Body;
         match body {
             Body::Status(_) => ready(self.status()),
-            Body::Bootstrap(_) => ready(self.bootstrap()),
+            Body::Bootstrap(_) => self.bootstrap(),
             _ if !self.node.is_leader() => ready(self.not_leader()),
             Body::Join(join) => ready(self.join(peer, join)),
             Body::Replace(replace) => ready(self.replace(&replace)),
@@ -262,14 +262,15 @@
         Reply { body: Some(reply::Body::Join(JoinReply { configuration })) }
     }
 
-    fn bootstrap(&mut self) -> Reply {
+    /// Creates the group and replies once that is durable.
+    fn bootstrap(&mut self) -> ResponseFuture<Reply> {
         let member = self.as_member();
         match self.node.bootstrap(self.clock.now_ms(), member) {
             Ok(()) => {
                 log::info!(replica = self.node.id(); "group created");
-                Reply { body: Some(reply::Body::Empty(Empty {})) }
+                self.after_barrier(|_| Reply { body: Some(reply::Body::Empty(Empty {})) })
             }
-            Err(error) => refuse(ErrorCode::Invalid, error.to_string()),
+            Err(error) => ready(refuse(ErrorCode::Invalid, error.to_string())),
         }
     }
 
--- a/components/entry/src/http/chat.rs
+++ b/components/entry/src/http/chat.rs
@@ -315,12 +315,26 @@
         CallerError(Failure::not_run(Code::NotFound, message))
     };
     let service: &Service = catalog.service_for(workspace, &chat.model).ok_or_else(unknown)?;
-    let generation = Catalog::generation(service).ok_or_else(unknown)?;
-    let priority = catalog.priority(service).ok_or_else(unknown)?;
     let prompt = chat.prompt();
-    let max_output_tokens =
-        chat.max_tokens.unwrap_or(generation.max_output_tokens).min(generation.max_output_tokens);
-    Ok(GenerationRequest {
+    let request = request_of(caller, service, chat.max_tokens, &prompt);
+    request.ok_or_else(unknown)
+}
+
+/// Builds the request for a service and for those that take over from it; the
+/// published set has no cycle of them.
+fn request_of(
+    caller: &Caller,
+    service: &Service,
+    max_tokens: Option<u64>,
+    prompt: &str,
+) -> Option<GenerationRequest> {
+    let Caller { workspace, catalog } = caller;
+    let generation = Catalog::generation(service)?;
+    let priority = catalog.priority(service)?;
+    let fallback = catalog.service(&generation.fallback);
+    let fallback = fallback.and_then(|next| request_of(caller, next, max_tokens, prompt));
+    let most = generation.max_output_tokens;
+    Some(GenerationRequest {
         service: service.name.as_str().into(),
         workspace: workspace.name.as_str().into(),
         share: workspace.share,
@@ -329,9 +343,10 @@
         priority: priority.clone(),
         version: generation.version.as_str().into(),
         adapter: generation.adapter.as_str().into(),
-        prompt_tokens: prompt_tokens(&prompt),
-        prompt,
-        max_output_tokens,
+        prompt_tokens: prompt_tokens(prompt),
+        prompt: prompt.to_string(),
+        max_output_tokens: max_tokens.unwrap_or(most).min(most),
+        fallback: fallback.map(Arc::new),
     })
 }
 
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -62,6 +62,8 @@
     pub(crate) prompt: String,
     pub(crate) prompt_tokens: u64,
     pub(crate) max_output_tokens: u64,
+    /// Takes over while no engine serves this request's service.
+    pub(crate) fallback: Option<Arc<GenerationRequest>>,
 }
 
 /// Relay of one generation.
@@ -99,18 +101,29 @@
 
 impl Relay {
     /// Runs a new generation.
-    pub(crate) async fn run(self) {
+    pub(crate) async fn run(mut self) {
+        loop {
+            let Err(failure) = self.run_service().await else { return };
+            let fallback = self.request.fallback.clone();
+            match fallback.filter(|_| failure.code == Code::NoUpstream) {
+                Some(fallback) => self.request = fallback,
+                None => return self.fail(failure).await,
+            }
+        }
+    }
+
+    /// Runs the generation on engines of the request's own service; an error
+    /// means that the caller has seen nothing.
+    async fn run_service(&self) -> Result<(), Failure> {
         let mut exclude = SmallVec::new();
-        for placements_left in (0..MAX_PLACEMENTS).rev() {
-            let failure = match self.place_and_stream(&mut exclude).await {
-                Ok(()) => return,
-                Err(failure) => failure,
-            };
-            let no_engine = matches!(failure.code, Code::NoUpstream | Code::WorkspaceLimit);
-            let refused = no_engine || matches!(failure.code, Code::Overloaded);
-            if placements_left == 0 || refused || !self.may_retry().await {
-                self.fail(failure).await;
-                return;
+        let mut placements_left = MAX_PLACEMENTS;
+        loop {
+            let Err(failure) = self.place_and_stream(&mut exclude).await else { return Ok(()) };
+            placements_left -= 1;
+            let is_refused =
+                matches!(failure.code, Code::NoUpstream | Code::WorkspaceLimit | Code::Overloaded);
+            if placements_left == 0 || is_refused || !self.may_retry().await {
+                return Err(failure);
             }
         }
     }
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use futures::StreamExt as _;
+use schema::service::Backend;
 use standin::engine::Faults;
 use support::caller::{Token, assert_whole, chat_body, token};
-use support::deployment::Tune;
+use support::deployment::{Tune, example_set};
 use support::{Caller, Deployment, eventually};
 use tokio::time::sleep;
 
@@ -399,3 +400,31 @@
         eventually("both engines announce themselves to the new owner", known).await;
     });
 }
+
+#[test]
+fn another_service_takes_over_while_no_engine_serves_the_one_asked_for() {
+    support::run(async {
+        let deployment = deployment(1, Tune::default()).await;
+        let mut set = example_set();
+        let version = schema::Version { name: "coach-8".to_string(), ..set.versions[0].clone() };
+        set.versions.push(version);
+        for service in &mut set.services {
+            if let Some(Backend::Generation(generation)) = &mut service.backend
+                && service.name == "coach-llm"
+            {
+                generation.version = "coach-8".to_string();
+                generation.adapter = String::new();
+                generation.fallback = "coach-plans".to_string();
+            }
+        }
+        deployment.publish_set("fallback", 1, set).await.expect("an answer");
+        deployment.wait_in_force(2).await;
+
+        let caller = Caller::new("head-office");
+        let stream = caller.stream(deployment.entry_address(0), LENGTH, None).await;
+        let (tokens, whole) = read_all(stream.expect("accepted")).await;
+
+        assert!(whole);
+        assert_whole(&tokens, LENGTH);
+    });
+}
