--- /dev/null
+++ b/components/control/src/replica/heartbeats.rs
@@ -0,0 +1,103 @@
+//! Heartbeats of entries: leases renewed, changes told.
+
+use std::collections::HashMap;
+
+use actix::ResponseFuture;
+use credentials::Identity;
+use schema::{
+    EntryMember, ErrorCode, HeartbeatReply, HeartbeatRequest, LeaveRequest, RegisterEntry,
+    RemoveEntry, Reply, SetDelta, command, reply,
+};
+use wire::refuse;
+
+use super::Replica;
+use super::requests::ready;
+
+/// Differences that lead to the current revision, by the one they start from.
+#[derive(Debug, Default)]
+pub(super) struct DeltaCache {
+    revision: u64,
+    by_base: HashMap<u64, SetDelta>,
+}
+
+impl Replica {
+    pub(super) fn heartbeat(
+        &mut self,
+        peer: &Identity,
+        heartbeat: HeartbeatRequest,
+    ) -> ResponseFuture<Reply> {
+        let member = heartbeat.member.clone().unwrap_or_default();
+        if member.vm != peer.name.as_str() {
+            return ready(refuse(ErrorCode::Forbidden, "an entry renews its own lease only"));
+        }
+        let now_ms = self.clock.now_ms();
+        self.leases.renew(&member.vm, member.epoch, heartbeat.revision, now_ms);
+        if self.state.members().get(&member.vm) != Some(&member) {
+            return self.register(member);
+        }
+        self.after_barrier(move |replica| replica.heartbeat_reply(&member, &heartbeat))
+    }
+
+    /// Adds or changes a member; its next heartbeat gets the view.
+    fn register(&mut self, member: EntryMember) -> ResponseFuture<Reply> {
+        log::info!(vm = member.vm.as_str(), epoch = member.epoch, leaving = member.leaving; "entry registers");
+        let register = RegisterEntry { member: Some(member) };
+        let committed = self.commit(command::Body::RegisterEntry(register));
+        let lease_ms = self.config.timers.entry_lease_ms;
+        Box::pin(async move {
+            match committed.await.body {
+                Some(reply::Body::Error(error)) => Reply { body: Some(reply::Body::Error(error)) },
+                _ => to_heartbeat(HeartbeatReply { lease_ms, ..HeartbeatReply::default() }),
+            }
+        })
+    }
+
+    fn heartbeat_reply(&self, member: &EntryMember, heartbeat: &HeartbeatRequest) -> Reply {
+        if !self.state.members().contains(&member.vm, member.epoch) {
+            return refuse(ErrorCode::NotLeader, "the lease ended; register again");
+        }
+        let (revision, set) = self.state.current();
+        let members_version = self.state.members().version();
+        let newer = revision > heartbeat.revision;
+        let delta = if newer { self.delta_from(heartbeat.revision) } else { None };
+        let changed = members_version != heartbeat.members_version;
+        let members = self.state.members().iter().filter(|_| changed);
+        to_heartbeat(HeartbeatReply {
+            revision,
+            set: set.filter(|_| newer && delta.is_none()).cloned(),
+            delta,
+            members_version,
+            members: members.cloned().collect(),
+            lease_ms: self.config.timers.entry_lease_ms,
+        })
+    }
+
+    /// Returns what turns a kept revision into the current one.
+    fn delta_from(&self, base_revision: u64) -> Option<SetDelta> {
+        let (revision, current) = self.state.current();
+        let mut cache = self.deltas.borrow_mut();
+        if cache.revision != revision {
+            *cache = DeltaCache { revision, ..DeltaCache::default() };
+        }
+        if let Some(delta) = cache.by_base.get(&base_revision) {
+            return Some(delta.clone());
+        }
+        let base = self.state.publications().get(base_revision)?.set.as_ref()?;
+        let delta = objects::delta(base_revision, base, current?);
+        cache.by_base.insert(base_revision, delta.clone());
+        Some(delta)
+    }
+
+    pub(super) fn leave(&mut self, peer: &Identity, leave: LeaveRequest) -> ResponseFuture<Reply> {
+        if leave.vm != peer.name.as_str() {
+            return ready(refuse(ErrorCode::Forbidden, "an entry ends its own lease only"));
+        }
+        log::info!(vm = leave.vm.as_str(), epoch = leave.epoch; "entry leaves");
+        let remove = RemoveEntry { vm: leave.vm, epoch: leave.epoch };
+        self.commit(command::Body::RemoveEntry(remove))
+    }
+}
+
+fn to_heartbeat(heartbeat: HeartbeatReply) -> Reply {
+    Reply { body: Some(reply::Body::Heartbeat(heartbeat)) }
+}
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -5,12 +5,14 @@
 //! journal thread, committed commands to the state, results to callers.
 
 mod drive;
+mod heartbeats;
 mod join;
 mod leases;
 mod proposals;
 mod reads;
 mod reconcile;
 mod requests;
+mod status;
 mod waiters;
 
 use std::cell::RefCell;
@@ -36,12 +38,12 @@
 use crate::metrics::Metrics;
 use crate::storage::{Storage, Stored};
 
+use heartbeats::DeltaCache;
 use join::Joiner;
 use leases::Leases;
 use proposals::Proposals;
 use reads::Reads;
 use reconcile::Candidates;
-use requests::DeltaCache;
 use waiters::Waiters;
 
 const MAILBOX_CAPACITY: usize = 65_536;
--- a/components/control/src/replica/requests.rs
+++ b/components/control/src/replica/requests.rs
@@ -1,15 +1,11 @@
 //! Requests of entries, operators and other control processes.
 
-use std::collections::HashMap;
-
 use actix::ResponseFuture;
 use consensus::ProposeError;
 use credentials::{Identity, Role};
 use schema::{
-    AwaitRecordRequest, Empty, EntryMember, EntryStatus, ErrorCode, ErrorReply, GetSetReply,
-    GetSetRequest, HeartbeatReply, HeartbeatRequest, JoinReply, JoinRequest, LeaveRequest, Publish,
-    RegisterEntry, RemoveEntry, ReplaceRequest, Reply, Request, SetDelta, StatusReply, command,
-    reply, request,
+    AwaitRecordRequest, Empty, ErrorCode, ErrorReply, GetSetReply, GetSetRequest, JoinReply,
+    JoinRequest, Publish, ReplaceRequest, Reply, Request, command, reply, request,
 };
 use state::Outcome;
 use tokio::sync::oneshot;
@@ -20,13 +16,6 @@
 
 const MAX_AWAIT_MS: u64 = 60_000;
 
-/// Differences that lead to the current revision, by the one they start from.
-#[derive(Debug, Default)]
-pub(super) struct DeltaCache {
-    revision: u64,
-    by_base: HashMap<u64, SetDelta>,
-}
-
 impl Replica {
     pub(super) fn answer(&mut self, peer: &Identity, request: Request) -> ResponseFuture<Reply> {
         let Some(body) = request.body else {
@@ -73,7 +62,7 @@
     }
 
     /// Proposes a command and replies with its outcome.
-    fn commit(&mut self, body: command::Body) -> ResponseFuture<Reply> {
+    pub(super) fn commit(&mut self, body: command::Body) -> ResponseFuture<Reply> {
         let outcome = match self.submit(body) {
             Ok(outcome) => outcome,
             Err(reply) => return ready(*reply),
@@ -142,78 +131,6 @@
         })
     }
 
-    fn heartbeat(&mut self, peer: &Identity, heartbeat: HeartbeatRequest) -> ResponseFuture<Reply> {
-        let member = heartbeat.member.clone().unwrap_or_default();
-        if member.vm != peer.name.as_str() {
-            return ready(refuse(ErrorCode::Forbidden, "an entry renews its own lease only"));
-        }
-        let now_ms = self.clock.now_ms();
-        self.leases.renew(&member.vm, member.epoch, heartbeat.revision, now_ms);
-        if self.state.members().get(&member.vm) != Some(&member) {
-            return self.register(member);
-        }
-        self.after_barrier(move |replica| replica.heartbeat_reply(&member, &heartbeat))
-    }
-
-    /// Adds or changes a member; its next heartbeat gets the view.
-    fn register(&mut self, member: EntryMember) -> ResponseFuture<Reply> {
-        log::info!(vm = member.vm.as_str(), epoch = member.epoch, leaving = member.leaving; "entry registers");
-        let register = RegisterEntry { member: Some(member) };
-        let committed = self.commit(command::Body::RegisterEntry(register));
-        let lease_ms = self.config.timers.entry_lease_ms;
-        Box::pin(async move {
-            match committed.await.body {
-                Some(reply::Body::Error(error)) => Reply { body: Some(reply::Body::Error(error)) },
-                _ => to_heartbeat(HeartbeatReply { lease_ms, ..HeartbeatReply::default() }),
-            }
-        })
-    }
-
-    fn heartbeat_reply(&self, member: &EntryMember, heartbeat: &HeartbeatRequest) -> Reply {
-        if !self.state.members().contains(&member.vm, member.epoch) {
-            return refuse(ErrorCode::NotLeader, "the lease ended; register again");
-        }
-        let (revision, set) = self.state.current();
-        let members_version = self.state.members().version();
-        let newer = revision > heartbeat.revision;
-        let delta = if newer { self.delta_from(heartbeat.revision) } else { None };
-        let changed = members_version != heartbeat.members_version;
-        let members = self.state.members().iter().filter(|_| changed);
-        to_heartbeat(HeartbeatReply {
-            revision,
-            set: set.filter(|_| newer && delta.is_none()).cloned(),
-            delta,
-            members_version,
-            members: members.cloned().collect(),
-            lease_ms: self.config.timers.entry_lease_ms,
-        })
-    }
-
-    /// Returns what turns a kept revision into the current one.
-    fn delta_from(&self, base_revision: u64) -> Option<SetDelta> {
-        let (revision, current) = self.state.current();
-        let mut cache = self.deltas.borrow_mut();
-        if cache.revision != revision {
-            *cache = DeltaCache { revision, ..DeltaCache::default() };
-        }
-        if let Some(delta) = cache.by_base.get(&base_revision) {
-            return Some(delta.clone());
-        }
-        let base = self.state.publications().get(base_revision)?.set.as_ref()?;
-        let delta = objects::delta(base_revision, base, current?);
-        cache.by_base.insert(base_revision, delta.clone());
-        Some(delta)
-    }
-
-    fn leave(&mut self, peer: &Identity, leave: LeaveRequest) -> ResponseFuture<Reply> {
-        if leave.vm != peer.name.as_str() {
-            return ready(refuse(ErrorCode::Forbidden, "an entry ends its own lease only"));
-        }
-        log::info!(vm = leave.vm.as_str(), epoch = leave.epoch; "entry leaves");
-        let remove = RemoveEntry { vm: leave.vm, epoch: leave.epoch };
-        self.commit(command::Body::RemoveEntry(remove))
-    }
-
     fn finish_record(&mut self, finish: schema::FinishRecord) -> ResponseFuture<Reply> {
         let max_bytes = self.config.limits.max_answer_bytes;
         if let Some(schema::finish_record::Outcome::Answer(answer)) = &finish.outcome
@@ -288,43 +205,6 @@
         }
     }
 
-    fn status(&self) -> Reply {
-        let now_ms = self.clock.now_ms();
-        let entry = |member: &EntryMember| {
-            let lease = self.leases.get(&member.vm).filter(|lease| lease.epoch == member.epoch);
-            EntryStatus {
-                member: Some(member.clone()),
-                revision: lease.map_or(0, |lease| lease.revision),
-                heartbeat_age_ms: lease.map_or(0, |l| now_ms.saturating_sub(l.renewed_ms)),
-            }
-        };
-        let status = StatusReply {
-            vm: self.config.vm.to_string(),
-            replica_id: self.node.id(),
-            role: self.node.role_name().to_string(),
-            term: self.node.term(),
-            leader_id: self.node.leader_id(),
-            leader_address: self.leader_address(),
-            commit: self.node.commit(),
-            applied: self.node.applied(),
-            snapshot_index: self.snapshot_index,
-            last_index: self.node.last().index,
-            configuration: Some(self.node.configuration().clone()),
-            revision: self.state.current().0,
-            records: self.state.records().len() as u64,
-            entries: self.state.members().iter().map(entry).collect(),
-            log_bytes: u64::try_from(self.metrics.log_bytes.get()).unwrap_or_default(),
-        };
-        Reply { body: Some(reply::Body::Status(status)) }
-    }
-
-    fn leader_address(&self) -> String {
-        let leader_id = self.node.leader_id();
-        let replicas = &self.node.configuration().replicas;
-        let leader = replicas.iter().find(|replica| replica.id == leader_id);
-        leader.map(|replica| replica.peer_address.clone()).unwrap_or_default()
-    }
-
     fn not_leader(&self) -> Reply {
         let code = if self.node.is_initialised() {
             ErrorCode::NotLeader
@@ -397,14 +277,10 @@
     Reply { body: Some(body) }
 }
 
-fn to_heartbeat(heartbeat: HeartbeatReply) -> Reply {
-    Reply { body: Some(reply::Body::Heartbeat(heartbeat)) }
-}
-
 fn to_get_set(get_set: GetSetReply) -> Reply {
     Reply { body: Some(reply::Body::GetSet(get_set)) }
 }
 
-fn ready(reply: Reply) -> ResponseFuture<Reply> {
+pub(super) fn ready(reply: Reply) -> ResponseFuture<Reply> {
     Box::pin(std::future::ready(reply))
 }
--- /dev/null
+++ b/components/daemon/src/lib.rs
@@ -0,0 +1,70 @@
+//! What the daemons' programs share: settings, exit codes, signals.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use actix_rt::signal::unix::{Signal, SignalKind, signal};
+use settings::SettingsError;
+
+const EXIT_USAGE: u8 = 2;
+const EXIT_FAILURE: u8 = 1;
+
+/// Runs a daemon with settings that were loaded from `path`.
+///
+/// Settings that are wrong end the process with exit code 2; with
+/// `check_only`, right ones end it with 0 before anything is started.
+pub fn run<C, F>(
+    path: &Path,
+    check_only: bool,
+    loaded: Result<C, SettingsError>,
+    log_level: impl FnOnce(&C) -> &str,
+    start: impl FnOnce(C) -> F,
+) -> ExitCode
+where
+    F: Future<Output = Result<(), ()>>,
+{
+    let config = match loaded {
+        Ok(config) => config,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if check_only {
+        println!("{}: settings are valid", path.display());
+        return ExitCode::SUCCESS;
+    }
+    if let Err(error) = telemetry::start_logs(log_level(&config)) {
+        eprintln!("{error}");
+        return ExitCode::from(EXIT_USAGE);
+    }
+    match actix_rt::System::new().block_on(start(config)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(()) => ExitCode::from(EXIT_FAILURE),
+    }
+}
+
+/// Signals that ask a daemon to stop.
+#[derive(Debug)]
+pub struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Starts to listen; needs a running runtime.
+    pub fn listen() -> std::io::Result<Self> {
+        Ok(StopSignals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for the next SIGTERM or SIGINT.
+    pub async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -30,6 +30,7 @@
         .level(LevelFilter::Warn)
         .level_for("entry", level)
         .level_for("control", level)
+        .level_for("placement", level)
         .level_for("standin", level)
         .level_for("wire", level)
         .format(|out, message, record| {
