--- a/components/placement/src/acquire.rs
+++ b/components/placement/src/acquire.rs
@@ -180,6 +180,9 @@
                 return;
             }
             let Some(ticket) = queue.queue.pop(now_ms) else { return };
+            if queue.drop_if_abandoned(&ticket) {
+                continue;
+            }
             let choices = self.choices_for(service, &ticket, now_ms);
             if choices.is_empty() && self.refuse_without_engine(service, &ticket, now_ms) {
                 continue;
@@ -244,6 +247,9 @@
         let jitter = self.options.mechanisms.jitter;
         let pause_ms = if jitter { self.rng.random_range(PAUSE_MS) } else { FIXED_PAUSE_MS };
         if let Some(queue) = self.queues.get_mut(service) {
+            if queue.drop_if_abandoned(&ticket) {
+                return;
+            }
             queue.queue.put_back(ticket);
             queue.paused_until_ms = now_ms + pause_ms;
         }
--- a/components/placement/src/service.rs
+++ b/components/placement/src/service.rs
@@ -49,6 +49,15 @@
         }
     }
 
+    /// Forgets a request whose caller went away while it was being tried.
+    pub(crate) fn drop_if_abandoned(&mut self, ticket: &Ticket) -> bool {
+        if self.pending.contains_key(&ticket.id) {
+            return false;
+        }
+        self.queue.settle(&ticket.workspace, ticket.share, ticket.expected_tokens, 0.0);
+        true
+    }
+
     /// Counts a grant; the pace is that of grants while others wait.
     pub(crate) fn granted(&mut self, now_ms: u64) {
         let interval_ms = now_ms.saturating_sub(self.last_grant_ms) as f64;
