--- a/components/control/src/replica/drive.rs
+++ b/components/control/src/replica/drive.rs
@@ -8,7 +8,7 @@
 use schema::{Command, ConsensusMessage, Snapshot, command};
 use state::State;
 
-use super::Replica;
+use super::{Replica, state_limits};
 use crate::storage::Job;
 
 impl Replica {
@@ -49,7 +49,9 @@
 
     fn store(&mut self) {
         let Some(storage) = self.storage.as_ref().filter(|_| !self.storing) else { return };
-        if let Some(job) = self.next_compaction() {
+        if self.is_compaction_due()
+            && let Some(job) = self.compaction()
+        {
             self.storing = true;
             storage.submit(job);
             return;
@@ -72,16 +74,20 @@
         self.node.persisted(last);
     }
 
-    /// Returns the job that replaces the applied log by a snapshot, if due.
-    fn next_compaction(&self) -> Option<Job> {
+    /// Returns whether the applied log is long enough to be replaced.
+    fn is_compaction_due(&self) -> bool {
         let index = self.node.applied();
         let limits = &self.config.limits;
         let entries_due = index >= self.snapshot_index + limits.snapshot_entries;
         let log_bytes = u64::try_from(self.metrics.log_bytes.get()).unwrap_or_default();
         let bytes_due = index > self.snapshot_index && log_bytes >= limits.snapshot_log_bytes;
-        if !entries_due && !bytes_due {
-            return None;
-        }
+        entries_due || bytes_due
+    }
+
+    /// Returns the job that replaces the applied log by a snapshot; it encodes
+    /// the whole state.
+    fn compaction(&self) -> Option<Job> {
+        let index = self.node.applied();
         let term = self.node.term_at(index)?;
         let configuration = Some(self.node.configuration_at(index));
         let data = Bytes::from(self.state.to_bytes());
@@ -101,7 +107,7 @@
                 Applied::Noop(_) => {}
             }
         }
-        if self.storage.is_some() && !self.storing && self.next_compaction().is_some() {
+        if self.is_compaction_due() {
             self.store();
         }
     }
@@ -124,11 +130,7 @@
     }
 
     fn load(&mut self, snapshot: &Snapshot) {
-        let limits = state::Limits {
-            max_records: self.config.limits.max_records as usize,
-            kept_revisions: self.config.limits.kept_revisions as usize,
-        };
-        match State::from_bytes(&snapshot.data, limits) {
+        match State::from_bytes(&snapshot.data, state_limits(&self.config)) {
             Ok(state) => {
                 self.state = state;
                 log::info!(index = snapshot.index; "state replaced by a snapshot");
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -93,10 +93,7 @@
         if image.dropped_bytes > 0 {
             log::warn!(bytes = image.dropped_bytes; "dropped an unfinished write from the log");
         }
-        let limits = Limits {
-            max_records: config.limits.max_records as usize,
-            kept_revisions: config.limits.kept_revisions as usize,
-        };
+        let limits = state_limits(&config);
         let state = match &image.snapshot {
             Some(snapshot) => {
                 State::from_bytes(&snapshot.data, limits).map_err(StartError::State)?
@@ -168,6 +165,14 @@
     }
 }
 
+/// Returns the bounds that the settings put on the state.
+fn state_limits(config: &ControlConfig) -> Limits {
+    Limits {
+        max_records: config.limits.max_records as usize,
+        kept_revisions: config.limits.kept_revisions as usize,
+    }
+}
+
 fn restore_node(id: u64, image: Image, config: &ControlConfig, now_ms: u64) -> Node {
     let options = Options {
         heartbeat_ms: config.timers.heartbeat_ms,
--- a/components/placement/src/acquire.rs
+++ b/components/placement/src/acquire.rs
@@ -10,6 +10,7 @@
 use smallvec::SmallVec;
 use verdict::{Code, Failure};
 
+use crate::RETRY_AFTER_MS;
 use crate::credits::Held;
 use crate::effect::{AskId, Effect};
 use crate::options::Mechanisms;
@@ -25,7 +26,6 @@
 /// How long a request waits for the first engine of its service.
 const NO_ENGINE_GRACE_MS: u64 = 2_000;
 const MIN_RETRY_AFTER_MS: u64 = 100;
-const RETRY_AFTER_MS: u64 = 1_000;
 
 /// Request for a place on an engine.
 #[derive(Clone, Debug, Default)]
--- a/components/placement/src/announce.rs
+++ b/components/placement/src/announce.rs
@@ -5,13 +5,13 @@
 use schema::{AnnounceRequest, UpstreamDigest, UpstreamKind, Weights};
 use verdict::{Code, Failure};
 
+use crate::RETRY_AFTER_MS;
 use crate::placer::Placer;
 
 /// Standard deviations of memory kept free when a preemption costs nothing,
 /// and what its share of all costs adds.
 const BASE_DEVIATIONS: f64 = 0.25;
 const DEVIATIONS_PER_COST: f64 = 2.0;
-const RETRY_AFTER_MS: u64 = 1_000;
 /// Bits below the clock in the first credit of a ledger.
 const CREDIT_BITS: u32 = 16;
 
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -24,3 +24,6 @@
 pub use plain::PlainPlacement;
 
 pub use admission::TicketId;
+
+/// Time after which a refused request may be repeated.
+const RETRY_AFTER_MS: u64 = 1_000;
--- a/components/placement/src/plain.rs
+++ b/components/placement/src/plain.rs
@@ -5,10 +5,9 @@
 use schema::UpstreamKind;
 use verdict::{Code, Failure};
 
+use crate::RETRY_AFTER_MS;
 use crate::placer::Placer;
 
-const RETRY_AFTER_MS: u64 = 1_000;
-
 /// Plain upstream for one call.
 #[derive(Clone, Debug)]
 pub struct PlainPlacement {
--- a/tests/publication.rs
+++ b/tests/publication.rs
@@ -20,11 +20,7 @@
 
 /// Revision that an entry serves, by its own metrics.
 async fn revision(deployment: &Deployment, entry: usize) -> u64 {
-    let caller = Caller::new("nobody");
-    let reply = caller.send("GET", deployment.entry_address(entry), "/metrics", &[], "").await;
-    let text = reply.map(|r| String::from_utf8_lossy(&r.body).into_owned()).unwrap_or_default();
-    let line = text.lines().find(|line| line.starts_with("shallottray_entry_revision "));
-    line.and_then(|l| l.rsplit_once(' ')).and_then(|(_, n)| n.parse().ok()).unwrap_or_default()
+    deployment.metric(entry, "shallottray_entry_revision").await
 }
 
 #[test]
--- a/tests/support/deployment.rs
+++ b/tests/support/deployment.rs
@@ -348,11 +348,17 @@
     }
 
     pub async fn known_upstreams(&self, entry: usize) -> usize {
+        self.metric(entry, "shallottray_entry_known_upstreams").await as usize
+    }
+
+    /// Returns a number among the metrics of an entry; 0 if there is none.
+    pub async fn metric(&self, entry: usize, name: &str) -> u64 {
         let caller = super::Caller::new("nobody");
         let reply = caller.send("GET", self.entry_address(entry), "/metrics", &[], "").await;
         let text = reply.map(|r| String::from_utf8_lossy(&r.body).into_owned()).unwrap_or_default();
-        let line = text.lines().find(|l| l.starts_with("shallottray_entry_known_upstreams "));
-        line.and_then(|l| l.rsplit_once(' ')).and_then(|(_, n)| n.parse().ok()).unwrap_or(0)
+        let values = text.lines().filter_map(|line| line.split_once(' '));
+        let value = values.into_iter().find(|(found, _)| *found == name);
+        value.and_then(|(_, number)| number.parse().ok()).unwrap_or_default()
     }
 
     pub async fn bootstrap(&self) {
