--- /dev/null
+++ b/components/balance/src/lib.rs
@@ -0,0 +1,11 @@
+//! Choice between upstreams by load, ejection of failing ones, retry budget.
+//!
+//! Everything here decides without input or output; time is passed in.
+
+mod budget;
+mod health;
+mod load;
+
+pub use budget::{RetryBudget, RetryLimits};
+pub use health::Health;
+pub use load::{Candidate, Demand, Loads, Use};
--- /dev/null
+++ b/components/balance/src/load.rs
@@ -0,0 +1,128 @@
+//! Load of upstreams, and choice by it.
+
+use std::collections::HashMap;
+
+use compact_str::CompactString;
+use rand::{Rng, RngExt as _};
+
+/// Cost of an upstream in another data centre, as a share of a full one.
+const REMOTE_COST: f64 = 0.12;
+/// Cost of an upstream that is still warming up.
+const COLD_COST: f64 = 0.3;
+/// Noise that spreads entries which see the same loads.
+const NOISE: f64 = 0.04;
+
+/// Work at one upstream.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Use {
+    /// Requests at work or waiting.
+    pub running: u32,
+    /// Cache tokens that they are expected to need.
+    pub tokens: u64,
+}
+
+/// What one request needs.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Demand {
+    /// Cache tokens; 0 for requests to plain services.
+    pub tokens: u64,
+    /// Share of the capacity beyond which no more work is placed.
+    pub fill: f64,
+}
+
+/// Upstream that may be chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// Id of the upstream.
+    pub id: &'a str,
+    /// Requests that it processes at a time.
+    pub slots: u32,
+    /// Cache tokens that it holds; 0 for plain services.
+    pub cache_tokens: u64,
+    /// It is in another data centre.
+    pub remote: bool,
+    /// It is still slow after its start.
+    pub cold: bool,
+    /// Share of the prompt that it is believed to hold, from 0 to 1.
+    pub affinity: f64,
+}
+
+/// Load of all upstreams: this entry's own, and what others told of theirs.
+#[derive(Debug, Default)]
+pub struct Loads {
+    own: HashMap<CompactString, Use>,
+    others: HashMap<CompactString, Use>,
+}
+
+impl Loads {
+    /// Counts a request that is placed on an upstream.
+    pub fn begin(&mut self, id: &str, tokens: u64) {
+        let load = self.own.entry(id.into()).or_default();
+        load.running += 1;
+        load.tokens += tokens;
+    }
+
+    /// Counts the end of a request that was counted by [`Loads::begin`].
+    pub fn end(&mut self, id: &str, tokens: u64) {
+        if let Some(load) = self.own.get_mut(id) {
+            load.running = load.running.saturating_sub(1);
+            load.tokens = load.tokens.saturating_sub(tokens);
+            if load.running == 0 {
+                self.own.remove(id);
+            }
+        }
+    }
+
+    /// Replaces what the other entries told.
+    pub fn set_others(&mut self, others: impl Iterator<Item = (CompactString, Use)>) {
+        self.others = others.collect();
+    }
+
+    /// Iterates over this entry's own load.
+    pub fn own(&self) -> impl Iterator<Item = (&str, Use)> {
+        self.own.iter().map(|(id, load)| (id.as_str(), *load))
+    }
+
+    /// Returns the load of an upstream by all entries.
+    pub fn total(&self, id: &str) -> Use {
+        let own = self.own.get(id).copied().unwrap_or_default();
+        let others = self.others.get(id).copied().unwrap_or_default();
+        Use { running: own.running + others.running, tokens: own.tokens + others.tokens }
+    }
+
+    /// Returns the least loaded candidate that has room for the demand.
+    pub fn choose<'a>(
+        &self,
+        candidates: impl Iterator<Item = Candidate<'a>>,
+        demand: Demand,
+        rng: &mut impl Rng,
+    ) -> Option<&'a str> {
+        let mut best: Option<(f64, &'a str)> = None;
+        for candidate in candidates {
+            let Some(cost) = self.cost(&candidate, demand) else { continue };
+            let cost = cost + rng.random_range(0.0..NOISE);
+            if best.is_none_or(|(lowest, _)| cost < lowest) {
+                best = Some((cost, candidate.id));
+            }
+        }
+        best.map(|(_, id)| id)
+    }
+
+    /// Returns the cost of a candidate; `None` if it has no room.
+    fn cost(&self, candidate: &Candidate<'_>, demand: Demand) -> Option<f64> {
+        let load = self.total(candidate.id);
+        let slots = f64::from(load.running + 1) / f64::from(candidate.slots.max(1));
+        let memory = if candidate.cache_tokens == 0 {
+            0.0
+        } else {
+            (load.tokens + demand.tokens) as f64 / candidate.cache_tokens as f64
+        };
+        let filled = slots.max(memory);
+        if filled > demand.fill {
+            return None;
+        }
+        let remote = if candidate.remote { REMOTE_COST } else { 0.0 };
+        let cold = if candidate.cold { COLD_COST } else { 0.0 };
+        Some(filled + remote + cold - candidate.affinity)
+    }
+}
--- /dev/null
+++ b/components/balance/tests/choice.rs
@@ -0,0 +1,75 @@
+//! Choice by load, ejection and the retry budget.
+
+use balance::{Candidate, Demand, Health, Loads, RetryBudget, RetryLimits, Use};
+
+fn engine(id: &str) -> Candidate<'_> {
+    Candidate { id, slots: 24, cache_tokens: 30_000, remote: false, cold: false, affinity: 0.0 }
+}
+
+const DEMAND: Demand = Demand { tokens: 4_000, fill: 1.0 };
+
+#[test]
+fn least_loaded_engine_is_chosen_with_the_load_of_other_entries() {
+    let mut loads = Loads::default();
+    loads.begin("a", 4_000);
+    loads.set_others([("b".into(), Use { running: 3, tokens: 12_000 })].into_iter());
+
+    let chosen = loads.choose([engine("a"), engine("b")].into_iter(), DEMAND, &mut rand::rng());
+
+    assert_eq!(chosen, Some("a"));
+}
+
+#[test]
+fn near_engine_wins_between_equals() {
+    let remote = Candidate { remote: true, ..engine("a") };
+
+    let chosen =
+        Loads::default().choose([remote, engine("b")].into_iter(), DEMAND, &mut rand::rng());
+
+    assert_eq!(chosen, Some("b"));
+}
+
+#[test]
+fn engine_without_memory_for_the_request_is_not_chosen() {
+    let mut loads = Loads::default();
+    loads.begin("a", 27_000);
+
+    assert_eq!(loads.choose([engine("a")].into_iter(), DEMAND, &mut rand::rng()), None);
+
+    loads.end("a", 27_000);
+    assert_eq!(loads.choose([engine("a")].into_iter(), DEMAND, &mut rand::rng()), Some("a"));
+}
+
+#[test]
+fn failing_upstream_is_ejected_and_tried_again_later() {
+    let mut health = Health::default();
+    let mut ejected_ms = None;
+    for _ in 0..4 {
+        ejected_ms = ejected_ms.or(health.failed("a", 100));
+    }
+
+    assert_eq!(ejected_ms, Some(1_000));
+    assert!(health.is_ejected("a", 1_099));
+    assert!(!health.is_ejected("a", 1_100));
+    assert_eq!(health.failed("a", 1_100), Some(2_000));
+}
+
+#[test]
+fn single_failure_does_not_eject() {
+    let mut health = Health::default();
+
+    assert_eq!(health.failed("a", 0), None);
+    assert!(!health.is_ejected("a", 0));
+}
+
+#[test]
+fn budget_grows_with_the_requests_of_the_window() {
+    let limits = RetryLimits { ratio: 0.1, allowance: 0, window_ms: 1_000 };
+    let mut budget = RetryBudget::new(limits);
+    (0..20).for_each(|_| budget.count_first(0));
+
+    let granted = (0..10).filter(|_| budget.take(1, 500)).count();
+
+    assert_eq!(granted, 2);
+    assert!(!budget.take(1, 1_000));
+}
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -6,11 +6,13 @@
 //! other control processes.
 
 mod error;
+mod handle;
 mod http;
 mod metrics;
 mod process;
 mod replica;
 mod storage;
 
+pub use handle::{AskError, Handle};
 pub use error::StartError;
 pub use process::Control;
--- a/components/control/src/main.rs
+++ b/components/control/src/main.rs
@@ -5,7 +5,7 @@
 
 use bpaf::Bpaf;
 use control::Control;
-use daemon::StopSignals;
+use daemon::Signals;
 
 /// Holds the replicated state: published sets, at-most-once records and the
 /// membership of entries.
@@ -30,12 +30,12 @@
     let mut control = Control::start(config).map_err(|error| {
         log::error!(error = error.to_string().as_str(); "cannot start");
     })?;
-    let mut signals = StopSignals::listen().map_err(|error| {
+    let mut signals = Signals::listen().map_err(|error| {
         log::error!(error = error.to_string().as_str(); "cannot listen for signals");
     })?;
     log::info!(vm = vm.as_str(), http_address = control.http_address().to_string().as_str(); "control started");
     tokio::select! {
-        () = signals.next() => {}
+        () = signals.stopped() => {}
         () = control.failed() => {
             control.kill().await;
             return Err(());
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -9,16 +9,17 @@
 use futures::FutureExt as _;
 use futures::future::BoxFuture;
 use schema::{ConsensusMessage, ErrorCode, Reply, Request};
-use settings::ControlConfig;
+use settings::{ControlConfig, PeerTls};
 use telemetry::Spans;
 use tokio::sync::watch;
 use tokio::time::sleep;
 use wire::{Endpoint, Handler, refuse};
 
 use crate::error::StartError;
+use crate::handle::Handle;
 use crate::http;
 use crate::metrics::Metrics;
-use crate::replica::{Call, HandOver, Received, Replica, Stop};
+use crate::replica::{Call, HandOver, Received, Reload, Replica, Stop};
 
 const HAND_OVER_ATTEMPTS: u32 = 50;
 const HAND_OVER_INTERVAL: Duration = Duration::from_millis(100);
@@ -37,8 +38,7 @@
 impl Control {
     /// Starts a control process inside a running [`actix::System`].
     pub fn start(config: ControlConfig) -> Result<Control, StartError> {
-        let tls = TlsConfigs::load(&config.tls, wire::PROTOCOL).map_err(StartError::Credentials)?;
-        check_identity(&tls.identity, &config)?;
+        let tls = peer_tls(&config)?;
         let process = format!("control/{}", config.vm);
         let spans = Spans::start(&process, &config.telemetry).map_err(StartError::Spans)?;
         let metrics = Metrics::new().map_err(StartError::Metrics)?;
@@ -60,6 +60,11 @@
         Ok(Control { replica, endpoint, http, http_address, spans, failure })
     }
 
+    /// Returns the interface for adapters in this process.
+    pub fn handle(&self) -> Handle {
+        Handle::new(self.replica.clone())
+    }
+
     /// Returns the address of metrics and health checks.
     pub fn http_address(&self) -> SocketAddr {
         self.http_address
@@ -73,13 +78,25 @@
 
     /// Hands leadership over and stops.
     pub async fn stop(self) {
+        self.hand_over().await;
+        self.kill().await;
+    }
+
+    /// Hands leadership over, as a step of a planned stop.
+    pub async fn hand_over(&self) {
         for _ in 0..HAND_OVER_ATTEMPTS {
             if self.replica.send(HandOver).await.unwrap_or(true) {
                 break;
             }
             sleep(HAND_OVER_INTERVAL).await;
         }
-        self.kill().await;
+    }
+
+    /// Takes over what can change while the process runs: the control VMs to
+    /// begin with.
+    pub fn reload(&self, config: ControlConfig) {
+        log::info!(seeds = config.control_addresses.len(); "settings read again; only the control VMs to begin with are taken over");
+        self.replica.do_send(Reload(config.control_addresses));
     }
 
     /// Stops without handing leadership over.
@@ -91,6 +108,17 @@
     }
 }
 
+fn peer_tls(config: &ControlConfig) -> Result<TlsConfigs, StartError> {
+    let identity = Identity { role: Role::Control, name: config.vm.clone() };
+    let tls = match &config.tls {
+        PeerTls::Files(files) => TlsConfigs::load(files, wire::PROTOCOL),
+        PeerTls::Unverified => TlsConfigs::unverified(identity, wire::PROTOCOL),
+    }
+    .map_err(StartError::Credentials)?;
+    check_identity(&tls.identity, config)?;
+    Ok(tls)
+}
+
 fn check_identity(identity: &Identity, config: &ControlConfig) -> Result<(), StartError> {
     if identity.role == Role::Control && identity.name == config.vm {
         return Ok(());
--- a/components/control/src/replica/drive.rs
+++ b/components/control/src/replica/drive.rs
@@ -21,6 +21,7 @@
         self.store();
         self.apply();
         self.serve_reads();
+        self.serve_syncs();
         self.watch_leadership();
         self.publish_metrics();
     }
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -8,11 +8,13 @@
 mod heartbeats;
 mod join;
 mod leases;
+mod local;
 mod proposals;
 mod reads;
 mod reconcile;
 mod requests;
 mod status;
+mod sync;
 mod waiters;
 
 use std::cell::RefCell;
@@ -44,8 +46,12 @@
 use proposals::Proposals;
 use reads::Reads;
 use reconcile::Candidates;
+use sync::Syncs;
 use waiters::Waiters;
 
+pub(crate) use join::Reload;
+pub(crate) use local::{Announce, Ask, CallerAddresses};
+
 const MAILBOX_CAPACITY: usize = 65_536;
 /// Share of the entries between two snapshots that is kept in memory after
 /// one, for replicas that lag a little.
@@ -73,6 +79,7 @@
     candidates: Candidates,
     deltas: RefCell<DeltaCache>,
     joiner: Joiner,
+    syncs: Syncs,
     was_leader: bool,
     next_expiry_ms: u64,
     /// Set after an error that makes it unsafe to go on.
@@ -123,6 +130,7 @@
             candidates: Candidates::default(),
             deltas: RefCell::default(),
             joiner: Joiner::default(),
+            syncs: Syncs::default(),
             was_leader: false,
             next_expiry_ms: 0,
             failed: false,
@@ -148,7 +156,9 @@
         let now_ms = self.clock.now_ms();
         self.node.tick(now_ms);
         self.waiters.time_out(now_ms, &self.state);
-        self.join_if_new(now_ms);
+        self.form_group(now_ms);
+        self.join_if_outside(now_ms);
+        self.expire_upstreams(now_ms);
         if self.node.is_leader() {
             self.expire_leases(now_ms);
             self.expire_records(now_ms);
--- a/components/control/src/replica/reconcile.rs
+++ b/components/control/src/replica/reconcile.rs
@@ -10,6 +10,12 @@
 const RECONCILE_INTERVAL_MS: u64 = 200;
 /// Time after which a process that no longer asks to join is forgotten.
 const CANDIDATE_LIFE_MS: u64 = 5_000;
+/// Silence after which a voter is replaced by a learner that has caught up:
+/// longer than an election and a short pause, short enough that a replacement
+/// votes within seconds of its start.
+const SILENT_VOTER_MS: u64 = 2_000;
+/// Silence after which a learner is forgotten; it joins again when it is back.
+const SILENT_LEARNER_MS: u64 = 10_000;
 
 /// Processes that asked to join.
 #[derive(Debug, Default)]
@@ -47,6 +53,8 @@
         let current = self.node.configuration();
         self.with_new_learner(current)
             .or_else(|| self.without_lost_identity(current))
+            .or_else(|| self.without_silent_voter(current))
+            .or_else(|| self.without_silent_learner(current))
             .or_else(|| self.with_promotion(current))
     }
 
@@ -71,6 +79,33 @@
         Some(Configuration { replicas })
     }
 
+    /// Removes a voter that has been silent for a while, where the group keeps
+    /// its voters by itself and a learner is ready to take the place.
+    fn without_silent_voter(&self, current: &Configuration) -> Option<Configuration> {
+        let full = consensus::voter_count(current) >= self.config.target_voters as usize;
+        if self.config.tolerated_losses == 0 || !full {
+            return None;
+        }
+        self.ready_learners(current).next()?;
+        let silent = |r: &&Member| r.voter && self.is_silent(r, SILENT_VOTER_MS);
+        let lost = current.replicas.iter().find(silent)?;
+        log::warn!(replica = lost.id, vm = lost.vm.as_str(); "voter silent; a learner takes its place");
+        Some(without(current, lost.id))
+    }
+
+    fn without_silent_learner(&self, current: &Configuration) -> Option<Configuration> {
+        if self.config.tolerated_losses == 0 {
+            return None;
+        }
+        let silent = |r: &&Member| !r.voter && self.is_silent(r, SILENT_LEARNER_MS);
+        let lost = current.replicas.iter().find(silent)?;
+        Some(without(current, lost.id))
+    }
+
+    fn is_silent(&self, replica: &Member, bound_ms: u64) -> bool {
+        self.node.silence_ms(replica.id).is_some_and(|silence_ms| silence_ms > bound_ms)
+    }
+
     fn with_promotion(&self, current: &Configuration) -> Option<Configuration> {
         if consensus::voter_count(current) >= self.config.target_voters as usize {
             return None;
@@ -95,3 +130,9 @@
         })
     }
 }
+
+fn without(current: &Configuration, id: u64) -> Configuration {
+    let mut replicas = current.replicas.clone();
+    replicas.retain(|replica| replica.id != id);
+    Configuration { replicas }
+}
--- a/components/control/src/replica/requests.rs
+++ b/components/control/src/replica/requests.rs
@@ -43,10 +43,13 @@
         match body {
             Body::Status(_) => ready(self.status()),
             Body::Bootstrap(_) => self.bootstrap(),
+            Body::Sync(sync) => self.sync(peer, sync),
             _ if !self.node.is_leader() => ready(self.not_leader()),
             Body::Join(join) => ready(self.join(peer, join)),
             Body::Replace(replace) => ready(self.replace(&replace)),
             Body::Publish(publish) => self.publish(peer, publish),
+            Body::PublishRoutes(publish) => self.publish_routes(publish),
+            Body::GetRoutes(_) => self.get_routes(),
             Body::GetSet(get) => self.get_set(get),
             Body::Heartbeat(heartbeat) => self.heartbeat(peer, heartbeat),
             Body::Leave(leave) => self.leave(peer, leave),
@@ -226,6 +229,9 @@
         Body::Publish(_) | Body::Bootstrap(_) | Body::Replace(_) => role == Role::Operator,
         Body::GetSet(_) => matches!(role, Role::Operator | Role::Entry),
         Body::Join(_) | Body::Consensus(_) => role == Role::Control,
+        Body::PublishRoutes(_) | Body::GetRoutes(_) => {
+            matches!(role, Role::Control | Role::Operator)
+        }
         Body::Heartbeat(_)
         | Body::Leave(_)
         | Body::BeginRecord(_)
@@ -238,6 +244,7 @@
         | Body::CreditRenew(_)
         | Body::Digest(_)
         | Body::Locate(_)
+        | Body::Sync(_)
         | Body::Confirm(_) => role == Role::Entry,
     }
 }
@@ -265,12 +272,16 @@
         Body::Digest(_) => "digest",
         Body::Confirm(_) => "confirm",
         Body::Locate(_) => "locate",
+        Body::Sync(_) => "sync",
+        Body::PublishRoutes(_) => "publish_routes",
+        Body::GetRoutes(_) => "get_routes",
     }
 }
 
 fn to_reply(outcome: Outcome) -> Reply {
     let body = match outcome {
         Outcome::Published(outcome) => reply::Body::Publish(outcome),
+        Outcome::Routes(outcome) => reply::Body::PublishRoutes(outcome),
         Outcome::Record(outcome) => reply::Body::Record(outcome),
         Outcome::Done => reply::Body::Empty(Empty {}),
     };
--- a/components/credentials/src/authority.rs
+++ b/components/credentials/src/authority.rs
@@ -10,6 +10,8 @@
     KeyUsagePurpose,
 };
 
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, PrivatePkcs8KeyDer};
+
 use crate::{CredentialError, Identity};
 
 /// Name of the CA's certificate file.
@@ -73,6 +75,18 @@
     Ok((certificate_path, key_path))
 }
 
+/// Creates a certificate for `identity` that its own key signs.
+pub(crate) fn self_signed(
+    identity: &Identity,
+) -> Result<(CertificateDer<'static>, PrivateKeyDer<'static>), CredentialError> {
+    let key = KeyPair::generate().map_err(CredentialError::Create)?;
+    let names = vec![identity.dns_name(), identity.role.server_name()];
+    let params = CertificateParams::new(names).map_err(CredentialError::Create)?;
+    let certificate = params.self_signed(&key).map_err(CredentialError::Create)?;
+    let key = PrivatePkcs8KeyDer::from(key.serialize_der());
+    Ok((certificate.into(), key.into()))
+}
+
 fn read_issuer(folder: &Path) -> Result<Issuer<'static, KeyPair>, CredentialError> {
     let certificate_path = folder.join(CA_CERTIFICATE_FILE);
     let key_path = folder.join(CA_KEY_FILE);
--- a/components/credentials/src/tls.rs
+++ b/components/credentials/src/tls.rs
@@ -4,9 +4,15 @@
 use std::sync::Arc;
 
 use rustls::pki_types::pem::PemObject as _;
-use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier};
+use rustls::crypto::CryptoProvider;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName, UnixTime};
 use rustls::server::WebPkiClientVerifier;
-use rustls::{ClientConfig, RootCertStore, ServerConfig};
+use rustls::server::danger::{ClientCertVerified, ClientCertVerifier};
+use rustls::{
+    ClientConfig, DigitallySignedStruct, DistinguishedName, RootCertStore, ServerConfig,
+    SignatureScheme,
+};
 use schema::TlsSettings;
 use x509_parser::prelude::{FromDer as _, GeneralName, X509Certificate};
 
@@ -58,6 +64,136 @@
     }
 }
 
+impl TlsConfigs {
+    /// Creates a key that nobody vouches for and accepts any certificate.
+    ///
+    /// Peers are encrypted but not authenticated: each one is believed to be
+    /// who its certificate says.
+    ///
+    /// ```
+    /// use credentials::{Identity, Role, TlsConfigs};
+    /// let identity = Identity { role: Role::Entry, name: "vm-1".parse()? };
+    /// let configs = TlsConfigs::unverified(identity.clone(), b"example/1")?;
+    /// assert_eq!(configs.identity, identity);
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    pub fn unverified(identity: Identity, protocol: &[u8]) -> Result<Self, CredentialError> {
+        let (certificate, key) = crate::authority::self_signed(&identity)?;
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let any = Arc::new(AnyCertificate { provider: provider.clone() });
+        let mut server = ServerConfig::builder_with_provider(provider.clone())
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(CredentialError::Tls)?
+            .with_client_cert_verifier(any.clone())
+            .with_single_cert(vec![certificate.clone()], key.clone_key())
+            .map_err(CredentialError::Tls)?;
+        server.alpn_protocols = vec![protocol.to_vec()];
+        let mut client = ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(CredentialError::Tls)?
+            .dangerous()
+            .with_custom_certificate_verifier(any)
+            .with_client_auth_cert(vec![certificate], key)
+            .map_err(CredentialError::Tls)?;
+        client.alpn_protocols = vec![protocol.to_vec()];
+        Ok(TlsConfigs { server: Arc::new(server), client: Arc::new(client), identity })
+    }
+}
+
+/// Accepts every certificate whose holder proves to have its key.
+#[derive(Debug)]
+struct AnyCertificate {
+    provider: Arc<CryptoProvider>,
+}
+
+impl AnyCertificate {
+    fn verify_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signature: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.provider.signature_verification_algorithms;
+        rustls::crypto::verify_tls13_signature(message, certificate, signature, algorithms)
+    }
+
+    fn schemes(&self) -> Vec<SignatureScheme> {
+        self.provider.signature_verification_algorithms.supported_schemes()
+    }
+}
+
+impl ServerCertVerifier for AnyCertificate {
+    fn verify_server_cert(
+        &self,
+        _: &CertificateDer<'_>,
+        _: &[CertificateDer<'_>],
+        _: &ServerName<'_>,
+        _: &[u8],
+        _: UnixTime,
+    ) -> Result<ServerCertVerified, rustls::Error> {
+        Ok(ServerCertVerified::assertion())
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        _: &[u8],
+        _: &CertificateDer<'_>,
+        _: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        Err(rustls::Error::General("only TLS 1.3 is spoken".to_string()))
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signature: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        self.verify_signature(message, certificate, signature)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        self.schemes()
+    }
+}
+
+impl ClientCertVerifier for AnyCertificate {
+    fn root_hint_subjects(&self) -> &[DistinguishedName] {
+        &[]
+    }
+
+    fn verify_client_cert(
+        &self,
+        _: &CertificateDer<'_>,
+        _: &[CertificateDer<'_>],
+        _: UnixTime,
+    ) -> Result<ClientCertVerified, rustls::Error> {
+        Ok(ClientCertVerified::assertion())
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        _: &[u8],
+        _: &CertificateDer<'_>,
+        _: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        Err(rustls::Error::General("only TLS 1.3 is spoken".to_string()))
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signature: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        self.verify_signature(message, certificate, signature)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        self.schemes()
+    }
+}
+
 /// Returns who a verified certificate belongs to.
 pub fn identity_of(certificate: &CertificateDer<'_>) -> Option<Identity> {
     let (_, certificate) = X509Certificate::from_der(certificate).ok()?;
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -44,27 +44,47 @@
     }
 }
 
-/// Signals that ask a daemon to stop.
+/// What a signal asks a daemon to do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// End without cutting off work.
+    Stop,
+    /// Read the settings again.
+    Reload,
+}
+
+/// Signals that a daemon reacts to.
 #[derive(Debug)]
-pub struct StopSignals {
+pub struct Signals {
     terminate: Signal,
     interrupt: Signal,
+    hangup: Signal,
 }
 
-impl StopSignals {
+impl Signals {
     /// Starts to listen; needs a running runtime.
     pub fn listen() -> std::io::Result<Self> {
-        Ok(StopSignals {
+        Ok(Signals {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
         })
     }
 
-    /// Waits for the next SIGTERM or SIGINT.
-    pub async fn next(&mut self) {
+    /// Waits for the next SIGTERM, SIGINT or SIGHUP.
+    pub async fn next(&mut self) -> Event {
         tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+            _ = self.terminate.recv() => Event::Stop,
+            _ = self.interrupt.recv() => Event::Stop,
+            _ = self.hangup.recv() => Event::Reload,
+        }
+    }
+
+    /// Waits for SIGTERM or SIGINT, in daemons that read their settings at
+    /// their start only.
+    pub async fn stopped(&mut self) {
+        while self.next().await == Event::Reload {
+            log::warn!("settings are read at the start only; restart to take them over");
         }
     }
 }
--- a/components/entry/src/main.rs
+++ b/components/entry/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use daemon::StopSignals;
+use daemon::Signals;
 use entry::Entry;
 use tokio::time::{Duration, sleep};
 
@@ -37,14 +37,14 @@
     let entry = Entry::start(config).map_err(|error| {
         log::error!(error = error.to_string().as_str(); "cannot start");
     })?;
-    let mut signals = StopSignals::listen().map_err(|error| {
+    let mut signals = Signals::listen().map_err(|error| {
         log::error!(error = error.to_string().as_str(); "cannot listen for signals");
     })?;
     log::info!(vm = vm.as_str(), http_address = entry.http_address().to_string().as_str(); "entry started");
-    signals.next().await;
+    signals.stopped().await;
     log::info!("stopping after the last request");
     let cut_off = async {
-        signals.next().await;
+        signals.stopped().await;
         log::warn!(seconds = deadline.as_secs(); "second signal: stopping at the deadline");
         sleep(deadline).await;
     };
--- /dev/null
+++ b/components/gateway/src/control.rs
@@ -0,0 +1,186 @@
+//! Exchanges with the control processes.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use balance::Use;
+use routing::RouteTable;
+use schema::{EntryPhase, Request, RouteSet, SyncReply, SyncRequest, UpstreamUse, reply, request};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, timeout_at};
+use wire::{CallError, Endpoint};
+
+use crate::shared::Shared;
+
+/// Longest time for which a control process holds its reply back: how old the
+/// use of upstreams by other gateways may be.
+const WAIT_MS: u32 = 250;
+/// Longest wait for a reply.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Pause after an exchange that failed.
+const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Shortest interval between two exchanges with one control process.
+const MIN_INTERVAL: Duration = Duration::from_millis(15);
+
+/// Keeps one exchange open with each control process.
+#[derive(Debug)]
+pub(crate) struct ControlLinks {
+    shared: Rc<Shared>,
+    endpoint: Endpoint,
+    tasks: RefCell<BTreeMap<SocketAddr, JoinHandle<()>>>,
+}
+
+impl ControlLinks {
+    /// Starts exchanges with the seeds; others are learned from them.
+    pub(crate) fn start(shared: Rc<Shared>, endpoint: Endpoint) -> Rc<Self> {
+        let links = Rc::new(ControlLinks { shared, endpoint, tasks: RefCell::default() });
+        let seeds = links.shared.config.seeds.iter().copied().collect();
+        links.follow(&seeds);
+        links
+    }
+
+    /// Starts exchanges with processes that are new.
+    pub(crate) fn follow(self: &Rc<Self>, addresses: &BTreeSet<SocketAddr>) {
+        for address in addresses {
+            let mut tasks = self.tasks.borrow_mut();
+            tasks.entry(*address).or_insert_with(|| {
+                log::info!(control = address.to_string().as_str(); "control process known");
+                actix_rt::spawn(run(self.clone(), *address))
+            });
+        }
+    }
+
+    /// Ends exchanges with processes that left the group.
+    fn retire(&self, members: &BTreeSet<SocketAddr>) {
+        let seeds = &self.shared.config.seeds;
+        self.tasks.borrow_mut().retain(|address, task| {
+            let keep = members.contains(address) || seeds.contains(address);
+            if !keep {
+                log::info!(control = address.to_string().as_str(); "control process left");
+                self.shared.fleet.borrow_mut().forget_source(*address);
+                task.abort();
+            }
+            keep
+        });
+    }
+}
+
+/// What this gateway last took over from one control process.
+#[derive(Clone, Copy, Debug, Default)]
+struct Known {
+    registry_epoch: u64,
+    registry_version: u64,
+}
+
+async fn run(links: Rc<ControlLinks>, address: SocketAddr) {
+    let shared = links.shared.clone();
+    let link = links.endpoint.link(address, credentials::Role::Control);
+    let mut phase = shared.phase.subscribe();
+    let mut known = Known::default();
+    let mut connected = false;
+    loop {
+        let started = Instant::now();
+        let body = request::Body::Sync(sync_request(&shared, known));
+        let request = Request { traceparent: String::new(), body: Some(body) };
+        // A change of phase is told at once, in an exchange of its own.
+        let replied = tokio::select! {
+            replied = link.call(request, CALL_TIMEOUT) => Some(replied),
+            _ = phase.changed() => None,
+        };
+        match replied {
+            Some(Ok(reply::Body::Sync(reply))) => {
+                if !connected {
+                    log::info!(control = address.to_string().as_str(); "control process connected");
+                    connected = true;
+                }
+                known = take_over(&links, address, known, reply);
+                let next = started + MIN_INTERVAL;
+                // The deadline has usually passed already.
+                let _ = timeout_at(next, std::future::pending::<()>()).await;
+            }
+            Some(failed) => {
+                if connected {
+                    let error = failed.err().unwrap_or(CallError::UnexpectedReply).to_string();
+                    log::warn!(control = address.to_string().as_str(), error = error.as_str(); "control process lost");
+                    connected = false;
+                    shared.fleet.borrow_mut().forget_source(address);
+                    known = Known::default();
+                }
+                sleep(RETRY_DELAY).await;
+            }
+            None => {}
+        }
+    }
+}
+
+fn sync_request(shared: &Shared, known: Known) -> SyncRequest {
+    let loads = shared.loads.borrow();
+    let used = loads.own().map(|(id, load)| UpstreamUse {
+        id: id.to_string(),
+        running: load.running,
+        committed_tokens: load.tokens,
+    });
+    let config = &shared.config;
+    SyncRequest {
+        vm: config.vm.to_string(),
+        epoch: shared.epoch,
+        data_centre: config.data_centre.to_string(),
+        caller_address: config.caller_address.to_string(),
+        phase: (*shared.phase.borrow()).into(),
+        set_number: shared.table.borrow().number(),
+        registry_epoch: known.registry_epoch,
+        registry_version: known.registry_version,
+        r#use: used.collect(),
+        wait_ms: WAIT_MS,
+    }
+}
+
+fn take_over(
+    links: &Rc<ControlLinks>,
+    address: SocketAddr,
+    known: Known,
+    reply: SyncReply,
+) -> Known {
+    let shared = &links.shared;
+    let whole = reply.registry_epoch != known.registry_epoch;
+    let now_ms = shared.now_ms();
+    let changes = shared.fleet.borrow_mut().apply(address, whole, reply.upstreams, now_ms);
+    shared.apply_changes(&changes);
+    if let Some(set) = reply.set {
+        take_set(shared, set, address);
+    }
+    let others = reply.r#use.into_iter().map(|used| {
+        let load = Use { running: used.running, tokens: used.committed_tokens };
+        (used.id.into(), load)
+    });
+    shared.loads.borrow_mut().set_others(others);
+    shared.entries.set(reply.entries.max(1));
+    let members = reply.control_addresses.iter().filter_map(|text| text.parse().ok());
+    let members: BTreeSet<SocketAddr> = members.collect();
+    if !members.is_empty() {
+        links.follow(&members);
+        links.retire(&members);
+    }
+    Known { registry_epoch: reply.registry_epoch, registry_version: reply.registry_version }
+}
+
+/// Puts a set of routes in force if it is newer than the one that is.
+fn take_set(shared: &Shared, set: RouteSet, address: SocketAddr) {
+    let number = set.number;
+    if number <= shared.table.borrow().number() {
+        return;
+    }
+    log::info!(number, routes = set.routes.len(), control = address.to_string().as_str(); "set of routes in force");
+    *shared.table.borrow_mut() = Rc::new(RouteTable::new(set));
+    shared.metrics.set_number.set(i64::try_from(number).unwrap_or(i64::MAX));
+    shared.phase.send_if_modified(|phase| {
+        let starting = *phase == EntryPhase::Starting;
+        if starting {
+            *phase = EntryPhase::Ready;
+        }
+        starting
+    });
+}
--- /dev/null
+++ b/components/gateway/src/metrics.rs
@@ -0,0 +1,55 @@
+//! Metrics of a gateway.
+
+use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry};
+use telemetry::LATENCY_BUCKETS_SECONDS;
+
+/// Metrics of a gateway.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    pub(crate) registry: Registry,
+    /// Requests by service and outcome.
+    pub(crate) requests: IntCounterVec,
+    /// Time to the head of the answer, by service.
+    pub(crate) seconds: HistogramVec,
+    /// Connections opened to upstreams, by service.
+    pub(crate) connections: IntCounterVec,
+    /// Moves of generations, by outcome.
+    pub(crate) moves: IntCounterVec,
+    /// Requests in progress.
+    pub(crate) in_flight: IntGauge,
+    /// Number of the set of routes in force.
+    pub(crate) set_number: IntGauge,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let registry = telemetry::new_registry()?;
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let options = Opts::new(format!("shallottray_gateway_{name}"), help);
+            let counter = IntCounterVec::new(options, labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(format!("shallottray_gateway_{name}"), help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let latency = HistogramOpts::new(
+            "shallottray_gateway_seconds",
+            "Time from a request to the head of its answer.",
+        );
+        let latency = latency.buckets(LATENCY_BUCKETS_SECONDS.to_vec());
+        let seconds = HistogramVec::new(latency, &["service"])?;
+        registry.register(Box::new(seconds.clone()))?;
+        Ok(Metrics {
+            requests: counter("requests_total", "Requests.", &["service", "outcome"])?,
+            connections: counter("connections_total", "Connections opened.", &["service"])?,
+            moves: counter("moves_total", "Moves of generations.", &["outcome"])?,
+            in_flight: gauge("in_flight", "Requests in progress.")?,
+            set_number: gauge("set_number", "Number of the set of routes in force.")?,
+            seconds,
+            registry,
+        })
+    }
+}
--- /dev/null
+++ b/components/gateway/src/place.rs
@@ -0,0 +1,158 @@
+//! Choice of an upstream for a request.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use balance::{Candidate, Demand};
+use compact_str::CompactString;
+use schema::{EngineCapacity, UpstreamPhase};
+use smallvec::SmallVec;
+use tokio::time::{Instant, sleep};
+
+use crate::dialect::Prompt;
+use crate::exchange::Target;
+use crate::shared::Shared;
+
+/// Interval at which a waiting request looks for room again.
+const ROOM_POLL: Duration = Duration::from_millis(20);
+/// Share of an engine's memory that new requests may fill; the rest absorbs
+/// outputs that grow longer than expected.
+const FILL: f64 = 0.95;
+/// Share of an engine's memory that moved generations may fill: they cannot
+/// wait.
+const MOVE_FILL: f64 = 1.1;
+/// Plain services queue a few requests beyond their slots.
+const PLAIN_FILL: f64 = 4.0;
+
+/// Upstreams that a request was already sent to.
+pub(crate) type Excluded = SmallVec<[CompactString; 4]>;
+
+/// What a request needs of an upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Need {
+    pub(crate) service: CompactString,
+    pub(crate) engine: Option<EngineCapacity>,
+    pub(crate) tokens: u64,
+}
+
+impl Need {
+    pub(crate) fn new(service: &str, engine: Option<EngineCapacity>, prompt: Option<Prompt>) -> Self {
+        let tokens = match (&engine, prompt) {
+            (Some(_), Some(prompt)) => expected_tokens(prompt),
+            _ => 0,
+        };
+        Need { service: service.into(), engine, tokens }
+    }
+}
+
+/// Returns the cache tokens that a generation is expected to need at its end.
+fn expected_tokens(prompt: Prompt) -> u64 {
+    let expected = prompt.expected_output_tokens.unwrap_or(prompt.max_output_tokens / 2);
+    prompt.prompt_tokens + expected.min(prompt.max_output_tokens)
+}
+
+/// Place at an upstream; its load is counted until the place is dropped.
+#[derive(Debug)]
+pub(crate) struct Place {
+    shared: Rc<Shared>,
+    pub(crate) target: Target,
+    tokens: u64,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.shared.loads.borrow_mut().end(&self.target.id, self.tokens);
+    }
+}
+
+/// Why a request gets no place.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum NoPlace {
+    /// No upstream of the service takes work.
+    NoUpstream,
+    /// All upstreams are full.
+    Full,
+}
+
+/// Waits until `until` for a place at an upstream.
+pub(crate) async fn wait_for_place(
+    shared: &Rc<Shared>,
+    need: &Need,
+    excluded: &Excluded,
+    until: Instant,
+) -> Result<Place, NoPlace> {
+    loop {
+        match find_place(shared, need, excluded, false) {
+            Ok(place) => return Ok(place),
+            Err(reason) if Instant::now() >= until => return Err(reason),
+            Err(_) => sleep(ROOM_POLL).await,
+        }
+    }
+}
+
+/// Finds a place for a generation that is moved.
+pub(crate) fn place_for_move(
+    shared: &Rc<Shared>,
+    need: &Need,
+    excluded: &Excluded,
+) -> Result<Place, NoPlace> {
+    find_place(shared, need, excluded, true)
+}
+
+fn find_place(
+    shared: &Rc<Shared>,
+    need: &Need,
+    excluded: &Excluded,
+    moved: bool,
+) -> Result<Place, NoPlace> {
+    let now_ms = shared.now_ms();
+    let fill = match (&need.engine, moved) {
+        (Some(_), false) => FILL,
+        (Some(_), true) => MOVE_FILL,
+        (None, _) => PLAIN_FILL,
+    };
+    let demand = Demand { tokens: need.tokens, fill };
+    let fleet = shared.fleet.borrow();
+    let health = shared.health.borrow();
+    let serving = || {
+        fleet.iter().filter(|member| {
+            member.record.service == need.service.as_str()
+                && member.takes_work()
+                && !excluded.iter().any(|id| id.as_str() == member.record.id)
+        })
+    };
+    let healthy = |id: &str| !health.is_ejected(id, now_ms);
+    // With all of them ejected, each is as good as the others.
+    let any_healthy = serving().any(|member| healthy(&member.record.id));
+    let candidates = serving()
+        .filter(|member| !any_healthy || healthy(&member.record.id))
+        .map(|member| Candidate {
+            id: &member.record.id,
+            slots: member.record.slots,
+            cache_tokens: need.engine.as_ref().map_or(0, |engine| engine.cache_tokens),
+            remote: member.record.data_centre != shared.config.data_centre.as_str(),
+            cold: now_ms < member.warm_at_ms,
+            affinity: 0.0,
+        });
+    let chosen = shared.loads.borrow().choose(candidates, demand, &mut rand::rng());
+    let Some(member) = chosen.and_then(|id| fleet.get(id)) else {
+        let none = serving().next().is_none();
+        return Err(if none { NoPlace::NoUpstream } else { NoPlace::Full });
+    };
+    let target = Target {
+        id: member.record.id.as_str().into(),
+        service: need.service.clone(),
+        address: member.address,
+        born_ms: member.record.born_ms,
+    };
+    shared.loads.borrow_mut().begin(&target.id, need.tokens);
+    Ok(Place { shared: shared.clone(), target, tokens: need.tokens })
+}
+
+/// Returns whether the incarnation has announced its end.
+pub(crate) fn is_ending(shared: &Shared, target: &Target) -> bool {
+    shared.fleet.borrow().get(&target.id).is_some_and(|member| {
+        member.record.born_ms == target.born_ms
+            && matches!(member.record.phase(), UpstreamPhase::Draining | UpstreamPhase::Gone)
+    })
+}
--- /dev/null
+++ b/components/gateway/src/server.rs
@@ -0,0 +1,99 @@
+//! Connections of callers.
+
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::sleep;
+
+use crate::forward;
+use crate::shared::Shared;
+
+/// Idle timeout where the published set gives none.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time that a connection stays open beyond the published idle timeout, so
+/// that callers who keep to it never meet a closed one.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Smallest buffer for a request's head.
+const MIN_BUFFER_BYTES: usize = 16 << 10;
+/// Pause after a connection could not be accepted, for lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts connections until the task is dropped; `closing` turns true when
+/// idle connections are to be closed.
+pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener, closing: watch::Receiver<bool>) {
+    let permits = Arc::new(Semaphore::new(shared.config.limits.max_connections as usize));
+    loop {
+        // A closed semaphore is impossible: nobody closes it.
+        let Ok(permit) = permits.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let (shared, closing) = (shared.clone(), closing.clone());
+                actix_rt::spawn(async move {
+                    serve_connection(shared, stream, closing).await;
+                    drop(permit);
+                });
+            }
+            Err(error) => {
+                log::warn!(error = error.to_string().as_str(); "connection not accepted");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(
+    shared: Rc<Shared>,
+    stream: TcpStream,
+    mut closing: watch::Receiver<bool>,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(error = error.to_string().as_str(); "connection lost early");
+        return;
+    }
+    let (idle_timeout, buffer_bytes) = limits(&shared);
+    let service = service_fn(move |request| {
+        let shared = shared.clone();
+        async move { Ok::<_, Infallible>(forward::serve(shared, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle_timeout)
+        .max_buf_size(buffer_bytes)
+        .auto_date_header(false)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let mut open = true;
+    loop {
+        tokio::select! {
+            result = connection.as_mut() => {
+                if let Err(error) = result {
+                    log::debug!(error = error.to_string().as_str(); "caller's connection ended");
+                }
+                return;
+            }
+            _ = closing.wait_for(|closing| *closing), if open => {
+                open = false;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
+
+fn limits(shared: &Shared) -> (Duration, usize) {
+    let table = shared.table();
+    let limits = table.set().limits.unwrap_or_default();
+    let idle_timeout = match limits.idle_timeout_ms {
+        0 => DEFAULT_IDLE_TIMEOUT,
+        idle_ms => Duration::from_millis(idle_ms) + IDLE_MARGIN,
+    };
+    let head_bytes = usize::try_from(limits.max_header_bytes).unwrap_or(usize::MAX);
+    (idle_timeout, head_bytes.max(MIN_BUFFER_BYTES))
+}
--- /dev/null
+++ b/components/gateway/src/shared.rs
@@ -0,0 +1,144 @@
+//! State of one gateway, shared by all its tasks on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use balance::{Health, Loads, RetryBudget, RetryLimits};
+use clock::Clock;
+use compact_str::CompactString;
+use registry::{Change, Fleet};
+use routing::RouteTable;
+use schema::EntryPhase;
+use settings::GatewayConfig;
+use tokio::sync::watch;
+
+use crate::dialect::Dialect;
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+
+/// State of one gateway.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) config: GatewayConfig,
+    pub(crate) clock: Clock,
+    /// Random number of this start.
+    pub(crate) epoch: u64,
+    pub(crate) dialect: Box<dyn Dialect>,
+    pub(crate) metrics: Metrics,
+    pub(crate) table: RefCell<Rc<RouteTable>>,
+    pub(crate) fleet: RefCell<Fleet>,
+    pub(crate) loads: RefCell<Loads>,
+    pub(crate) health: RefCell<Health>,
+    pub(crate) pool: Pool,
+    /// Gateways that share the retry allowance.
+    pub(crate) entries: Cell<u32>,
+    pub(crate) phase: watch::Sender<EntryPhase>,
+    /// Counts changes that end an upstream.
+    pub(crate) endings: watch::Sender<u64>,
+    budgets: RefCell<HashMap<CompactString, RetryBudget>>,
+    in_flight: Cell<u32>,
+}
+
+impl Shared {
+    pub(crate) fn new(config: GatewayConfig, dialect: Box<dyn Dialect>, metrics: Metrics) -> Self {
+        Shared {
+            clock: Clock::start(),
+            epoch: rand::random_range(1..=u64::MAX >> 11),
+            dialect,
+            metrics,
+            table: RefCell::default(),
+            fleet: RefCell::default(),
+            loads: RefCell::default(),
+            health: RefCell::default(),
+            pool: Pool::default(),
+            entries: Cell::new(1),
+            phase: watch::Sender::new(EntryPhase::Starting),
+            endings: watch::Sender::new(0),
+            budgets: RefCell::default(),
+            in_flight: Cell::new(0),
+            config,
+        }
+    }
+
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    pub(crate) fn table(&self) -> Rc<RouteTable> {
+        self.table.borrow().clone()
+    }
+
+    /// Reacts to upstreams that joined or end.
+    pub(crate) fn apply_changes(&self, changes: &[Change]) {
+        let mut ending = false;
+        for change in changes {
+            match change {
+                Change::Joined(id) => {
+                    log::info!(upstream = id.as_str(); "upstream joined");
+                    self.health.borrow_mut().reset(id);
+                    self.pool.forget(id);
+                }
+                Change::Draining(id) => {
+                    log::info!(upstream = id.as_str(); "upstream draining");
+                    ending = true;
+                }
+                Change::Gone(id) => {
+                    log::info!(upstream = id.as_str(); "upstream gone");
+                    self.pool.forget(id);
+                    ending = true;
+                }
+            }
+        }
+        if ending {
+            self.endings.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Takes the right to send a request to `service` once more.
+    pub(crate) fn take_retry(&self, service: &str) -> bool {
+        let now_ms = self.now_ms();
+        self.with_budget(service, |budget| budget.take(self.entries.get(), now_ms))
+    }
+
+    pub(crate) fn count_first(&self, service: &str) {
+        let now_ms = self.now_ms();
+        self.with_budget(service, |budget| budget.count_first(now_ms));
+    }
+
+    fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let limits = &self.config.limits;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.into()).or_insert_with(|| {
+            RetryBudget::new(RetryLimits {
+                ratio: limits.retry_ratio,
+                allowance: limits.retry_allowance,
+                window_ms: (limits.retry_window_s * 1_000.0) as u64,
+            })
+        });
+        act(budget)
+    }
+
+    /// Counts a request as in progress until the guard is dropped.
+    pub(crate) fn enter(self: &Rc<Self>) -> InFlight {
+        self.in_flight.set(self.in_flight.get() + 1);
+        self.metrics.in_flight.set(i64::from(self.in_flight.get()));
+        InFlight(self.clone())
+    }
+
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight.get()
+    }
+}
+
+/// Request in progress.
+#[derive(Debug)]
+pub(crate) struct InFlight(Rc<Shared>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let count = self.0.in_flight.get() - 1;
+        self.0.in_flight.set(count);
+        self.0.metrics.in_flight.set(i64::from(count));
+    }
+}
--- /dev/null
+++ b/components/registry/tests/incarnations.rs
@@ -0,0 +1,126 @@
+//! Announcements that are late, repeated, or of another incarnation.
+
+use std::net::SocketAddr;
+
+use registry::{Announced, Change, Fleet, Registry};
+use schema::{UpstreamPhase, UpstreamRecord};
+
+const INTERVAL_MS: u64 = 1_000;
+
+fn record(born_ms: u64, sequence: u64, phase: UpstreamPhase) -> UpstreamRecord {
+    UpstreamRecord {
+        id: "e1".into(),
+        service: "llm".into(),
+        address: "10.0.0.1:80".into(),
+        data_centre: "a".into(),
+        slots: 4,
+        born_ms,
+        sequence,
+        phase: phase.into(),
+        warm_up_ms: 0,
+    }
+}
+
+fn source(last: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 1, last], 7_200))
+}
+
+#[test]
+fn late_announcement_does_not_end_a_drain() {
+    let mut registry = Registry::default();
+    registry.announce(record(5, 1, UpstreamPhase::Ready), 0);
+    registry.announce(record(5, 3, UpstreamPhase::Draining), 10);
+
+    let late = registry.announce(record(5, 2, UpstreamPhase::Ready), 20);
+
+    assert_eq!(late, Announced::Outdated);
+}
+
+#[test]
+fn incarnation_that_drains_does_not_become_ready_again() {
+    let mut registry = Registry::default();
+    registry.announce(record(5, 1, UpstreamPhase::Draining), 0);
+
+    let again = registry.announce(record(5, 2, UpstreamPhase::Ready), 10);
+
+    assert_eq!(again, Announced::Unchanged);
+    assert_eq!(registry.changes_since(0).next().unwrap().phase(), UpstreamPhase::Draining);
+}
+
+#[test]
+fn earlier_incarnation_is_outdated() {
+    let mut registry = Registry::default();
+    registry.announce(record(9, 1, UpstreamPhase::Ready), 0);
+
+    assert_eq!(registry.announce(record(5, 70, UpstreamPhase::Ready), 10), Announced::Outdated);
+}
+
+#[test]
+fn end_without_a_start_ends_the_known_incarnation() {
+    let mut registry = Registry::default();
+    registry.announce(record(9, 1, UpstreamPhase::Ready), 0);
+
+    let end = registry.announce(record(0, 0, UpstreamPhase::Gone), 10);
+
+    assert_eq!(end, Announced::Changed(2));
+    let later = registry.announce(record(9, 2, UpstreamPhase::Ready), 20);
+    assert_eq!(later, Announced::Unchanged);
+}
+
+#[test]
+fn silence_is_told_and_ends_with_the_next_announcement() {
+    let mut registry = Registry::default();
+    registry.announce(record(5, 1, UpstreamPhase::Ready), 0);
+
+    let silent = registry.expire(INTERVAL_MS, 5_000);
+
+    assert_eq!(silent, ["e1"]);
+    let heard = registry.announce(record(5, 2, UpstreamPhase::Ready), 5_100);
+    assert_eq!(heard, Announced::Changed(3));
+}
+
+#[test]
+fn drain_told_by_one_control_process_outweighs_ready_from_another() {
+    let mut fleet = Fleet::default();
+    fleet.apply(source(1), true, vec![record(5, 1, UpstreamPhase::Ready)], 0);
+
+    let changes = fleet.apply(source(2), true, vec![record(5, 2, UpstreamPhase::Draining)], 10);
+
+    assert_eq!(changes, [Change::Draining("e1".into())]);
+    fleet.apply(source(1), false, vec![record(5, 3, UpstreamPhase::Ready)], 20);
+    assert!(!fleet.get("e1").unwrap().takes_work());
+}
+
+#[test]
+fn upstream_heard_by_one_of_two_sources_is_not_silent() {
+    let mut fleet = Fleet::default();
+    fleet.apply(source(1), true, vec![record(5, 1, UpstreamPhase::Silent)], 0);
+    assert!(!fleet.get("e1").unwrap().takes_work());
+
+    fleet.apply(source(2), true, vec![record(5, 2, UpstreamPhase::Ready)], 10);
+
+    assert!(fleet.get("e1").unwrap().takes_work());
+}
+
+#[test]
+fn end_without_a_start_from_another_source_ends_the_incarnation() {
+    let mut fleet = Fleet::default();
+    fleet.apply(source(1), true, vec![record(5, 1, UpstreamPhase::Ready)], 0);
+
+    let changes = fleet.apply(source(2), true, vec![record(0, 0, UpstreamPhase::Gone)], 10);
+
+    assert_eq!(changes, [Change::Gone("e1".into())]);
+}
+
+#[test]
+fn upstream_survives_the_restart_of_its_control_process() {
+    let mut fleet = Fleet::default();
+    fleet.apply(source(1), true, vec![record(5, 1, UpstreamPhase::Ready)], 0);
+
+    fleet.apply(source(1), true, vec![], 10);
+    fleet.expire(20);
+    assert!(fleet.get("e1").unwrap().takes_work());
+
+    fleet.expire(6_100);
+    assert!(fleet.get("e1").is_none());
+}
--- /dev/null
+++ b/components/routing/tests/table.rs
@@ -0,0 +1,100 @@
+//! Routes by host and prefix, keys, and sets that cannot be published.
+
+use routing::{NoRoute, RouteProblem, RouteTable, check_routes, draw_service};
+use schema::{RepeatKind, RouteRule, RouteSet, RoutedService, RoutedWorkspace, WeightedService};
+
+fn route(name: &str, prefix: &str) -> RouteRule {
+    RouteRule {
+        name: name.into(),
+        host: "a.example".into(),
+        path_prefix: prefix.into(),
+        kind: RepeatKind::Once.into(),
+        timeout_ms: 1_000,
+        services: vec![WeightedService { service: "desk".into(), weight: 1 }],
+        ..RouteRule::default()
+    }
+}
+
+fn workspace(name: &str, key: &str) -> RoutedWorkspace {
+    RoutedWorkspace { name: name.into(), api_keys: vec![key.into()], rank: None }
+}
+
+fn set() -> RouteSet {
+    RouteSet {
+        number: 1,
+        routes: vec![route("short", "/a/"), route("long", "/a/b/")],
+        services: vec![RoutedService { name: "desk".into(), ..RoutedService::default() }],
+        workspaces: vec![workspace("w1", "k1"), workspace("w2", "k2")],
+        ..RouteSet::default()
+    }
+}
+
+#[test]
+fn longest_prefix_wins() {
+    let table = RouteTable::new(set());
+
+    let routed = table.route("A.example:80", "/a/b/c", Some("k2")).unwrap();
+
+    assert_eq!(routed.route.name, "long");
+    assert_eq!(routed.workspace.unwrap().name, "w2");
+}
+
+#[test]
+fn prefix_covers_whole_path_segments() {
+    let table = RouteTable::new(set());
+
+    assert_eq!(table.route("a.example", "/ab", Some("k1")).unwrap_err(), NoRoute::NotFound);
+    assert_eq!(table.route("b.example", "/a/", Some("k1")).unwrap_err(), NoRoute::NotFound);
+}
+
+#[test]
+fn unknown_key_is_refused_unless_the_route_is_anonymous() {
+    let mut open = set();
+    open.routes[0].anonymous = true;
+    let table = RouteTable::new(open);
+
+    assert_eq!(table.route("a.example", "/a/b/", None).unwrap_err(), NoRoute::UnknownKey);
+    assert_eq!(table.route("a.example", "/a/b/", Some("x")).unwrap_err(), NoRoute::UnknownKey);
+    assert!(table.route("a.example", "/a/x", Some("x")).unwrap().workspace.is_none());
+}
+
+#[test]
+fn services_are_drawn_by_weight() {
+    let mut split = route("split", "/s/");
+    split.services = vec![
+        WeightedService { service: "never".into(), weight: 0 },
+        WeightedService { service: "always".into(), weight: 3 },
+    ];
+
+    let drawn: Vec<_> = (0..50).map(|_| draw_service(&split, &mut rand::rng())).collect();
+
+    assert!(drawn.iter().all(|service| *service == Some("always")));
+}
+
+#[test]
+fn invalid_sets_are_refused_with_the_reason() {
+    let cases: [(fn(&mut RouteSet), RouteProblem); 8] = [
+        (|s| s.number = 0, RouteProblem::NoNumber),
+        (
+            |s| s.routes[0].services[0].service = "gone".into(),
+            RouteProblem::UnknownService("short".into(), "gone".into()),
+        ),
+        (
+            |s| s.routes[1].path_prefix = "/a/".into(),
+            RouteProblem::SamePlace("a.example".into(), "/a/".into()),
+        ),
+        (|s| s.routes[1].services[0].weight = 0, RouteProblem::NoWeight("long".into())),
+        (|s| s.routes[1].timeout_ms = 0, RouteProblem::NoTimeout("long".into())),
+        (|s| s.routes[0].path_prefix = "/a".into(), RouteProblem::Prefix("/a".into())),
+        (|s| s.routes[0].kind = 0, RouteProblem::NoKind("short".into())),
+        (
+            |s| s.workspaces[1].api_keys = vec!["k1".into()],
+            RouteProblem::SharedKey("w1".into(), "w2".into()),
+        ),
+    ];
+    for (change, expected) in cases {
+        let mut set = set();
+        change(&mut set);
+        assert_eq!(check_routes(&set), Err(expected));
+    }
+}
--- a/components/schemagen/src/main.rs
+++ b/components/schemagen/src/main.rs
@@ -10,15 +10,22 @@
 
 const PROTO_DIR: &str = "components/schema/proto";
 const OUT_DIR: &str = "components/schema/src/generated";
-const FILES: [&str; 5] =
-    ["objects.proto", "settings.proto", "consensus.proto", "state.proto", "rpc.proto"];
+const FILES: [&str; 6] = [
+    "objects.proto",
+    "routes.proto",
+    "settings.proto",
+    "consensus.proto",
+    "state.proto",
+    "rpc.proto",
+];
 
 /// Messages that people read or write as JSON; the others have no JSON face.
-const JSON_MESSAGES: [&str; 13] = [
+const JSON_MESSAGES: [&str; 14] = [
     "ObjectSet",
     "EntrySettings",
     "ControlSettings",
     "OperatorSettings",
+    "GatewaySettings",
     "StatusReply",
     "EntryStatus",
     "EntryMember",
@@ -29,7 +36,7 @@
     "Replica",
     "GetSetReply",
 ];
-const JSON_PARTS: [&str; 18] = [
+const JSON_PARTS: [&str; 21] = [
     "Priority",
     "Model",
     "Version",
@@ -42,6 +49,9 @@
     "Weights",
     "EntryLimits",
     "EntryTimers",
+    "GatewayLimits",
+    "GatewayTimers",
+    "PeerSecurity",
     "ControlTimers",
     "ControlLimits",
     "TlsSettings",
--- a/components/settings/src/checker.rs
+++ b/components/settings/src/checker.rs
@@ -5,10 +5,10 @@
 use std::str::FromStr;
 
 use jsonc::Document;
-use schema::TlsSettings;
+use schema::{PeerSecurity, TlsSettings};
 use serde::de::DeserializeOwned;
 
-use crate::{SettingsError, SettingsProblem};
+use crate::{PeerTls, SettingsError, SettingsProblem};
 
 pub(crate) struct Checker<'a> {
     document: &'a Document<'a>,
@@ -53,6 +53,27 @@
         numbered.filter_map(|(i, text)| self.address(&format!("{field}.{i}"), text)).collect()
     }
 
+    /// Returns how peers are authenticated; certificates are the default.
+    pub(crate) fn peer_tls(&mut self, security: i32, tls: Option<TlsSettings>) -> PeerTls {
+        match PeerSecurity::try_from(security) {
+            Ok(PeerSecurity::Unverified) => PeerTls::Unverified,
+            Ok(PeerSecurity::Unspecified | PeerSecurity::MutualTls) | Err(_) => {
+                PeerTls::Files(self.tls(tls))
+            }
+        }
+    }
+
+    /// Parses seed addresses and gives each the port `peer_port`.
+    pub(crate) fn seeds(&mut self, texts: &[String], peer_port: u32) -> Vec<SocketAddr> {
+        let Some(port) = u16::try_from(peer_port).ok().filter(|port| *port > 0) else {
+            self.report("seed_peer_port", format!("{peer_port} is not from 1 to 65535"));
+            return Vec::new();
+        };
+        let mut seeds = self.addresses("seed_addresses", texts);
+        seeds.iter_mut().for_each(|seed| seed.set_port(port));
+        seeds
+    }
+
     pub(crate) fn tls(&mut self, tls: Option<TlsSettings>) -> TlsSettings {
         let tls = tls.unwrap_or_default();
         let files = [
--- a/components/settings/src/control.rs
+++ b/components/settings/src/control.rs
@@ -3,14 +3,16 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use schema::{ControlLimits, ControlSettings, ControlTimers, TelemetrySettings, TlsSettings};
+use schema::{ControlLimits, ControlSettings, ControlTimers, TelemetrySettings};
 use units::{DataCentre, Name, VmName};
 
-use crate::SettingsError;
 use crate::checker::{Checker, load};
+use crate::{PeerTls, SettingsError};
 
 const HOUR_MS: u64 = 60 * 60 * 1_000;
 const MIB: u64 = 1 << 20;
+/// Interval at which the project's own stand-ins announce themselves.
+const ANNOUNCE_INTERVAL_MS: u64 = 1_000;
 
 /// Checked settings of one control process.
 #[derive(Clone, Debug)]
@@ -31,8 +33,8 @@
     pub data_path: PathBuf,
     /// Peer addresses of all control processes.
     pub control_addresses: Vec<SocketAddr>,
-    /// Certificate files.
-    pub tls: TlsSettings,
+    /// How peers are authenticated.
+    pub tls: PeerTls,
     /// Logs and traces.
     pub telemetry: TelemetrySettings,
     /// Number of voters that the group grows to.
@@ -41,6 +43,17 @@
     pub timers: ControlTimers,
     /// Bounds on the replicated state.
     pub limits: ControlLimits,
+    /// The group forms by itself from the seeds.
+    pub first_start: bool,
+    /// Control VMs that may be lost at a time, where the group keeps its
+    /// number of voters by itself; 0 where operators do.
+    pub tolerated_losses: u32,
+    /// Address for operators and upstreams of gateways.
+    pub gateway_api_address: Option<SocketAddr>,
+    /// Address on which callers ask for gateways.
+    pub directory_address: Option<SocketAddr>,
+    /// Interval at which upstreams announce themselves.
+    pub announce_interval_ms: u64,
 }
 
 /// Reads and checks the settings of a control process.
@@ -58,12 +71,31 @@
         text => checker.address("advertised_peer_address", text),
     };
     let http_address = checker.address("http_address", &settings.http_address);
-    let control_addresses = checker.addresses("control_addresses", &settings.control_addresses);
+    let control_addresses = if settings.seed_addresses.is_empty() {
+        checker.addresses("control_addresses", &settings.control_addresses)
+    } else {
+        checker.seeds(&settings.seed_addresses, settings.seed_peer_port)
+    };
+    let mut optional = |field: &str, text: &str| match text {
+        "" => None,
+        text => checker.address(field, text),
+    };
+    let gateway_api_address = optional("gateway_api_address", &settings.gateway_api_address);
+    let directory_address = optional("directory_address", &settings.directory_address);
     if settings.data_path.is_empty() {
         checker.report("data_path", "must name the data folder");
     }
-    let tls = checker.tls(settings.tls);
-    let target_voters = checker.number("target_voters", settings.target_voters, 3, 1, 9);
+    let tls = checker.peer_tls(settings.peer_security, settings.tls);
+    let announce_interval_ms = checker.number(
+        "announce_interval_ms",
+        settings.announce_interval_ms,
+        ANNOUNCE_INTERVAL_MS,
+        1,
+        HOUR_MS,
+    );
+    let voters_for = |losses: u32| losses.saturating_mul(2).saturating_add(1);
+    let default_voters = voters_for(settings.tolerated_losses.max(1));
+    let target_voters = checker.number("target_voters", settings.target_voters, default_voters, 1, 9);
     if target_voters.is_multiple_of(2) {
         checker.report("target_voters", "must be odd; an even number tolerates no more failures");
     }
@@ -83,6 +115,11 @@
         target_voters,
         timers,
         limits,
+        first_start: settings.first_start,
+        tolerated_losses: settings.tolerated_losses,
+        gateway_api_address,
+        directory_address,
+        announce_interval_ms,
     })
 }
 
--- /dev/null
+++ b/components/settings/src/gateway.rs
@@ -0,0 +1,123 @@
+//! Settings of `shallottray-gateway`.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use schema::{GatewayLimits, GatewaySettings, GatewayTimers, TelemetrySettings};
+use units::{DataCentre, VmName};
+
+use crate::checker::{Checker, load};
+use crate::{PeerTls, SettingsError};
+
+const MINUTE_MS: u64 = 60 * 1_000;
+const HOUR_S: f64 = 3_600.0;
+const MIB: u64 = 1 << 20;
+
+/// Checked settings of one gateway.
+#[derive(Clone, Debug)]
+pub struct GatewayConfig {
+    /// VM that the process runs on.
+    pub vm: VmName,
+    /// Data centre of the VM.
+    pub data_centre: DataCentre,
+    /// Address on which callers are served.
+    pub caller_address: SocketAddr,
+    /// Address of the readiness check.
+    pub ready_address: SocketAddr,
+    /// Address of the metrics.
+    pub metrics_address: SocketAddr,
+    /// Address for the system's own processes.
+    pub peer_address: SocketAddr,
+    /// How peers are authenticated.
+    pub tls: PeerTls,
+    /// Peer addresses of control VMs to begin with.
+    pub seeds: Vec<SocketAddr>,
+    /// Logs and traces.
+    pub telemetry: TelemetrySettings,
+    /// Time bounds.
+    pub timers: GatewayTimers,
+    /// Bounds on what the gateway holds.
+    pub limits: GatewayLimits,
+}
+
+/// Reads and checks the settings of a gateway.
+pub fn load_gateway(path: &Path) -> Result<GatewayConfig, SettingsError> {
+    load(path, check)
+}
+
+fn check(settings: GatewaySettings, checker: &mut Checker<'_>) -> Option<GatewayConfig> {
+    let vm = checker.parse("vm", &settings.vm);
+    let data_centre = checker.parse("data_centre", &settings.data_centre);
+    let caller_address = checker.address("caller_address", &settings.caller_address);
+    let ready_address = checker.address("ready_address", &settings.ready_address);
+    let metrics_address = checker.address("metrics_address", &settings.metrics_address);
+    let peer_address = checker.address("peer_address", &settings.peer_address);
+    let tls = checker.peer_tls(settings.peer_security, settings.tls);
+    let seeds = checker.seeds(&settings.seed_addresses, settings.seed_peer_port);
+    let timers = timers(settings.timers.unwrap_or_default(), checker);
+    let limits = limits(settings.limits.unwrap_or_default(), checker);
+    Some(GatewayConfig {
+        vm: vm?,
+        data_centre: data_centre?,
+        caller_address: caller_address?,
+        ready_address: ready_address?,
+        metrics_address: metrics_address?,
+        peer_address: peer_address?,
+        tls,
+        seeds,
+        telemetry: settings.telemetry.unwrap_or_default(),
+        timers,
+        limits,
+    })
+}
+
+fn timers(timers: GatewayTimers, checker: &mut Checker<'_>) -> GatewayTimers {
+    let mut seconds = |name: &str, value, default| {
+        checker.number(&format!("timers.{name}"), value, default, 0.1, HOUR_S)
+    };
+    GatewayTimers {
+        grace_period_s: seconds("grace_period_s", timers.grace_period_s, 30.0),
+        address_life_s: seconds("address_life_s", timers.address_life_s, 5.0),
+        connect_timeout_ms: checker.number(
+            "timers.connect_timeout_ms",
+            timers.connect_timeout_ms,
+            400,
+            1,
+            MINUTE_MS,
+        ),
+    }
+}
+
+fn limits(limits: GatewayLimits, checker: &mut Checker<'_>) -> GatewayLimits {
+    GatewayLimits {
+        max_connections: checker.number(
+            "limits.max_connections",
+            limits.max_connections,
+            1_500,
+            1,
+            100_000,
+        ),
+        max_buffered_bytes: checker.number(
+            "limits.max_buffered_bytes",
+            limits.max_buffered_bytes,
+            32 * MIB,
+            MIB,
+            1_024 * MIB,
+        ),
+        retry_ratio: checker.number("limits.retry_ratio", limits.retry_ratio, 0.1, 0.0, 1.0),
+        retry_allowance: checker.number(
+            "limits.retry_allowance",
+            limits.retry_allowance,
+            20,
+            0,
+            100_000,
+        ),
+        retry_window_s: checker.number(
+            "limits.retry_window_s",
+            limits.retry_window_s,
+            10.0,
+            0.1,
+            HOUR_S,
+        ),
+    }
+}
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -7,9 +7,13 @@
 mod control;
 mod entry;
 mod error;
+mod gateway;
 mod operator;
+mod security;
 
 pub use control::{ControlConfig, load_control};
 pub use entry::{EntryConfig, load_entry};
 pub use error::{SettingsError, SettingsProblem};
+pub use gateway::{GatewayConfig, load_gateway};
 pub use operator::{OperatorConfig, load_operator};
+pub use security::PeerTls;
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -6,14 +6,18 @@
 mod members;
 mod publications;
 mod records;
+mod routes;
 
 use prost::Message as _;
 use schema::command::Body;
-use schema::{Command, ObjectSet, PublishOutcome, RecordKey, RecordOutcome, StateImage};
+use schema::{
+    Command, ObjectSet, PublishOutcome, PublishRoutesOutcome, RecordKey, RecordOutcome, StateImage,
+};
 
 pub use members::Members;
 pub use publications::Publications;
 pub use records::Records;
+pub use routes::Routes;
 
 /// Bounds on the state.
 #[derive(Clone, Copy, Debug)]
@@ -35,6 +39,8 @@
 pub enum Outcome {
     /// Result of a publication.
     Published(PublishOutcome),
+    /// Result of a publication of routes.
+    Routes(PublishRoutesOutcome),
     /// Result of a record command.
     Record(RecordOutcome),
     /// The command has no result.
@@ -64,6 +70,7 @@
     publications: Publications,
     records: Records,
     members: Members,
+    routes: Routes,
 }
 
 impl State {
@@ -105,6 +112,9 @@
                 self.records.expire(now_ms.saturating_sub(expire.retention_ms));
                 Applied::new(Outcome::Done)
             }
+            Some(Body::PublishRoutes(publish)) => {
+                Applied::new(Outcome::Routes(self.routes.publish(publish)))
+            }
             None => Applied::new(Outcome::Done),
         }
     }
@@ -124,6 +134,11 @@
         &self.members
     }
 
+    /// Returns the published set of routes.
+    pub fn routes(&self) -> &Routes {
+        &self.routes
+    }
+
     /// Returns the current revision and its set.
     pub fn current(&self) -> (u64, Option<&ObjectSet>) {
         self.publications.current()
@@ -138,6 +153,7 @@
             members_version: self.members.version(),
             now_ms: self.now_ms,
             released: self.records.released_to_image(),
+            routes: self.routes.to_image(),
         };
         image.encode_to_vec()
     }
@@ -151,6 +167,7 @@
             publications: Publications::from_image(image.publications),
             records: Records::from_image(image.records, image.released),
             members: Members::from_image(image.members, image.members_version),
+            routes: Routes::from_image(image.routes),
         })
     }
 }
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -28,7 +28,12 @@
     };
     fern::Dispatch::new()
         .level(LevelFilter::Warn)
+        .level_for("daemon", level)
         .level_for("entry", level)
+        .level_for("gateway", level)
+        .level_for("platform", level)
+        .level_for("shallottray_gateway", level)
+        .level_for("shallottray_gateway_control", level)
         .level_for("control", level)
         .level_for("placement", level)
         .level_for("standin", level)
--- a/components/wire/src/endpoint.rs
+++ b/components/wire/src/endpoint.rs
@@ -11,8 +11,13 @@
 use crate::link::Link;
 use crate::server::{self, Handler};
 
-const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Time without a packet after which a connection is lost. A restarted peer
+/// does not answer on old connections, so this bounds how long it is missed.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(400);
+/// Round trip assumed before the first is measured: the default of the library
+/// costs a second whenever the first packet meets a peer that is starting.
+const INITIAL_ROUND_TRIP: Duration = Duration::from_millis(30);
 /// Requests that one peer may have open at a time; each connection holds memory
 /// for all of them from its start.
 const MAX_CONCURRENT_REQUESTS: u32 = 512;
@@ -74,5 +79,6 @@
     transport.keep_alive_interval(Some(KEEP_ALIVE_INTERVAL));
     transport.max_concurrent_bidi_streams(MAX_CONCURRENT_REQUESTS.into());
     transport.stream_receive_window(WINDOW_BYTES.into());
+    transport.initial_rtt(INITIAL_ROUND_TRIP);
     transport
 }
