Stop moved generations when the link is free, near destinations, first copy after a crash

Cause: all gateways moved the streams of an ending engine to the same least loaded engine, stopped runs while the link still carried other copies, gave up after one failed order, and held complete streams back for a second. Ruled out: copies too slow for the notice (a full engine needs 0.8 s).

--- a/components/balance/src/load.rs
+++ b/components/balance/src/load.rs
@@ -5,13 +5,8 @@
 use compact_str::CompactString;
 use rand::{Rng, RngExt as _};
 
-/// Cost of an upstream in another data centre, as a share of a full one.
-const REMOTE_COST: f64 = 0.12;
 /// Cost of an upstream that is still warming up.
 const COLD_COST: f64 = 0.3;
-/// Noise that spreads entries which see the same loads.
-const NOISE: f64 = 0.04;
-
 /// Work at one upstream.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Use {
@@ -28,6 +23,11 @@
     pub tokens: u64,
     /// Share of the capacity beyond which no more work is placed.
     pub fill: f64,
+    /// Cost of an upstream in another data centre, as a share of a full one.
+    pub remote_cost: f64,
+    /// Noise on the cost, as a share of a full upstream: spreads entries that
+    /// see the same loads and choose at the same moment.
+    pub noise: f64,
 }
 
 /// Upstream that may be chosen.
@@ -100,7 +100,7 @@
         let mut best: Option<(f64, &'a str)> = None;
         for candidate in candidates {
             let Some(cost) = self.cost(&candidate, demand) else { continue };
-            let cost = cost + rng.random_range(0.0..NOISE);
+            let cost = cost + demand.noise * rng.random::<f64>();
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, candidate.id));
             }
@@ -121,7 +121,7 @@
         if filled > demand.fill {
             return None;
         }
-        let remote = if candidate.remote { REMOTE_COST } else { 0.0 };
+        let remote = if candidate.remote { demand.remote_cost } else { 0.0 };
         let cold = if candidate.cold { COLD_COST } else { 0.0 };
         Some(filled + remote + cold - candidate.affinity)
     }
--- a/components/balance/tests/choice.rs
+++ b/components/balance/tests/choice.rs
@@ -6,7 +6,7 @@
     Candidate { id, slots: 24, cache_tokens: 30_000, remote: false, cold: false, affinity: 0.0 }
 }
 
-const DEMAND: Demand = Demand { tokens: 4_000, fill: 1.0 };
+const DEMAND: Demand = Demand { tokens: 4_000, fill: 1.0, remote_cost: 0.1, noise: 0.04 };
 
 #[test]
 fn least_loaded_engine_is_chosen_with_the_load_of_other_entries() {
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -24,6 +24,18 @@
 /// Plain services queue a few requests beyond their slots.
 const PLAIN_FILL: f64 = 4.0;
 
+/// Cost of an upstream in another data centre, as a share of a full one: bytes
+/// between data centres cost about as much as a tenth of the load.
+const REMOTE_COST: f64 = 0.12;
+/// The same for moved generations: a copy to another data centre takes twice
+/// the time on a link that many copies share.
+const MOVE_REMOTE_COST: f64 = 0.6;
+/// Noise on the cost of an upstream: requests of several gateways meet within
+/// one interval of their exchanges.
+const NOISE: f64 = 0.06;
+/// Noise for moved generations, whose gateways all choose at one moment.
+const MOVE_NOISE: f64 = 0.5;
+
 /// Upstreams that a request was already sent to.
 pub(crate) type Excluded = SmallVec<[CompactString; 4]>;
 
@@ -82,7 +94,7 @@
     until: Instant,
 ) -> Result<Place, NoPlace> {
     loop {
-        match find_place(shared, need, excluded, false) {
+        match find_place(shared, need, excluded, None) {
             Ok(place) => return Ok(place),
             Err(reason) if Instant::now() >= until => return Err(reason),
             Err(_) => sleep(ROOM_POLL).await,
@@ -95,23 +107,28 @@
     shared: &Rc<Shared>,
     need: &Need,
     excluded: &Excluded,
+    source: &Target,
 ) -> Result<Place, NoPlace> {
-    find_place(shared, need, excluded, true)
+    let fleet = shared.fleet.borrow();
+    let near = fleet.get(&source.id).map(|member| member.record.data_centre.clone());
+    drop(fleet);
+    find_place(shared, need, excluded, near.as_deref())
 }
 
 fn find_place(
     shared: &Rc<Shared>,
     need: &Need,
     excluded: &Excluded,
-    moved: bool,
+    moved_from: Option<&str>,
 ) -> Result<Place, NoPlace> {
+    let near = moved_from.unwrap_or(shared.config.data_centre.as_str());
     let now_ms = shared.now_ms();
-    let fill = match (&need.engine, moved) {
-        (Some(_), false) => FILL,
-        (Some(_), true) => MOVE_FILL,
-        (None, _) => PLAIN_FILL,
+    let (fill, remote_cost, noise) = match (&need.engine, moved_from.is_some()) {
+        (Some(_), false) => (FILL, REMOTE_COST, NOISE),
+        (Some(_), true) => (MOVE_FILL, MOVE_REMOTE_COST, MOVE_NOISE),
+        (None, _) => (PLAIN_FILL, REMOTE_COST, NOISE),
     };
-    let demand = Demand { tokens: need.tokens, fill };
+    let demand = Demand { tokens: need.tokens, fill, remote_cost, noise };
     let fleet = shared.fleet.borrow();
     let health = shared.health.borrow();
     let serving = || {
@@ -130,7 +147,7 @@
             id: &member.record.id,
             slots: member.record.slots,
             cache_tokens: need.engine.as_ref().map_or(0, |engine| engine.cache_tokens),
-            remote: member.record.data_centre != shared.config.data_centre.as_str(),
+            remote: member.record.data_centre != near,
             cold: now_ms < member.warm_at_ms,
             affinity: 0.0,
         });
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -1,7 +1,6 @@
 //! Streams of events, which survive the end of their engine.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures::stream::unfold;
@@ -10,23 +9,19 @@
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Frame, Incoming};
 use schema::RepeatKind;
-use tokio::sync::{oneshot, watch};
-use tokio::task::JoinHandle;
-use tokio::time::{sleep_until, timeout};
+use tokio::sync::watch;
+use tokio::time::sleep_until;
 
 use crate::answer::{Body, BrokenOff, strip_hop_by_hop};
 use crate::dialect::{MemoryRef, Resume};
 use crate::events::Events;
 use crate::exchange::{Reply, exchange};
 use crate::forward::{Call, elapsed_ms};
-use crate::moves::{self, Moved};
+use crate::moves::{self, Moved, Moving, Progress, Stopped};
 use crate::place::{Excluded, Place, is_ending, wait_for_place};
 use crate::pool::Connection;
 use crate::shared::{InFlight, Shared};
 
-/// Longest wait for the result of a move after its stream was closed.
-const MOVE_RESULT_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Engine that the stream comes from.
 #[derive(Debug)]
 struct Source {
@@ -35,19 +30,6 @@
     place: Place,
 }
 
-/// Move in progress; it is given up when it is dropped.
-#[derive(Debug)]
-struct Move {
-    result: oneshot::Receiver<Option<Moved>>,
-    task: JoinHandle<()>,
-}
-
-impl Drop for Move {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 struct Relay {
     shared: Rc<Shared>,
     call: Rc<Call>,
@@ -57,7 +39,7 @@
     relayed: u64,
     runs: u32,
     endings: watch::Receiver<u64>,
-    moving: Option<Move>,
+    moving: Moving,
     _in_flight: Option<InFlight>,
 }
 
@@ -70,6 +52,8 @@
     Cut(String),
     /// Upstreams announced their end.
     Endings,
+    /// A move went on.
+    Moving(Progress),
     TimedOut,
 }
 
@@ -96,7 +80,7 @@
         relayed: 0,
         runs: 1,
         endings,
-        moving: None,
+        moving: Moving::Idle,
         _in_flight: in_flight,
     };
     let frames = unfold(relay, |mut relay| async move {
@@ -120,11 +104,13 @@
             match self.step().await {
                 Step::Data(bytes) => self.events.push(&bytes),
                 Step::Endings => self.start_move(),
-                Step::End => match self.take_move().await {
-                    Some(moved) => match self.go_on(moved).await {
-                        Ok(()) => {}
-                        Err(broken) => return Some(Err(broken)),
-                    },
+                Step::Moving(progress) => self.advance_move(progress),
+                Step::End => match self.take_memory(false).await {
+                    Some(moved) => {
+                        if let Err(broken) = self.go_on(moved).await {
+                            return Some(Err(broken));
+                        }
+                    }
                     None => return self.complete().map(Ok),
                 },
                 Step::Cut(error) => {
@@ -151,6 +137,7 @@
                 None => Step::End,
             },
             Ok(()) = self.endings.changed() => Step::Endings,
+            progress = self.moving.progress() => Step::Moving(progress),
             () = sleep_until(self.call.until) => Step::TimedOut,
         }
     }
@@ -180,30 +167,53 @@
     fn start_move(&mut self) {
         let Some(source) = &self.source else { return };
         let movable = self.call.need.engine.as_ref().is_some_and(|engine| engine.moves);
-        let target = source.place.target.clone();
-        if self.moving.is_some() || !movable || !is_ending(&self.shared, &target) {
+        let target = &source.place.target;
+        let idle = matches!(self.moving, Moving::Idle);
+        if !idle || !movable || !is_ending(&self.shared, target) {
             return;
         }
         log::info!(request = self.call.head.id.as_str(), upstream = target.id.as_str(), events = self.relayed; "generation is to move");
-        let (result, receiver) = oneshot::channel();
-        let (shared, call) = (self.shared.clone(), self.call.clone());
-        let task = actix_rt::spawn(async move {
-            let moved =
-                moves::carry_over(&shared, &call.head.id, &target, &call.need, call.until).await;
-            // A stream that ended meanwhile needs no result.
-            let _ = result.send(moved);
-        });
-        self.moving = Some(Move { result: receiver, task });
+        self.moving = moves::start_copy(&self.shared, &self.call, target);
     }
 
-    /// Returns the result of the move in progress, if any.
-    async fn take_move(&mut self) -> Option<Moved> {
-        let mut moving = self.moving.take()?;
-        timeout(MOVE_RESULT_TIMEOUT, &mut moving.result).await.ok()?.ok()?
+    fn advance_move(&mut self, progress: Progress) {
+        let Some(source) = &self.source else { return };
+        let target = &source.place.target;
+        let moving = std::mem::take(&mut self.moving);
+        self.moving = match (moving, progress) {
+            (Moving::Copying(_, stop_at), Progress::Copied(Some(moved))) => {
+                Moving::Copied(moved, stop_at)
+            }
+            (Moving::Copied(moved, _), Progress::StopDue) => {
+                moves::start_stop(&self.shared, &self.call, target, moved)
+            }
+            (Moving::Stopping(mut moved, _), Progress::Stopped(Stopped::Copied(handle))) => {
+                moved.memory.handle = handle;
+                Moving::Stopped(moved)
+            }
+            // The run goes on at the source, or waits there: copy it anew.
+            (Moving::Stopping(..), Progress::Stopped(_)) => {
+                moves::start_copy(&self.shared, &self.call, target)
+            }
+            (_, _) => Moving::Idle,
+        };
+    }
+
+    /// Returns the memory to go on from; after a cut the first copy will do.
+    async fn take_memory(&mut self, cut: bool) -> Option<Moved> {
+        if !cut
+            && let Moving::Copied(..) = self.moving
+            && let Moving::Copied(moved, _) = std::mem::take(&mut self.moving)
+            && let Some(source) = &self.source
+        {
+            moves::free(&self.shared, &source.place.target, moved);
+            return None;
+        }
+        self.moving.take_memory(cut).await
     }
 
     async fn recover(&mut self, error: &str) -> Result<(), BrokenOff> {
-        if let Some(moved) = self.take_move().await {
+        if let Some(moved) = self.take_memory(true).await {
             return self.go_on(moved).await;
         }
         let resumable = self.call.route.kind() == RepeatKind::ResumableStream;
@@ -219,8 +229,10 @@
 
     /// Goes on from moved memory at its new engine.
     async fn go_on(&mut self, moved: Moved) -> Result<(), BrokenOff> {
-        self.source = None;
+        let from = self.source.take().map(|source| source.place.target.id.clone());
         self.events.rest();
+        log::info!(request = self.call.head.id.as_str(), from = from.as_deref().unwrap_or_default(), to = moved.place.target.id.as_str(), events = self.relayed; "generation moved");
+        self.shared.metrics.moves.with_label_values(&["moved"]).inc();
         self.resume(moved.place, Some(moved.memory)).await
     }
 
