Weigh prompts that are still to be read; gather the use of upstreams every 80 ms

Cause: late first events came from prompts read together on one engine, which the loads did not show. Ruled out: memory (few preemptions).

--- a/components/balance/src/load.rs
+++ b/components/balance/src/load.rs
@@ -5,6 +5,9 @@
 use compact_str::CompactString;
 use rand::{Rng, RngExt as _};
 
+/// Unread prompt tokens that weigh as much as a full upstream: about the time
+/// of a first event's target, which prompts that are read together share.
+const UNREAD_TOKENS_OF_FULL: f64 = 6_000.0;
 /// Cost of an upstream that is still warming up.
 const COLD_COST: f64 = 0.3;
 /// Work at one upstream.
@@ -14,6 +17,8 @@
     pub running: u32,
     /// Cache tokens that they are expected to need.
     pub tokens: u64,
+    /// Prompt tokens that are still to be read.
+    pub unread_tokens: u64,
 }
 
 /// What one request needs.
@@ -56,10 +61,18 @@
 
 impl Loads {
     /// Counts a request that is placed on an upstream.
-    pub fn begin(&mut self, id: &str, tokens: u64) {
+    pub fn begin(&mut self, id: &str, tokens: u64, unread_tokens: u64) {
         let load = self.own.entry(id.into()).or_default();
         load.running += 1;
         load.tokens += tokens;
+        load.unread_tokens += unread_tokens;
+    }
+
+    /// Counts that a prompt was read.
+    pub fn read(&mut self, id: &str, unread_tokens: u64) {
+        if let Some(load) = self.own.get_mut(id) {
+            load.unread_tokens = load.unread_tokens.saturating_sub(unread_tokens);
+        }
     }
 
     /// Counts the end of a request that was counted by [`Loads::begin`].
@@ -87,7 +100,11 @@
     pub fn total(&self, id: &str) -> Use {
         let own = self.own.get(id).copied().unwrap_or_default();
         let others = self.others.get(id).copied().unwrap_or_default();
-        Use { running: own.running + others.running, tokens: own.tokens + others.tokens }
+        Use {
+            running: own.running + others.running,
+            tokens: own.tokens + others.tokens,
+            unread_tokens: own.unread_tokens + others.unread_tokens,
+        }
     }
 
     /// Returns the least loaded candidate that has room for the demand.
@@ -123,6 +140,7 @@
         }
         let remote = if candidate.remote { demand.remote_cost } else { 0.0 };
         let cold = if candidate.cold { COLD_COST } else { 0.0 };
-        Some(filled + remote + cold - candidate.affinity)
+        let unread = load.unread_tokens as f64 / UNREAD_TOKENS_OF_FULL;
+        Some(filled + unread + remote + cold - candidate.affinity)
     }
 }
--- a/components/balance/tests/choice.rs
+++ b/components/balance/tests/choice.rs
@@ -11,8 +11,8 @@
 #[test]
 fn least_loaded_engine_is_chosen_with_the_load_of_other_entries() {
     let mut loads = Loads::default();
-    loads.begin("a", 4_000);
-    loads.set_others([("b".into(), Use { running: 3, tokens: 12_000 })].into_iter());
+    loads.begin("a", 4_000, 0);
+    loads.set_others([("b".into(), Use { running: 3, tokens: 12_000, unread_tokens: 0 })].into_iter());
 
     let chosen = loads.choose([engine("a"), engine("b")].into_iter(), DEMAND, &mut rand::rng());
 
@@ -29,10 +29,22 @@
     assert_eq!(chosen, Some("b"));
 }
 
+#[test]
+fn engine_that_reads_no_prompt_wins_over_a_less_filled_one() {
+    let mut loads = Loads::default();
+    loads.begin("a", 3_000, 3_000);
+    loads.begin("b", 9_000, 3_000);
+    loads.read("b", 3_000);
+
+    let chosen = loads.choose([engine("a"), engine("b")].into_iter(), DEMAND, &mut rand::rng());
+
+    assert_eq!(chosen, Some("b"));
+}
+
 #[test]
 fn engine_without_memory_for_the_request_is_not_chosen() {
     let mut loads = Loads::default();
-    loads.begin("a", 27_000);
+    loads.begin("a", 27_000, 0);
 
     assert_eq!(loads.choose([engine("a")].into_iter(), DEMAND, &mut rand::rng()), None);
 
--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -146,6 +146,7 @@
             let sum = total.entry(&used.id).or_default();
             sum.running += used.running;
             sum.committed_tokens += used.committed_tokens;
+            sum.unread_tokens += used.unread_tokens;
         }
         let name = |(id, sum): (&str, UpstreamUse)| UpstreamUse { id: id.to_string(), ..sum };
         total.into_iter().map(name).collect()
@@ -205,13 +206,15 @@
         let known_version =
             if request.registry_epoch == syncs.epoch { request.registry_version } else { 0 };
         let set = Some(self.state.routes().current()).filter(|set| set.number > request.set_number);
+        let others =
+            if request.wants_use { syncs.use_by_others(&request.vm) } else { Vec::new() };
         let members = self.node.configuration().replicas.iter();
         SyncReply {
             registry_epoch: syncs.epoch,
             registry_version: syncs.registry.version(),
             upstreams: syncs.registry.changes_since(known_version).cloned().collect(),
             set: set.cloned(),
-            r#use: syncs.use_by_others(&request.vm),
+            r#use: others,
             entries: u32::try_from(syncs.entries.len()).unwrap_or(u32::MAX),
             control_addresses: members.map(|replica| replica.peer_address.clone()).collect(),
         }
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -15,9 +15,11 @@
 
 use crate::shared::Shared;
 
-/// Longest time for which a control process holds its reply back: how old the
-/// use of upstreams by other gateways may be.
-const WAIT_MS: u32 = 250;
+/// Longest time for which the control process that gathers the use of upstreams
+/// holds its reply back: how old the use by other gateways may be.
+const USE_WAIT_MS: u32 = 80;
+/// The same for the others, which only tell changes.
+const WAIT_MS: u32 = 500;
 /// Longest wait for a reply.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Pause after an exchange that failed.
@@ -31,12 +33,13 @@
     shared: Rc<Shared>,
     endpoint: Endpoint,
     tasks: RefCell<BTreeMap<SocketAddr, JoinHandle<()>>>,
+    connected: RefCell<BTreeSet<SocketAddr>>,
 }
 
 impl ControlLinks {
     /// Starts exchanges with the seeds; others are learned from them.
     pub(crate) fn start(shared: Rc<Shared>, endpoint: Endpoint) -> Rc<Self> {
-        let links = Rc::new(ControlLinks { shared, endpoint, tasks: RefCell::default() });
+        let links = Rc::new(ControlLinks { shared, endpoint, tasks: RefCell::default(), connected: RefCell::default() });
         let seeds = links.shared.config.seeds.iter().copied().collect();
         links.follow(&seeds);
         links
@@ -53,6 +56,12 @@
         }
     }
 
+    /// Returns whether the process at `address` gathers the use of upstreams:
+    /// all gateways take the lowest address that they reach.
+    fn gathers_use(&self, address: SocketAddr) -> bool {
+        self.connected.borrow().first() == Some(&address)
+    }
+
     /// Ends exchanges with processes that left the group.
     fn retire(&self, members: &BTreeSet<SocketAddr>) {
         let seeds = &self.shared.config.seeds;
@@ -61,6 +70,7 @@
             if !keep {
                 log::info!(control = address.to_string().as_str(); "control process left");
                 self.shared.fleet.borrow_mut().forget_source(*address);
+                self.connected.borrow_mut().remove(address);
                 task.abort();
             }
             keep
@@ -83,7 +93,7 @@
     let mut connected = false;
     loop {
         let started = Instant::now();
-        let body = request::Body::Sync(sync_request(&shared, known));
+        let body = request::Body::Sync(sync_request(&shared, known, links.gathers_use(address)));
         let request = Request { traceparent: String::new(), body: Some(body) };
         // A change of phase is told at once, in an exchange of its own.
         let replied = tokio::select! {
@@ -95,6 +105,7 @@
                 if !connected {
                     log::info!(control = address.to_string().as_str(); "control process connected");
                     connected = true;
+                    links.connected.borrow_mut().insert(address);
                 }
                 known = take_over(&links, address, known, reply);
                 let next = started + MIN_INTERVAL;
@@ -106,6 +117,7 @@
                     let error = failed.err().unwrap_or(CallError::UnexpectedReply).to_string();
                     log::warn!(control = address.to_string().as_str(), error = error.as_str(); "control process lost");
                     connected = false;
+                    links.connected.borrow_mut().remove(&address);
                     shared.fleet.borrow_mut().forget_source(address);
                     known = Known::default();
                 }
@@ -116,12 +128,13 @@
     }
 }
 
-fn sync_request(shared: &Shared, known: Known) -> SyncRequest {
+fn sync_request(shared: &Shared, known: Known, gathers_use: bool) -> SyncRequest {
     let loads = shared.loads.borrow();
-    let used = loads.own().map(|(id, load)| UpstreamUse {
+    let used = loads.own().filter(|_| gathers_use).map(|(id, load)| UpstreamUse {
         id: id.to_string(),
         running: load.running,
         committed_tokens: load.tokens,
+        unread_tokens: load.unread_tokens,
     });
     let config = &shared.config;
     SyncRequest {
@@ -134,7 +147,8 @@
         registry_epoch: known.registry_epoch,
         registry_version: known.registry_version,
         r#use: used.collect(),
-        wait_ms: WAIT_MS,
+        wait_ms: if gathers_use { USE_WAIT_MS } else { WAIT_MS },
+        wants_use: gathers_use,
     }
 }
 
@@ -152,11 +166,17 @@
     if let Some(set) = reply.set {
         take_set(shared, set, address);
     }
-    let others = reply.r#use.into_iter().map(|used| {
-        let load = Use { running: used.running, tokens: used.committed_tokens };
-        (used.id.into(), load)
-    });
-    shared.loads.borrow_mut().set_others(others);
+    if links.gathers_use(address) {
+        let others = reply.r#use.into_iter().map(|used| {
+            let load = Use {
+                running: used.running,
+                tokens: used.committed_tokens,
+                unread_tokens: used.unread_tokens,
+            };
+            (used.id.into(), load)
+        });
+        shared.loads.borrow_mut().set_others(others);
+    }
     shared.entries.set(reply.entries.max(1));
     let members = reply.control_addresses.iter().filter_map(|text| text.parse().ok());
     let members: BTreeSet<SocketAddr> = members.collect();
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -24,9 +24,8 @@
 /// Plain services queue a few requests beyond their slots.
 const PLAIN_FILL: f64 = 4.0;
 
-/// Cost of an upstream in another data centre, as a share of a full one: bytes
-/// between data centres cost about as much as a tenth of the load.
-const REMOTE_COST: f64 = 0.12;
+/// Cost of an upstream in another data centre, as a share of a full one.
+const REMOTE_COST: f64 = 0.06;
 /// The same for moved generations: a copy to another data centre takes twice
 /// the time on a link that many copies share.
 const MOVE_REMOTE_COST: f64 = 0.6;
@@ -45,15 +44,18 @@
     pub(crate) service: CompactString,
     pub(crate) engine: Option<EngineCapacity>,
     pub(crate) tokens: u64,
+    pub(crate) prompt_tokens: u64,
 }
 
 impl Need {
     pub(crate) fn new(service: &str, engine: Option<EngineCapacity>, prompt: Option<Prompt>) -> Self {
-        let tokens = match (&engine, prompt) {
-            (Some(_), Some(prompt)) => expected_tokens(prompt),
-            _ => 0,
-        };
-        Need { service: service.into(), engine, tokens }
+        let prompt = prompt.filter(|_| engine.is_some()).unwrap_or_default();
+        Need {
+            service: service.into(),
+            engine,
+            tokens: expected_tokens(prompt),
+            prompt_tokens: prompt.prompt_tokens,
+        }
     }
 }
 
@@ -69,10 +71,20 @@
     shared: Rc<Shared>,
     pub(crate) target: Target,
     tokens: u64,
+    unread_tokens: u64,
+}
+
+impl Place {
+    /// Counts that the prompt was read.
+    pub(crate) fn mark_read(&mut self) {
+        let unread_tokens = std::mem::take(&mut self.unread_tokens);
+        self.shared.loads.borrow_mut().read(&self.target.id, unread_tokens);
+    }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
+        self.mark_read();
         self.shared.loads.borrow_mut().end(&self.target.id, self.tokens);
     }
 }
@@ -162,8 +174,9 @@
         address: member.address,
         born_ms: member.record.born_ms,
     };
-    shared.loads.borrow_mut().begin(&target.id, need.tokens);
-    Ok(Place { shared: shared.clone(), target, tokens: need.tokens })
+    let unread_tokens = if moved_from.is_some() { 0 } else { need.prompt_tokens };
+    shared.loads.borrow_mut().begin(&target.id, need.tokens, unread_tokens);
+    Ok(Place { shared: shared.clone(), target, tokens: need.tokens, unread_tokens })
 }
 
 /// Returns whether the incarnation has announced its end.
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -62,9 +62,11 @@
     shared: &Rc<Shared>,
     call: &Rc<Call>,
     reply: Reply,
-    place: Place,
+    mut place: Place,
     in_flight: Option<InFlight>,
 ) -> Response<Body> {
+    // The head comes with the first token.
+    place.mark_read();
     let Reply { mut head, body, connection } = reply;
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
@@ -251,7 +253,11 @@
         }
     }
 
-    async fn resume(&mut self, place: Place, memory: Option<MemoryRef>) -> Result<(), BrokenOff> {
+    async fn resume(
+        &mut self,
+        mut place: Place,
+        memory: Option<MemoryRef>,
+    ) -> Result<(), BrokenOff> {
         let resume = Resume { last_event_id: self.last_event_id, memory };
         let request = self.call.to_request(&self.shared, &place.target, Some(&resume));
         let reply = exchange(&self.shared, &place.target, request, self.call.until).await;
@@ -268,6 +274,7 @@
             return Err(BrokenOff);
         }
         log::info!(request = self.call.head.id.as_str(), upstream = place.target.id.as_str(), events = self.relayed, last_event_id = self.last_event_id; "stream goes on");
+        place.mark_read();
         let Reply { body, connection, .. } = reply;
         self.source = Some(Source { body, connection, place });
         self.start_move();
