--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -39,6 +39,8 @@
 /// When a caller may try again while a gateway has no set of routes: control
 /// processes that start together with it need an election first.
 const RETRY_NO_SET: Duration = Duration::from_millis(1_500);
+/// When a caller may try again, at another gateway, after one that stops.
+const RETRY_OTHER_GATEWAY: Duration = Duration::from_millis(50);
 /// Time after the stop signal in which new requests are still served, since
 /// callers use the addresses that they were given for a while.
 pub(crate) const LATE_CALLERS: Duration = Duration::from_millis(3_000);
@@ -143,6 +145,11 @@
             NoRoute::UnknownKey => Refusal::caller(StatusCode::UNAUTHORIZED, "unknown key"),
         })
     })?;
+    let stopping = *shared.phase.borrow() == EntryPhase::Stopping;
+    if stopping && (routed.route.kind() == RepeatKind::Stream || late_for_stop(shared)) {
+        // It could not end before the process does.
+        return Err(refuse(Refusal::unavailable("stopping", RETRY_OTHER_GATEWAY)));
+    }
     let limit = table.set().limits.as_ref().map_or(0, |limits| limits.max_body_bytes);
     let limit = if limit == 0 { DEFAULT_MAX_BODY_BYTES } else { limit };
     let timeout = Duration::from_millis(routed.route.timeout_ms);
@@ -172,6 +179,11 @@
     })
 }
 
+/// Returns whether callers had the time to learn of the stop.
+fn late_for_stop(shared: &Shared) -> bool {
+    shared.stopping_since.get().is_some_and(|since| since.elapsed() > LATE_CALLERS)
+}
+
 /// Returns the set of routes in force; a gateway that has just started waits a
 /// moment for it.
 async fn wait_for_table(shared: &Shared, arrived: Instant) -> Result<Rc<RouteTable>, Refusal> {
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -70,6 +70,7 @@
     /// while, and requests in progress end.
     pub async fn stop(self) {
         let started = Instant::now();
+        self.shared.stopping_since.set(Some(started));
         self.shared.phase.send_replace(EntryPhase::Stopping);
         let timers = &self.shared.config.timers;
         let grace = Duration::from_secs_f64(timers.grace_period_s).saturating_sub(KILL_MARGIN);
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -12,6 +12,7 @@
 use schema::EntryPhase;
 use settings::GatewayConfig;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
@@ -36,6 +37,8 @@
     pub(crate) phase: watch::Sender<EntryPhase>,
     /// Counts changes that end an upstream.
     pub(crate) endings: watch::Sender<u64>,
+    /// When the stop signal came.
+    pub(crate) stopping_since: Cell<Option<Instant>>,
     budgets: RefCell<HashMap<CompactString, RetryBudget>>,
     in_flight: Cell<u32>,
 }
@@ -55,6 +58,7 @@
             entries: Cell::new(1),
             phase: watch::Sender::new(EntryPhase::Starting),
             endings: watch::Sender::new(0),
+            stopping_since: Cell::new(None),
             budgets: RefCell::default(),
             in_flight: Cell::new(0),
             config,
