Draw a sample of engines by the rate of arrivals; log placements and callers that leave

Cause: on the grown site 74 gateways sent 10 to 14 requests within 130 ms to the engine that all of them held for the least loaded. Ruled out: missing loads (all gateways reach the same gathering process).

--- a/components/balance/src/budget.rs
+++ b/components/balance/src/budget.rs
@@ -59,6 +59,12 @@
         granted
     }
 
+    /// Returns the requests of callers per millisecond.
+    pub fn rate_per_ms(&mut self, now_ms: u64) -> f64 {
+        self.expire(now_ms);
+        self.firsts.len() as f64 / self.limits.window_ms.max(1) as f64
+    }
+
     fn expire(&mut self, now_ms: u64) {
         let window_ms = self.limits.window_ms;
         for times in [&mut self.firsts, &mut self.repeats] {
--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -8,4 +8,4 @@
 
 pub use budget::{RetryBudget, RetryLimits};
 pub use health::Health;
-pub use load::{Candidate, Demand, Loads, Use};
+pub use load::{Candidate, Demand, Loads, Use, sample_size};
--- a/components/balance/src/load.rs
+++ b/components/balance/src/load.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 use rand::{Rng, RngExt as _};
+use smallvec::SmallVec;
 
 /// Unread prompt tokens that weigh as much as a full upstream: about the time
 /// of a first event's target, which prompts that are read together share.
@@ -33,6 +34,27 @@
     /// Noise on the cost, as a share of a full upstream: spreads entries that
     /// see the same loads and choose at the same moment.
     pub noise: f64,
+    /// Upstreams drawn at random among which the least loaded is taken.
+    pub sample: usize,
+}
+
+/// Requests that may meet at the upstream that all entries hold for the least
+/// loaded, before they learn of one another.
+const EXPECTED_RIVALS: f64 = 0.7;
+/// Two draws already avoid the most loaded upstreams.
+const MIN_SAMPLE: usize = 2;
+
+/// Returns how many of `upstreams` to look at when all entries together place
+/// `arrivals` requests before they learn of one another: the best of all would
+/// get all of them.
+///
+/// ```
+/// assert_eq!(balance::sample_size(18, 0.5), 18);
+/// assert_eq!(balance::sample_size(46, 8.0), 4);
+/// ```
+pub fn sample_size(upstreams: usize, arrivals: f64) -> usize {
+    let size = EXPECTED_RIVALS * upstreams as f64 / arrivals.max(EXPECTED_RIVALS);
+    (size as usize).max(MIN_SAMPLE)
 }
 
 /// Upstream that may be chosen.
@@ -107,22 +129,24 @@
         }
     }
 
-    /// Returns the least loaded candidate that has room for the demand.
+    /// Returns the least loaded of a random sample of the candidates that have
+    /// room for the demand.
     pub fn choose<'a>(
         &self,
         candidates: impl Iterator<Item = Candidate<'a>>,
         demand: Demand,
         rng: &mut impl Rng,
     ) -> Option<&'a str> {
-        let mut best: Option<(f64, &'a str)> = None;
-        for candidate in candidates {
-            let Some(cost) = self.cost(&candidate, demand) else { continue };
-            let cost = cost + demand.noise * rng.random::<f64>();
-            if best.is_none_or(|(lowest, _)| cost < lowest) {
-                best = Some((cost, candidate.id));
-            }
+        let cost = |candidate: Candidate<'a>| Some((self.cost(&candidate, demand)?, candidate.id));
+        let mut open: SmallVec<[(f64, &str); 32]> = candidates.filter_map(cost).collect();
+        let sample = demand.sample.clamp(1, open.len().max(1)).min(open.len());
+        for index in 0..sample {
+            let other = rng.random_range(index..open.len());
+            open.swap(index, other);
+            open[index].0 += demand.noise * rng.random::<f64>();
         }
-        best.map(|(_, id)| id)
+        let drawn = open.into_iter().take(sample);
+        drawn.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
     }
 
     /// Returns the cost of a candidate; `None` if it has no room.
--- a/components/balance/tests/choice.rs
+++ b/components/balance/tests/choice.rs
@@ -6,7 +6,8 @@
     Candidate { id, slots: 24, cache_tokens: 30_000, remote: false, cold: false, affinity: 0.0 }
 }
 
-const DEMAND: Demand = Demand { tokens: 4_000, fill: 1.0, remote_cost: 0.1, noise: 0.04 };
+const DEMAND: Demand =
+    Demand { tokens: 4_000, fill: 1.0, remote_cost: 0.1, noise: 0.04, sample: 99 };
 
 #[test]
 fn least_loaded_engine_is_chosen_with_the_load_of_other_entries() {
@@ -19,6 +20,22 @@
     assert_eq!(chosen, Some("a"));
 }
 
+#[test]
+fn sample_spreads_entries_that_see_the_same_least_loaded_engine() {
+    let ids: Vec<String> = (0..40).map(|index| format!("e{index}")).collect();
+    let mut loads = Loads::default();
+    ids.iter().skip(1).for_each(|id| loads.begin(id, 9_000, 3_000));
+    let demand = Demand { sample: 4, ..DEMAND };
+
+    let choices = (0..200).filter(|_| {
+        let candidates = ids.iter().map(|id| engine(id));
+        loads.choose(candidates, demand, &mut rand::rng()) == Some("e0")
+    });
+
+    // A tenth of them are expected to draw the idle engine.
+    assert!((1..60).contains(&choices.count()));
+}
+
 #[test]
 fn near_engine_wins_between_equals() {
     let remote = Candidate { remote: true, ..engine("a") };
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -244,6 +244,7 @@
         };
         sends += 1;
         let upstream = place.target.id.clone();
+        log_placement(shared, &call, &place);
         let attempt = attempt(shared, &call, place, &mut in_flight).await;
         let may_send = sends < MAX_SENDS && Instant::now() < call.until;
         let (again, last) = match attempt {
@@ -274,6 +275,14 @@
     finish(shared, &call, result, sends)
 }
 
+fn log_placement(shared: &Shared, call: &Call, place: &Place) {
+    if call.need.engine.is_none() {
+        return;
+    }
+    let load = shared.loads.borrow().total(&place.target.id);
+    log::info!(request = call.head.id.as_str(), upstream = place.target.id.as_str(), tokens = call.need.tokens, held_ms = elapsed_ms(call.arrived), running = load.running, committed_tokens = load.tokens, unread_tokens = load.unread_tokens; "request placed");
+}
+
 fn finish(
     shared: &Shared,
     call: &Call,
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use balance::{Candidate, Demand};
+use balance::{Candidate, Demand, sample_size};
 use compact_str::CompactString;
 use schema::{EngineCapacity, UpstreamPhase};
 use smallvec::SmallVec;
@@ -29,6 +29,9 @@
 /// The same for moved generations: a copy to another data centre takes twice
 /// the time on a link that many copies share.
 const MOVE_REMOTE_COST: f64 = 0.6;
+/// Time until the other gateways learn of a request that was placed: an
+/// interval of their exchanges, and half of one on average before it is told.
+const USE_LAG_MS: f64 = 120.0;
 /// Noise on the cost of an upstream: requests of several gateways meet within
 /// one interval of their exchanges.
 const NOISE: f64 = 0.06;
@@ -140,7 +143,6 @@
         (Some(_), true) => (MOVE_FILL, MOVE_REMOTE_COST, MOVE_NOISE),
         (None, _) => (PLAIN_FILL, REMOTE_COST, NOISE),
     };
-    let demand = Demand { tokens: need.tokens, fill, remote_cost, noise };
     let fleet = shared.fleet.borrow();
     let health = shared.health.borrow();
     let serving = || {
@@ -150,6 +152,9 @@
                 && !excluded.iter().any(|id| id.as_str() == member.record.id)
         })
     };
+    let arrivals = shared.rate_per_ms(&need.service) * USE_LAG_MS;
+    let sample = sample_size(serving().count(), arrivals);
+    let demand = Demand { tokens: need.tokens, fill, remote_cost, noise, sample };
     let healthy = |id: &str| !health.is_ejected(id, now_ms);
     // With all of them ejected, each is as good as the others.
     let any_healthy = serving().any(|member| healthy(&member.record.id));
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -98,6 +98,14 @@
     Response::from_parts(head, body)
 }
 
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if self.source.is_some() {
+            self.log_end("caller left");
+        }
+    }
+}
+
 impl Relay {
     /// Returns the next event; `None` once the stream is complete.
     async fn next(&mut self) -> Option<Result<Bytes, BrokenOff>> {
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -110,6 +110,14 @@
         self.with_budget(service, |budget| budget.count_first(now_ms));
     }
 
+    /// Returns the requests for `service` per millisecond at all gateways, as
+    /// far as this one can tell.
+    pub(crate) fn rate_per_ms(&self, service: &str) -> f64 {
+        let now_ms = self.now_ms();
+        let own = self.with_budget(service, |budget| budget.rate_per_ms(now_ms));
+        own * f64::from(self.entries.get())
+    }
+
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let limits = &self.config.limits;
         let mut budgets = self.budgets.borrow_mut();
