--- a/components/balance/tests/choice.rs
+++ b/components/balance/tests/choice.rs
@@ -13,7 +13,9 @@
 fn least_loaded_engine_is_chosen_with_the_load_of_other_entries() {
     let mut loads = Loads::default();
     loads.begin("a", 4_000, 0);
-    loads.set_others([("b".into(), Use { running: 3, tokens: 12_000, unread_tokens: 0 })].into_iter());
+    loads.set_others(
+        [("b".into(), Use { running: 3, tokens: 12_000, unread_tokens: 0 })].into_iter(),
+    );
 
     let chosen = loads.choose([engine("a"), engine("b")].into_iter(), DEMAND, &mut rand::rng());
 
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -13,6 +13,6 @@
 mod replica;
 mod storage;
 
-pub use handle::{AskError, Handle};
 pub use error::StartError;
+pub use handle::{AskError, Handle};
 pub use process::Control;
--- a/components/control/src/replica/join.rs
+++ b/components/control/src/replica/join.rs
@@ -87,7 +87,9 @@
         let member = self.as_member();
         match self.node.bootstrap(now_ms, member) {
             Ok(()) => log::info!(replica = self.node.id(); "group created"),
-            Err(error) => log::error!(error = error.to_string().as_str(); "cannot create the group"),
+            Err(error) => {
+                log::error!(error = error.to_string().as_str(); "cannot create the group")
+            }
         }
     }
 
--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -154,11 +154,7 @@
 }
 
 impl Replica {
-    pub(super) fn sync(
-        &mut self,
-        peer: &Identity,
-        request: SyncRequest,
-    ) -> ResponseFuture<Reply> {
+    pub(super) fn sync(&mut self, peer: &Identity, request: SyncRequest) -> ResponseFuture<Reply> {
         if request.vm != peer.name.as_str() {
             return ready(refuse(ErrorCode::Forbidden, "a gateway speaks for itself only"));
         }
@@ -206,8 +202,7 @@
         let known_version =
             if request.registry_epoch == syncs.epoch { request.registry_version } else { 0 };
         let set = Some(self.state.routes().current()).filter(|set| set.number > request.set_number);
-        let others =
-            if request.wants_use { syncs.use_by_others(&request.vm) } else { Vec::new() };
+        let others = if request.wants_use { syncs.use_by_others(&request.vm) } else { Vec::new() };
         let members = self.node.configuration().replicas.iter();
         SyncReply {
             registry_epoch: syncs.epoch,
--- a/components/credentials/src/tls.rs
+++ b/components/credentials/src/tls.rs
@@ -3,9 +3,9 @@
 use std::path::Path;
 use std::sync::Arc;
 
-use rustls::pki_types::pem::PemObject as _;
 use rustls::client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier};
 use rustls::crypto::CryptoProvider;
+use rustls::pki_types::pem::PemObject as _;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName, UnixTime};
 use rustls::server::WebPkiClientVerifier;
 use rustls::server::danger::{ClientCertVerified, ClientCertVerifier};
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -39,7 +39,12 @@
 impl ControlLinks {
     /// Starts exchanges with the seeds; others are learned from them.
     pub(crate) fn start(shared: Rc<Shared>, endpoint: Endpoint) -> Rc<Self> {
-        let links = Rc::new(ControlLinks { shared, endpoint, tasks: RefCell::default(), connected: RefCell::default() });
+        let links = Rc::new(ControlLinks {
+            shared,
+            endpoint,
+            tasks: RefCell::default(),
+            connected: RefCell::default(),
+        });
         let seeds = links.shared.config.seeds.iter().copied().collect();
         links.follow(&seeds);
         links
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -132,8 +132,8 @@
         .map_err(|_| (Refusal::caller(StatusCode::BAD_REQUEST, "malformed head"), "".into()))?;
     let id = call_head.id.clone();
     let refuse = |refusal| (refusal, id.clone());
-    let ambiguous = head.headers.contains_key(TRANSFER_ENCODING)
-        && head.headers.contains_key(CONTENT_LENGTH);
+    let ambiguous =
+        head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH);
     if ambiguous {
         return Err(refuse(Refusal::caller(StatusCode::BAD_REQUEST, "ambiguous length")));
     }
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -51,7 +51,11 @@
 }
 
 impl Need {
-    pub(crate) fn new(service: &str, engine: Option<EngineCapacity>, prompt: Option<Prompt>) -> Self {
+    pub(crate) fn new(
+        service: &str,
+        engine: Option<EngineCapacity>,
+        prompt: Option<Prompt>,
+    ) -> Self {
         let prompt = prompt.filter(|_| engine.is_some()).unwrap_or_default();
         Need {
             service: service.into(),
@@ -158,15 +162,16 @@
     let healthy = |id: &str| !health.is_ejected(id, now_ms);
     // With all of them ejected, each is as good as the others.
     let any_healthy = serving().any(|member| healthy(&member.record.id));
-    let candidates = serving()
-        .filter(|member| !any_healthy || healthy(&member.record.id))
-        .map(|member| Candidate {
-            id: &member.record.id,
-            slots: member.record.slots,
-            cache_tokens: need.engine.as_ref().map_or(0, |engine| engine.cache_tokens),
-            remote: member.record.data_centre != near,
-            cold: now_ms < member.warm_at_ms,
-            affinity: 0.0,
+    let candidates =
+        serving().filter(|member| !any_healthy || healthy(&member.record.id)).map(|member| {
+            Candidate {
+                id: &member.record.id,
+                slots: member.record.slots,
+                cache_tokens: need.engine.as_ref().map_or(0, |engine| engine.cache_tokens),
+                remote: member.record.data_centre != near,
+                cold: now_ms < member.warm_at_ms,
+                affinity: 0.0,
+            }
         });
     let chosen = shared.loads.borrow().choose(candidates, demand, &mut rand::rng());
     let Some(member) = chosen.and_then(|id| fleet.get(id)) else {
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -28,7 +28,11 @@
 
 /// Accepts connections until the task is dropped; `closing` turns true when
 /// idle connections are to be closed.
-pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener, closing: watch::Receiver<bool>) {
+pub(crate) async fn serve(
+    shared: Rc<Shared>,
+    listener: TcpListener,
+    closing: watch::Receiver<bool>,
+) {
     let permits = Arc::new(Semaphore::new(shared.config.limits.max_connections as usize));
     loop {
         // A closed semaphore is impossible: nobody closes it.
--- a/components/settings/src/control.rs
+++ b/components/settings/src/control.rs
@@ -95,7 +95,8 @@
     );
     let voters_for = |losses: u32| losses.saturating_mul(2).saturating_add(1);
     let default_voters = voters_for(settings.tolerated_losses.max(1));
-    let target_voters = checker.number("target_voters", settings.target_voters, default_voters, 1, 9);
+    let target_voters =
+        checker.number("target_voters", settings.target_voters, default_voters, 1, 9);
     if target_voters.is_multiple_of(2) {
         checker.report("target_voters", "must be odd; an even number tolerates no more failures");
     }
