Grant places at engines through an arbiter that keeps one order of waiting requests

Cause: gateways that choose for themselves see the use by others 60 to 120 ms late and all rush to the engine that opens. The control process that gathers the use now grants each place at once; without its answer a gateway chooses by itself.

--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! Everything here decides without input or output; time is passed in.
 
+mod arbiter;
 mod budget;
 mod health;
 mod load;
 
+pub use arbiter::{Arbiter, Ask, Offer};
 pub use budget::{RetryBudget, RetryLimits};
 pub use health::Health;
 pub use load::{Candidate, Demand, Loads, Use, sample_size};
--- a/components/balance/src/load.rs
+++ b/components/balance/src/load.rs
@@ -9,8 +9,6 @@
 /// Unread prompt tokens that weigh as much as a full upstream: about the time
 /// of a first event's target, which prompts that are read together share.
 const UNREAD_TOKENS_OF_FULL: f64 = 6_000.0;
-/// Cost of an upstream that is still warming up.
-const COLD_COST: f64 = 0.3;
 /// Work at one upstream.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Use {
@@ -29,8 +27,6 @@
     pub tokens: u64,
     /// Share of the capacity beyond which no more work is placed.
     pub fill: f64,
-    /// Cost of an upstream in another data centre, as a share of a full one.
-    pub remote_cost: f64,
     /// Noise on the cost, as a share of a full upstream: spreads entries that
     /// see the same loads and choose at the same moment.
     pub noise: f64,
@@ -66,12 +62,8 @@
     pub slots: u32,
     /// Cache tokens that it holds; 0 for plain services.
     pub cache_tokens: u64,
-    /// It is in another data centre.
-    pub remote: bool,
-    /// It is still slow after its start.
-    pub cold: bool,
-    /// Share of the prompt that it is believed to hold, from 0 to 1.
-    pub affinity: f64,
+    /// Cost beside its load, as a share of a full upstream.
+    pub extra_cost: f64,
 }
 
 /// Load of all upstreams: this entry's own, and what others told of theirs.
@@ -84,10 +76,15 @@
 impl Loads {
     /// Counts a request that is placed on an upstream.
     pub fn begin(&mut self, id: &str, tokens: u64, unread_tokens: u64) {
+        self.add(id, Use { running: 1, tokens, unread_tokens });
+    }
+
+    /// Adds work that was counted elsewhere.
+    pub fn add(&mut self, id: &str, used: Use) {
         let load = self.own.entry(id.into()).or_default();
-        load.running += 1;
-        load.tokens += tokens;
-        load.unread_tokens += unread_tokens;
+        load.running += used.running;
+        load.tokens += used.tokens;
+        load.unread_tokens += used.unread_tokens;
     }
 
     /// Counts that a prompt was read.
@@ -162,9 +159,7 @@
         if filled > demand.fill {
             return None;
         }
-        let remote = if candidate.remote { demand.remote_cost } else { 0.0 };
-        let cold = if candidate.cold { COLD_COST } else { 0.0 };
         let unread = load.unread_tokens as f64 / UNREAD_TOKENS_OF_FULL;
-        Some(filled + unread + remote + cold - candidate.affinity)
+        Some(filled + unread + candidate.extra_cost)
     }
 }
--- a/components/balance/tests/choice.rs
+++ b/components/balance/tests/choice.rs
@@ -3,11 +3,10 @@
 use balance::{Candidate, Demand, Health, Loads, RetryBudget, RetryLimits, Use};
 
 fn engine(id: &str) -> Candidate<'_> {
-    Candidate { id, slots: 24, cache_tokens: 30_000, remote: false, cold: false, affinity: 0.0 }
+    Candidate { id, slots: 24, cache_tokens: 30_000, extra_cost: 0.0 }
 }
 
-const DEMAND: Demand =
-    Demand { tokens: 4_000, fill: 1.0, remote_cost: 0.1, noise: 0.04, sample: 99 };
+const DEMAND: Demand = Demand { tokens: 4_000, fill: 1.0, noise: 0.04, sample: 99 };
 
 #[test]
 fn least_loaded_engine_is_chosen_with_the_load_of_other_entries() {
@@ -40,7 +39,7 @@
 
 #[test]
 fn near_engine_wins_between_equals() {
-    let remote = Candidate { remote: true, ..engine("a") };
+    let remote = Candidate { extra_cost: 0.1, ..engine("a") };
 
     let chosen =
         Loads::default().choose([remote, engine("b")].into_iter(), DEMAND, &mut rand::rng());
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -9,6 +9,7 @@
 mod join;
 mod leases;
 mod local;
+mod places;
 mod proposals;
 mod reads;
 mod reconcile;
--- a/components/control/src/replica/requests.rs
+++ b/components/control/src/replica/requests.rs
@@ -44,6 +44,7 @@
             Body::Status(_) => ready(self.status()),
             Body::Bootstrap(_) => self.bootstrap(),
             Body::Sync(sync) => self.sync(peer, sync),
+            Body::Place(place) => self.place(peer, place),
             _ if !self.node.is_leader() => ready(self.not_leader()),
             Body::Join(join) => ready(self.join(peer, join)),
             Body::Replace(replace) => ready(self.replace(&replace)),
@@ -245,6 +246,7 @@
         | Body::Digest(_)
         | Body::Locate(_)
         | Body::Sync(_)
+        | Body::Place(_)
         | Body::Confirm(_) => role == Role::Entry,
     }
 }
@@ -273,6 +275,7 @@
         Body::Confirm(_) => "confirm",
         Body::Locate(_) => "locate",
         Body::Sync(_) => "sync",
+        Body::Place(_) => "place",
         Body::PublishRoutes(_) => "publish_routes",
         Body::GetRoutes(_) => "get_routes",
     }
--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 
 use actix::ResponseFuture;
+use balance::{Arbiter, Use};
 use compact_str::CompactString;
 use credentials::Identity;
 use registry::Registry;
@@ -58,6 +59,8 @@
     entries: BTreeMap<CompactString, EntryView>,
     replies: Vec<HeldReply>,
     confirmations: Vec<HeldConfirmation>,
+    pub(super) arbiter: Arbiter<oneshot::Sender<Reply>>,
+    pub(super) next_decision_ms: u64,
 }
 
 impl Default for Syncs {
@@ -68,6 +71,8 @@
             entries: BTreeMap::new(),
             replies: Vec::new(),
             confirmations: Vec::new(),
+            arbiter: Arbiter::default(),
+            next_decision_ms: 0,
         }
     }
 }
@@ -126,6 +131,18 @@
             confirmed_version,
             synced_ms: now_ms,
         };
+        let told = request.r#use.iter().map(|used| {
+            let load = Use {
+                running: used.running,
+                tokens: used.committed_tokens,
+                unread_tokens: used.unread_tokens,
+            };
+            (used.id.as_str().into(), load)
+        });
+        if !known {
+            self.arbiter.forget(&vm);
+        }
+        self.arbiter.tell(&vm, told.collect(), request.placed_through);
         self.entries.insert(vm, view);
     }
 
@@ -133,6 +150,7 @@
         self.entries.retain(|vm, view| {
             let live = now_ms < view.synced_ms + ENTRY_LIFE_MS;
             if !live {
+                self.arbiter.forget(vm);
                 log::warn!(vm = vm.as_str(), epoch = view.epoch, silent_ms = now_ms - view.synced_ms; "gateway lost");
             }
             live
@@ -195,6 +213,7 @@
             let _ = held.result.send(Reply { body: Some(reply::Body::Sync(reply)) });
         }
         self.serve_confirmations(now_ms);
+        self.decide_places();
     }
 
     fn sync_reply(&self, request: &SyncRequest) -> SyncReply {
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -11,7 +11,7 @@
 use schema::{EntryPhase, Request, RouteSet, SyncReply, SyncRequest, UpstreamUse, reply, request};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout_at};
-use wire::{CallError, Endpoint};
+use wire::{CallError, Endpoint, Link};
 
 use crate::shared::Shared;
 
@@ -33,7 +33,7 @@
     shared: Rc<Shared>,
     endpoint: Endpoint,
     tasks: RefCell<BTreeMap<SocketAddr, JoinHandle<()>>>,
-    connected: RefCell<BTreeSet<SocketAddr>>,
+    connected: RefCell<BTreeMap<SocketAddr, Link>>,
 }
 
 impl ControlLinks {
@@ -64,7 +64,16 @@
     /// Returns whether the process at `address` gathers the use of upstreams:
     /// all gateways take the lowest address that they reach.
     fn gathers_use(&self, address: SocketAddr) -> bool {
-        self.connected.borrow().first() == Some(&address)
+        self.connected.borrow().first_key_value().is_some_and(|(first, _)| *first == address)
+    }
+
+    fn set_connected(&self, address: SocketAddr, link: Option<Link>) {
+        let mut connected = self.connected.borrow_mut();
+        match link {
+            Some(link) => connected.insert(address, link),
+            None => connected.remove(&address),
+        };
+        *self.shared.arbiter.borrow_mut() = connected.values().next().cloned();
     }
 
     /// Ends exchanges with processes that left the group.
@@ -75,7 +84,7 @@
             if !keep {
                 log::info!(control = address.to_string().as_str(); "control process left");
                 self.shared.fleet.borrow_mut().forget_source(*address);
-                self.connected.borrow_mut().remove(address);
+                self.set_connected(*address, None);
                 task.abort();
             }
             keep
@@ -110,7 +119,7 @@
                 if !connected {
                     log::info!(control = address.to_string().as_str(); "control process connected");
                     connected = true;
-                    links.connected.borrow_mut().insert(address);
+                    links.set_connected(address, Some(link.clone()));
                 }
                 known = take_over(&links, address, known, reply);
                 let next = started + MIN_INTERVAL;
@@ -122,7 +131,7 @@
                     let error = failed.err().unwrap_or(CallError::UnexpectedReply).to_string();
                     log::warn!(control = address.to_string().as_str(), error = error.as_str(); "control process lost");
                     connected = false;
-                    links.connected.borrow_mut().remove(&address);
+                    links.set_connected(address, None);
                     shared.fleet.borrow_mut().forget_source(address);
                     known = Known::default();
                 }
@@ -154,6 +163,7 @@
         r#use: used.collect(),
         wait_ms: if gathers_use { USE_WAIT_MS } else { WAIT_MS },
         wants_use: gathers_use,
+        placed_through: shared.placed_through(),
     }
 }
 
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -235,7 +235,8 @@
     let hold_ms = call.route.target_latency_ms as f64 * HOLD_SHARE;
     let hold_until = (call.arrived + Duration::from_millis(hold_ms as u64)).min(call.until);
     let result = loop {
-        let place = match wait_for_place(shared, &call.need, &excluded, hold_until).await {
+        let place = match wait_for_place(shared, &call.need, call.rank, &excluded, hold_until).await
+        {
             Ok(place) => place,
             Err(NoPlace::NoUpstream) => {
                 break Err(Refusal::unavailable("no upstream", RETRY_NO_UPSTREAM));
--- a/components/gateway/src/moves.rs
+++ b/components/gateway/src/moves.rs
@@ -199,7 +199,7 @@
     let mut excluded: Excluded = [source.id.clone()].into_iter().collect();
     let started = Instant::now();
     while started.elapsed() < COPY_TIMEOUT {
-        let Ok(place) = place_for_move(shared, &call.need, &excluded, source) else {
+        let Ok(place) = place_for_move(shared, &call.need, &excluded, source).await else {
             sleep(RETRY_DELAY).await;
             continue;
         };
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -3,18 +3,31 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use balance::{Candidate, Demand, sample_size};
+use balance::{Candidate, Demand, Offer, sample_size};
 use compact_str::CompactString;
-use schema::{EngineCapacity, UpstreamPhase};
+use schema::{
+    EngineCapacity, PlaceCandidate, PlaceRequest, Request, UpstreamPhase, reply, request,
+};
 use smallvec::SmallVec;
 use tokio::time::{Instant, sleep};
+use wire::CallError;
 
 use crate::dialect::Prompt;
 use crate::exchange::Target;
+use crate::forward::elapsed_ms;
 use crate::shared::Shared;
 
 /// Interval at which a waiting request looks for room again.
 const ROOM_POLL: Duration = Duration::from_millis(20);
+/// Longest time for which one request to the arbiter waits for room; a lost
+/// arbiter is noticed after it.
+const ASK_WAIT: Duration = Duration::from_millis(250);
+/// Time for the arbiter's answer beside the wait.
+const ASK_TIMEOUT: Duration = Duration::from_millis(120);
+/// Rank of moved generations: before all others.
+const MOVE_RANK: u32 = 0;
+/// Cost of an upstream that is still warming up, as a share of a full one.
+const COLD_COST: f64 = 0.3;
 /// Share of an engine's memory that new requests may fill; the rest absorbs
 /// outputs that grow longer than expected.
 const FILL: f64 = 0.95;
@@ -105,48 +118,105 @@
     Full,
 }
 
+/// How a request chooses.
+#[derive(Clone, Copy, Debug)]
+struct Terms<'a> {
+    /// Data centre in which an upstream costs nothing extra.
+    near: &'a str,
+    remote_cost: f64,
+    fill: f64,
+    noise: f64,
+    rank: u32,
+    unread_tokens: u64,
+}
+
 /// Waits until `until` for a place at an upstream.
 pub(crate) async fn wait_for_place(
     shared: &Rc<Shared>,
     need: &Need,
+    rank: u32,
     excluded: &Excluded,
     until: Instant,
 ) -> Result<Place, NoPlace> {
+    let terms = Terms {
+        near: shared.config.data_centre.as_str(),
+        remote_cost: REMOTE_COST,
+        fill: if need.engine.is_some() { FILL } else { PLAIN_FILL },
+        noise: NOISE,
+        rank,
+        unread_tokens: need.prompt_tokens,
+    };
+    let since = Instant::now();
     loop {
-        match find_place(shared, need, excluded, None) {
+        let wait = until.saturating_duration_since(Instant::now()).min(ASK_WAIT);
+        match find_place(shared, need, excluded, &terms, since, wait).await {
             Ok(place) => return Ok(place),
             Err(reason) if Instant::now() >= until => return Err(reason),
+            // The arbiter has waited for room already.
+            Err(NoPlace::Full) if shared.arbiter().is_some() && need.engine.is_some() => {}
             Err(_) => sleep(ROOM_POLL).await,
         }
     }
 }
 
 /// Finds a place for a generation that is moved.
-pub(crate) fn place_for_move(
+pub(crate) async fn place_for_move(
     shared: &Rc<Shared>,
     need: &Need,
     excluded: &Excluded,
     source: &Target,
 ) -> Result<Place, NoPlace> {
-    let fleet = shared.fleet.borrow();
-    let near = fleet.get(&source.id).map(|member| member.record.data_centre.clone());
-    drop(fleet);
-    find_place(shared, need, excluded, near.as_deref())
+    let near = shared.fleet.borrow().get(&source.id).map(|m| m.record.data_centre.clone());
+    let terms = Terms {
+        near: near.as_deref().unwrap_or_default(),
+        remote_cost: MOVE_REMOTE_COST,
+        fill: MOVE_FILL,
+        noise: MOVE_NOISE,
+        rank: MOVE_RANK,
+        unread_tokens: 0,
+    };
+    find_place(shared, need, excluded, &terms, Instant::now(), Duration::ZERO).await
 }
 
-fn find_place(
+async fn find_place(
     shared: &Rc<Shared>,
     need: &Need,
     excluded: &Excluded,
-    moved_from: Option<&str>,
+    terms: &Terms<'_>,
+    since: Instant,
+    wait: Duration,
 ) -> Result<Place, NoPlace> {
-    let near = moved_from.unwrap_or(shared.config.data_centre.as_str());
+    let offers = offers(shared, need, excluded, terms);
+    if offers.is_empty() {
+        return Err(NoPlace::NoUpstream);
+    }
+    if need.engine.is_some()
+        && let Some(arbiter) = shared.arbiter()
+    {
+        // The number stays open until the place counts as this gateway's use.
+        let number = shared.open_number();
+        let ask = to_request(shared, need, &offers, terms, number.number(), since, wait);
+        let body = request::Body::Place(ask);
+        let request = Request { traceparent: String::new(), body: Some(body) };
+        match arbiter.call(request, wait + ASK_TIMEOUT).await {
+            Ok(reply::Body::Place(place)) if place.id.is_empty() => return Err(NoPlace::Full),
+            Ok(reply::Body::Place(place)) => {
+                return take(shared, need, terms, &place.id).ok_or(NoPlace::Full);
+            }
+            failed => {
+                let error = failed.err().unwrap_or(CallError::UnexpectedReply).to_string();
+                log::warn!(error = error.as_str(); "arbiter did not answer; choosing without it");
+                shared.suspend_arbiter();
+            }
+        }
+    }
+    let chosen = choose(shared, need, &offers, terms).ok_or(NoPlace::Full)?;
+    take(shared, need, terms, &chosen).ok_or(NoPlace::Full)
+}
+
+/// Returns the upstreams that take work of the service.
+fn offers(shared: &Shared, need: &Need, excluded: &Excluded, terms: &Terms<'_>) -> Vec<Offer> {
     let now_ms = shared.now_ms();
-    let (fill, remote_cost, noise) = match (&need.engine, moved_from.is_some()) {
-        (Some(_), false) => (FILL, REMOTE_COST, NOISE),
-        (Some(_), true) => (MOVE_FILL, MOVE_REMOTE_COST, MOVE_NOISE),
-        (None, _) => (PLAIN_FILL, REMOTE_COST, NOISE),
-    };
     let fleet = shared.fleet.borrow();
     let health = shared.health.borrow();
     let serving = || {
@@ -156,37 +226,85 @@
                 && !excluded.iter().any(|id| id.as_str() == member.record.id)
         })
     };
-    let arrivals = shared.rate_per_ms(&need.service) * USE_LAG_MS;
-    let sample = sample_size(serving().count(), arrivals);
-    let demand = Demand { tokens: need.tokens, fill, remote_cost, noise, sample };
     let healthy = |id: &str| !health.is_ejected(id, now_ms);
     // With all of them ejected, each is as good as the others.
     let any_healthy = serving().any(|member| healthy(&member.record.id));
-    let candidates =
-        serving().filter(|member| !any_healthy || healthy(&member.record.id)).map(|member| {
-            Candidate {
-                id: &member.record.id,
-                slots: member.record.slots,
-                cache_tokens: need.engine.as_ref().map_or(0, |engine| engine.cache_tokens),
-                remote: member.record.data_centre != near,
-                cold: now_ms < member.warm_at_ms,
-                affinity: 0.0,
-            }
-        });
+    let open = serving().filter(|member| !any_healthy || healthy(&member.record.id));
+    open.map(|member| {
+        let remote = member.record.data_centre != terms.near;
+        let cold = now_ms < member.warm_at_ms;
+        Offer {
+            id: member.record.id.as_str().into(),
+            slots: member.record.slots,
+            cache_tokens: need.engine.as_ref().map_or(0, |engine| engine.cache_tokens),
+            extra_cost: if remote { terms.remote_cost } else { 0.0 }
+                + if cold { COLD_COST } else { 0.0 },
+        }
+    })
+    .collect()
+}
+
+/// Chooses by what this gateway knows of the use by others.
+fn choose(
+    shared: &Shared,
+    need: &Need,
+    offers: &[Offer],
+    terms: &Terms<'_>,
+) -> Option<CompactString> {
+    let arrivals = shared.rate_per_ms(&need.service) * USE_LAG_MS;
+    let sample = sample_size(offers.len(), arrivals);
+    let demand = Demand { tokens: need.tokens, fill: terms.fill, noise: terms.noise, sample };
+    let candidates = offers.iter().map(|offer| Candidate {
+        id: &offer.id,
+        slots: offer.slots,
+        cache_tokens: offer.cache_tokens,
+        extra_cost: offer.extra_cost,
+    });
     let chosen = shared.loads.borrow().choose(candidates, demand, &mut rand::rng());
-    let Some(member) = chosen.and_then(|id| fleet.get(id)) else {
-        let none = serving().next().is_none();
-        return Err(if none { NoPlace::NoUpstream } else { NoPlace::Full });
-    };
+    chosen.map(CompactString::from)
+}
+
+fn to_request(
+    shared: &Shared,
+    need: &Need,
+    offers: &[Offer],
+    terms: &Terms<'_>,
+    number: u64,
+    since: Instant,
+    wait: Duration,
+) -> PlaceRequest {
+    let candidates = offers.iter().map(|offer| PlaceCandidate {
+        id: offer.id.to_string(),
+        slots: offer.slots,
+        cache_tokens: offer.cache_tokens,
+        extra_cost: offer.extra_cost,
+    });
+    PlaceRequest {
+        vm: shared.config.vm.to_string(),
+        number,
+        rank: terms.rank,
+        wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+        tokens: need.tokens,
+        unread_tokens: terms.unread_tokens,
+        fill: terms.fill,
+        candidates: candidates.collect(),
+        waited_ms: elapsed_ms(since),
+    }
+}
+
+/// Takes a place at a chosen upstream; `None` if it is gone.
+fn take(shared: &Rc<Shared>, need: &Need, terms: &Terms<'_>, id: &str) -> Option<Place> {
+    let fleet = shared.fleet.borrow();
+    let member = fleet.get(id).filter(|member| member.takes_work())?;
     let target = Target {
-        id: member.record.id.as_str().into(),
+        id: id.into(),
         service: need.service.clone(),
         address: member.address,
         born_ms: member.record.born_ms,
     };
-    let unread_tokens = if moved_from.is_some() { 0 } else { need.prompt_tokens };
-    shared.loads.borrow_mut().begin(&target.id, need.tokens, unread_tokens);
-    Ok(Place { shared: shared.clone(), target, tokens: need.tokens, unread_tokens })
+    let unread_tokens = terms.unread_tokens;
+    shared.loads.borrow_mut().begin(id, need.tokens, unread_tokens);
+    Some(Place { shared: shared.clone(), target, tokens: need.tokens, unread_tokens })
 }
 
 /// Returns whether the incarnation has announced its end.
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -274,8 +274,8 @@
         let failed = self.source.take().map(|source| source.place.target.id.clone());
         self.events.rest();
         let excluded: Excluded = failed.into_iter().collect();
-        let until = self.call.until;
-        match wait_for_place(&self.shared, &self.call.need, &excluded, until).await {
+        let (until, rank) = (self.call.until, self.call.rank);
+        match wait_for_place(&self.shared, &self.call.need, rank, &excluded, until).await {
             Ok(place) => self.resume(place, None).await,
             Err(_) => {
                 self.log_end("no place to go on");
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -1,8 +1,9 @@
 //! State of one gateway, shared by all its tasks on one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
+use std::time::Duration;
 
 use balance::{Health, Loads, RetryBudget, RetryLimits};
 use clock::Clock;
@@ -13,11 +14,15 @@
 use settings::GatewayConfig;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use wire::Link;
 
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 
+/// Time for which a silent arbiter is not asked.
+const ARBITER_PAUSE: Duration = Duration::from_secs(1);
+
 /// State of one gateway.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -39,6 +44,10 @@
     pub(crate) endings: watch::Sender<u64>,
     /// When the stop signal came.
     pub(crate) stopping_since: Cell<Option<Instant>>,
+    /// Control process that grants places.
+    pub(crate) arbiter: RefCell<Option<Link>>,
+    arbiter_suspended_until: Cell<Option<Instant>>,
+    numbers: RefCell<Numbers>,
     budgets: RefCell<HashMap<CompactString, RetryBudget>>,
     in_flight: Cell<u32>,
 }
@@ -59,6 +68,9 @@
             phase: watch::Sender::new(EntryPhase::Starting),
             endings: watch::Sender::new(0),
             stopping_since: Cell::new(None),
+            arbiter: RefCell::default(),
+            arbiter_suspended_until: Cell::new(None),
+            numbers: RefCell::default(),
             budgets: RefCell::default(),
             in_flight: Cell::new(0),
             config,
@@ -131,6 +143,32 @@
         act(budget)
     }
 
+    /// Returns the control process that grants places, if it is to be asked.
+    pub(crate) fn arbiter(&self) -> Option<Link> {
+        let suspended = self.arbiter_suspended_until.get().is_some_and(|at| Instant::now() < at);
+        self.arbiter.borrow().clone().filter(|_| !suspended)
+    }
+
+    /// Stops asking the arbiter for a while.
+    pub(crate) fn suspend_arbiter(&self) {
+        self.arbiter_suspended_until.set(Some(Instant::now() + ARBITER_PAUSE));
+    }
+
+    /// Opens the number of a request for a place.
+    pub(crate) fn open_number(self: &Rc<Self>) -> OpenNumber {
+        let mut numbers = self.numbers.borrow_mut();
+        numbers.last += 1;
+        let number = numbers.last;
+        numbers.open.insert(number);
+        OpenNumber { shared: self.clone(), number }
+    }
+
+    /// Returns the number up to which all places count as use or were given up.
+    pub(crate) fn placed_through(&self) -> u64 {
+        let numbers = self.numbers.borrow();
+        numbers.open.first().map_or(numbers.last, |first| first - 1)
+    }
+
     /// Counts a request as in progress until the guard is dropped.
     pub(crate) fn enter(self: &Rc<Self>) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
@@ -143,6 +181,32 @@
     }
 }
 
+/// Numbers of requests for places.
+#[derive(Debug, Default)]
+struct Numbers {
+    last: u64,
+    open: BTreeSet<u64>,
+}
+
+/// Number of a request for a place that is not decided yet.
+#[derive(Debug)]
+pub(crate) struct OpenNumber {
+    shared: Rc<Shared>,
+    number: u64,
+}
+
+impl OpenNumber {
+    pub(crate) fn number(&self) -> u64 {
+        self.number
+    }
+}
+
+impl Drop for OpenNumber {
+    fn drop(&mut self) {
+        self.shared.numbers.borrow_mut().open.remove(&self.number);
+    }
+}
+
 /// Request in progress.
 #[derive(Debug)]
 pub(crate) struct InFlight(Rc<Shared>);
