Spread when refused callers come back

Cause: callers refused in a peak came back 0.6 s later and were refused again, the largest price on the grown sites.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -9,6 +9,7 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, request};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
+use rand::RngExt as _;
 use routing::{NoRoute, RouteTable, draw_service};
 use schema::{EntryPhase, RepeatKind, RouteRule};
 use tokio::time::{Instant, timeout_at};
@@ -32,8 +33,12 @@
 const DEFAULT_MAX_BODY_BYTES: u64 = 4 << 20;
 /// When a caller may try again while no upstream takes work.
 const RETRY_NO_UPSTREAM: Duration = Duration::from_millis(300);
-/// When a caller may try again while all upstreams are full.
-const RETRY_FULL: Duration = Duration::from_millis(600);
+/// When a caller may try again while all upstreams are full, as a share of the
+/// time that it waits for an answer: spread, so that those who are refused in a
+/// peak do not come back in the same one.
+const RETRY_FULL_SHARE: std::ops::Range<f64> = 0.1..0.3;
+/// Longest pause that callers are asked for while all upstreams are full.
+const MAX_RETRY_FULL: Duration = Duration::from_secs(9);
 /// How long requests wait for the first set of routes after a start.
 const FIRST_SET_WAIT: Duration = Duration::from_millis(700);
 /// When a caller may try again while a gateway has no set of routes: control
@@ -71,6 +76,12 @@
         }
     }
 
+    /// Draws when the caller may try again while all upstreams are full.
+    fn retry_when_full(&self) -> Duration {
+        let share = rand::rng().random_range(RETRY_FULL_SHARE);
+        self.until.duration_since(self.arrived).mul_f64(share).min(MAX_RETRY_FULL)
+    }
+
     pub(crate) fn is_stream(&self) -> bool {
         matches!(self.route.kind(), RepeatKind::Stream | RepeatKind::ResumableStream)
     }
@@ -244,7 +255,9 @@
             Err(NoPlace::NoUpstream) => {
                 break Err(Refusal::unavailable("no upstream", RETRY_NO_UPSTREAM));
             }
-            Err(NoPlace::Full) => break Err(Refusal::unavailable("upstreams full", RETRY_FULL)),
+            Err(NoPlace::Full) => {
+                break Err(Refusal::unavailable("upstreams full", call.retry_when_full()));
+            }
         };
         sends += 1;
         let upstream = place.target.id.clone();
@@ -254,7 +267,7 @@
         let (again, last) = match attempt {
             Attempt::Answered(response) => break Ok((response, upstream)),
             Attempt::TurnedDown(reason) => {
-                (may_send, Err(Refusal::unavailable(reason, RETRY_FULL)))
+                (may_send, Err(Refusal::unavailable(reason, call.retry_when_full())))
             }
             Attempt::Failed(response) => {
                 runs += 1;
