--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -60,7 +60,11 @@
     pub(crate) body: Bytes,
     pub(crate) route: RouteRule,
     pub(crate) workspace: Option<CompactString>,
+    /// Order in which requests wait for room.
     pub(crate) rank: u32,
+    /// Rank at the engine, where a request of a lower one may push out a
+    /// running one of a higher: only workspaces are told apart there.
+    pub(crate) engine_rank: Option<u32>,
     pub(crate) need: Need,
     pub(crate) arrived: Instant,
     /// When the route's timeout or the caller's deadline ends the request.
@@ -98,7 +102,7 @@
             upstream: &target.id,
             deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1),
             workspace: self.workspace.as_deref(),
-            rank: self.need.engine.is_some().then_some(self.rank),
+            rank: self.engine_rank.filter(|_| self.need.engine.is_some()),
             resume,
         };
         let mut headers = self.headers.clone();
@@ -188,6 +192,7 @@
         route: routed.route.clone(),
         workspace: routed.workspace.map(|workspace| workspace.name.as_str().into()),
         rank: routed.rank(),
+        engine_rank: routed.workspace_rank(),
         arrived,
         until,
     })
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -28,9 +28,9 @@
 const MOVE_RANK: u32 = 0;
 /// Cost of an upstream that is still warming up, as a share of a full one.
 const COLD_COST: f64 = 0.3;
-/// Share of an engine's memory that new requests may fill; the rest absorbs
-/// outputs that grow longer than expected.
-const FILL: f64 = 0.95;
+/// Share of an engine's memory that new requests may fill, counted at their
+/// expected end: streams are spread over their length, so some stays free.
+const FILL: f64 = 1.0;
 /// Share of an engine's memory that moved generations may fill: they cannot
 /// wait.
 const MOVE_FILL: f64 = 1.1;
--- a/components/routing/src/table.rs
+++ b/components/routing/src/table.rs
@@ -104,6 +104,9 @@
 
 impl std::error::Error for NoRoute {}
 
+/// Ranks of routes that are told apart within one rank of workspaces.
+const ROUTE_RANKS: u32 = 3;
+
 /// Route of one request and the workspace that it counts for.
 #[derive(Clone, Copy, Debug)]
 pub struct Routed<'a> {
@@ -114,9 +117,17 @@
 }
 
 impl Routed<'_> {
-    /// Returns the rank of the request; 0 is served first.
+    /// Returns the rank of the workspace, if it has one.
+    pub fn workspace_rank(&self) -> Option<u32> {
+        self.workspace.and_then(|workspace| workspace.rank)
+    }
+
+    /// Returns the rank of the request; 0 is served first. The rank of the
+    /// workspace goes before that of the route.
     pub fn rank(&self) -> u32 {
-        self.workspace.and_then(|workspace| workspace.rank).unwrap_or(self.route.rank)
+        let workspace = self.workspace_rank().unwrap_or_default();
+        let route = self.route.rank.min(ROUTE_RANKS - 1);
+        workspace.saturating_mul(ROUTE_RANKS).saturating_add(route)
     }
 }
 
--- a/components/routing/tests/table.rs
+++ b/components/routing/tests/table.rs
@@ -58,6 +58,19 @@
     assert!(table.route("a.example", "/a/x", Some("x")).unwrap().workspace.is_none());
 }
 
+#[test]
+fn rank_of_the_workspace_goes_before_that_of_the_route() {
+    let mut ranked = set();
+    ranked.routes[1].rank = 1;
+    ranked.workspaces[1].rank = Some(1);
+    let table = RouteTable::new(ranked);
+    let rank = |path, key| table.route("a.example", path, Some(key)).unwrap().rank();
+
+    let ranks = [rank("/a/x", "k1"), rank("/a/b/", "k1"), rank("/a/x", "k2"), rank("/a/b/", "k2")];
+
+    assert!(ranks.is_sorted_by(|a, b| a < b), "{ranks:?}");
+}
+
 #[test]
 fn services_are_drawn_by_weight() {
     let mut split = route("split", "/s/");
