--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -38,7 +38,9 @@
         eprintln!("{error}");
         return ExitCode::from(EXIT_USAGE);
     }
-    match actix_rt::System::new().block_on(start(config)) {
+    let ended = actix_rt::System::new().block_on(start(config));
+    telemetry::flush_logs();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(()) => ExitCode::from(EXIT_FAILURE),
     }
--- a/components/routing/tests/table.rs
+++ b/components/routing/tests/table.rs
@@ -86,7 +86,8 @@
 
 #[test]
 fn invalid_sets_are_refused_with_the_reason() {
-    let cases: [(fn(&mut RouteSet), RouteProblem); 8] = [
+    type Case = (fn(&mut RouteSet), RouteProblem);
+    let cases: [Case; 8] = [
         (|s| s.number = 0, RouteProblem::NoNumber),
         (
             |s| s.routes[0].services[0].service = "gone".into(),
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -7,6 +7,8 @@
 use log::LevelFilter;
 use log::kv::{Error, Key, Value, VisitSource};
 
+use crate::sink::Sink;
+
 const DEFAULT_LEVEL: LevelFilter = LevelFilter::Info;
 
 /// Why logging cannot start.
@@ -20,12 +22,16 @@
 
 impl std::error::Error for LogError {}
 
-/// Starts logging to standard error; an empty level means `info`.
+/// Starts logging to standard output; an empty level means `info`.
+///
+/// Lines beyond a rate, and those that find the output stuck, are dropped and
+/// counted: logging never blocks.
 pub fn start_logs(level: &str) -> Result<(), LogError> {
     let level = match level {
         "" => DEFAULT_LEVEL,
         text => text.parse().map_err(|_| LogError::Level(text.to_string()))?,
     };
+    let sink = Sink::start();
     fern::Dispatch::new()
         .level(LevelFilter::Warn)
         .level_for("daemon", level)
@@ -41,7 +47,7 @@
         .format(|out, message, record| {
             out.finish(format_args!("{}", line(SystemTime::now(), &message.to_string(), record)));
         })
-        .chain(std::io::stderr())
+        .chain(fern::Output::call(move |record| sink.put(record.args().to_string())))
         .apply()
         .map_err(LogError::Started)
 }
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -34,5 +34,9 @@
     if let Err(error) = TextEncoder::new().encode(&registry.gather(), &mut text) {
         log::error!(error = error.to_string().as_str(); "cannot encode metrics");
     }
-    String::from_utf8(text).unwrap_or_default()
+    let mut text = String::from_utf8(text).unwrap_or_default();
+    let dropped = crate::dropped_log_lines();
+    text.push_str("# TYPE shallottray_log_lines_dropped_total counter\n");
+    text.push_str(&format!("shallottray_log_lines_dropped_total {dropped}\n"));
+    text
 }
