--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -1,23 +1,21 @@
-//! One request of a caller, from its route to its answer.
+//! One request of a caller, from its arrival to its answer.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use compact_str::CompactString;
-use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HeaderValue, TRANSFER_ENCODING};
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, request};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
-use rand::RngExt as _;
-use routing::{NoRoute, RouteTable, draw_service};
-use schema::{EntryPhase, RepeatKind, RouteRule};
+use schema::EntryPhase;
 use tokio::time::{Instant, timeout_at};
 
+use crate::accept::{Call, RETRY_NO_UPSTREAM, accept};
 use crate::answer::{Body, Refusal, full, strip_hop_by_hop};
-use crate::dialect::{AnswerHead, CallHead, Resume, Send};
+use crate::dialect::{AnswerHead, Resume};
 use crate::exchange::{Failure, Reply, Target, exchange};
-use crate::place::{Excluded, Need, NoPlace, Place, wait_for_place};
+use crate::place::{Excluded, NoPlace, Place, wait_for_place};
 use crate::relay;
 use crate::shared::{InFlight, Shared};
 
@@ -29,91 +27,6 @@
 /// Largest body of an answer that is held until it is whole, so that a broken
 /// one can be replaced.
 const MAX_HELD_BYTES: usize = 1 << 20;
-/// Largest body of a request where the published set gives no bound.
-const DEFAULT_MAX_BODY_BYTES: u64 = 4 << 20;
-/// When a caller may try again while no upstream takes work.
-const RETRY_NO_UPSTREAM: Duration = Duration::from_millis(300);
-/// When a caller may try again while all upstreams are full, as a share of the
-/// time that it waits for an answer: spread, so that those who are refused in a
-/// peak do not come back in the same one.
-const RETRY_FULL_SHARE: std::ops::Range<f64> = 0.1..0.3;
-/// Longest pause that callers are asked for while all upstreams are full.
-const MAX_RETRY_FULL: Duration = Duration::from_secs(9);
-/// How long requests wait for the first set of routes after a start.
-const FIRST_SET_WAIT: Duration = Duration::from_millis(700);
-/// When a caller may try again while a gateway has no set of routes: control
-/// processes that start together with it need an election first.
-const RETRY_NO_SET: Duration = Duration::from_millis(1_500);
-/// When a caller may try again, at another gateway, after one that stops.
-const RETRY_OTHER_GATEWAY: Duration = Duration::from_millis(50);
-/// Time after the stop signal in which new requests are still served, since
-/// callers use the addresses that they were given for a while.
-pub(crate) const LATE_CALLERS: Duration = Duration::from_millis(3_000);
-
-/// Request of a caller with all that its attempts need.
-#[derive(Debug)]
-pub(crate) struct Call {
-    pub(crate) head: CallHead,
-    pub(crate) method: Method,
-    pub(crate) uri: Uri,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-    pub(crate) route: RouteRule,
-    pub(crate) workspace: Option<CompactString>,
-    /// Order in which requests wait for room.
-    pub(crate) rank: u32,
-    /// Rank at the engine, where a request of a lower one may push out a
-    /// running one of a higher: only workspaces are told apart there.
-    pub(crate) engine_rank: Option<u32>,
-    pub(crate) need: Need,
-    pub(crate) arrived: Instant,
-    /// When the route's timeout or the caller's deadline ends the request.
-    pub(crate) until: Instant,
-}
-
-impl Call {
-    /// Returns whether another run of the request does no harm.
-    pub(crate) fn may_repeat(&self) -> bool {
-        match self.route.kind() {
-            RepeatKind::Repeatable | RepeatKind::ResumableStream => true,
-            RepeatKind::Once | RepeatKind::Stream | RepeatKind::Unspecified => false,
-        }
-    }
-
-    /// Draws when the caller may try again while all upstreams are full.
-    fn retry_when_full(&self) -> Duration {
-        let share = rand::rng().random_range(RETRY_FULL_SHARE);
-        self.until.duration_since(self.arrived).mul_f64(share).min(MAX_RETRY_FULL)
-    }
-
-    pub(crate) fn is_stream(&self) -> bool {
-        matches!(self.route.kind(), RepeatKind::Stream | RepeatKind::ResumableStream)
-    }
-
-    /// Builds the request for one upstream.
-    pub(crate) fn to_request(
-        &self,
-        shared: &Shared,
-        target: &Target,
-        resume: Option<&Resume>,
-    ) -> Request<Full<Bytes>> {
-        let left = self.until.saturating_duration_since(Instant::now());
-        let send = Send {
-            upstream: &target.id,
-            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1),
-            workspace: self.workspace.as_deref(),
-            rank: self.engine_rank.filter(|_| self.need.engine.is_some()),
-            resume,
-        };
-        let mut headers = self.headers.clone();
-        shared.dialect.write_headers(&self.head, &send, &mut headers);
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = headers;
-        request
-    }
-}
 
 /// Serves one request of a caller.
 pub(crate) async fn serve(shared: Rc<Shared>, request: Request<Incoming>) -> Response<Body> {
@@ -137,102 +50,6 @@
     response
 }
 
-/// Reads a request and finds its route.
-async fn accept(
-    shared: &Shared,
-    head: request::Parts,
-    body: Incoming,
-    arrived: Instant,
-) -> Result<Call, (Refusal, CompactString)> {
-    let call_head = shared
-        .dialect
-        .read_call(&head)
-        .map_err(|_| (Refusal::caller(StatusCode::BAD_REQUEST, "malformed head"), "".into()))?;
-    let id = call_head.id.clone();
-    let refuse = |refusal| (refusal, id.clone());
-    let ambiguous =
-        head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH);
-    if ambiguous {
-        return Err(refuse(Refusal::caller(StatusCode::BAD_REQUEST, "ambiguous length")));
-    }
-    let table = wait_for_table(shared, arrived).await.map_err(&refuse)?;
-    let routed = table.route(&call_head.host, head.uri.path(), call_head.key.as_deref());
-    let routed = routed.map_err(|reason| {
-        refuse(match reason {
-            NoRoute::NotFound => Refusal::caller(StatusCode::NOT_FOUND, "no route"),
-            NoRoute::UnknownKey => Refusal::caller(StatusCode::UNAUTHORIZED, "unknown key"),
-        })
-    })?;
-    let stopping = *shared.phase.borrow() == EntryPhase::Stopping;
-    if stopping && (routed.route.kind() == RepeatKind::Stream || late_for_stop(shared)) {
-        // It could not end before the process does.
-        return Err(refuse(Refusal::unavailable("stopping", RETRY_OTHER_GATEWAY)));
-    }
-    let limit = table.set().limits.as_ref().map_or(0, |limits| limits.max_body_bytes);
-    let limit = if limit == 0 { DEFAULT_MAX_BODY_BYTES } else { limit };
-    let timeout = Duration::from_millis(routed.route.timeout_ms);
-    let deadline = call_head.deadline_ms.map_or(timeout, Duration::from_millis);
-    let until = arrived + timeout.min(deadline);
-    let body = read_body(body, limit, until).await.map_err(&refuse)?;
-    let service = draw_service(routed.route, &mut rand::rng())
-        .ok_or_else(|| refuse(Refusal::unavailable("no service", RETRY_NO_UPSTREAM)))?;
-    let engine = table.service(service).and_then(|service| service.engine);
-    let mut headers = head.headers;
-    strip_hop_by_hop(&mut headers);
-    headers.remove(CONTENT_LENGTH);
-    headers.remove(EXPECT);
-    shared.count_first(service);
-    Ok(Call {
-        need: Need::new(service, engine, call_head.prompt),
-        head: call_head,
-        method: head.method,
-        uri: origin_form(&head.uri),
-        headers,
-        body,
-        route: routed.route.clone(),
-        workspace: routed.workspace.map(|workspace| workspace.name.as_str().into()),
-        rank: routed.rank(),
-        engine_rank: routed.workspace_rank(),
-        arrived,
-        until,
-    })
-}
-
-/// Returns whether callers had the time to learn of the stop.
-fn late_for_stop(shared: &Shared) -> bool {
-    shared.stopping_since.get().is_some_and(|since| since.elapsed() > LATE_CALLERS)
-}
-
-/// Returns the set of routes in force; a gateway that has just started waits a
-/// moment for it.
-async fn wait_for_table(shared: &Shared, arrived: Instant) -> Result<Rc<RouteTable>, Refusal> {
-    let mut phase = shared.phase.subscribe();
-    let started = phase.wait_for(|phase| *phase != EntryPhase::Starting);
-    let waited = timeout_at(arrived + FIRST_SET_WAIT, started).await.is_ok();
-    let table = shared.table();
-    if !waited || table.number() == 0 {
-        return Err(Refusal::unavailable("no set of routes yet", RETRY_NO_SET));
-    }
-    Ok(table)
-}
-
-async fn read_body(body: Incoming, limit: u64, until: Instant) -> Result<Bytes, Refusal> {
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    match timeout_at(until, Limited::new(body, limit).collect()).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Refusal::caller(StatusCode::PAYLOAD_TOO_LARGE, "body too large"))
-        }
-        Ok(Err(_)) => Err(Refusal::caller(StatusCode::BAD_REQUEST, "malformed body")),
-        Err(_) => Err(Refusal::caller(StatusCode::REQUEST_TIMEOUT, "body not received in time")),
-    }
-}
-
-fn origin_form(uri: &Uri) -> Uri {
-    let path = uri.path_and_query().cloned();
-    path.map(Uri::from).unwrap_or_else(|| Uri::from_static("/"))
-}
-
 /// How one attempt ended.
 enum Attempt {
     /// The upstream's answer, ready for the caller.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -1,12 +1,13 @@
 //! Forwards callers' requests to upstreams by published routes.
 //!
-//! A request passes [`server`] (connections of callers), [`forward`] (route,
-//! attempts, verdict), [`place`] (choice of an upstream), [`exchange`] and
+//! A request passes [`server`] (connections of callers), [`accept`] (route and
+//! body), [`forward`] (attempts, verdict), [`place`] (choice of an upstream), [`exchange`] and
 //! [`pool`] (connections to upstreams) and [`relay`] (streams of events, which
 //! [`moves`] carry over to another engine). [`control`] exchanges state with
 //! the control processes. [`dialect`] is the edge to what callers and
 //! upstreams speak.
 
+mod accept;
 mod answer;
 mod control;
 mod dialect;
--- a/components/gateway/src/moves.rs
+++ b/components/gateway/src/moves.rs
@@ -13,9 +13,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::accept::Call;
 use crate::dialect::{MemoryRef, MoveOrder, MoveResult};
 use crate::exchange::{Target, order};
-use crate::forward::Call;
 use crate::place::{Excluded, Place, place_for_move};
 use crate::shared::Shared;
 
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -12,10 +12,10 @@
 use tokio::time::{Instant, sleep};
 use wire::Endpoint;
 
+use crate::accept::LATE_CALLERS;
 use crate::control::ControlLinks;
 use crate::dialect::Dialect;
 use crate::error::StartError;
-use crate::forward::LATE_CALLERS;
 use crate::metrics::Metrics;
 use crate::server;
 use crate::shared::Shared;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -12,11 +12,12 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
+use crate::accept::Call;
 use crate::answer::{Body, BrokenOff, strip_hop_by_hop};
 use crate::dialect::{MemoryRef, Resume};
 use crate::events::Events;
 use crate::exchange::{Reply, exchange};
-use crate::forward::{Call, elapsed_ms};
+use crate::forward::elapsed_ms;
 use crate::moves::{self, Moved, Moving, Progress, Stopped};
 use crate::place::{Excluded, Place, is_ending, wait_for_place};
 use crate::pool::Connection;
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -50,6 +50,7 @@
     numbers: RefCell<Numbers>,
     budgets: RefCell<HashMap<CompactString, RetryBudget>>,
     in_flight: Cell<u32>,
+    buffered_bytes: Cell<u64>,
 }
 
 impl Shared {
@@ -73,6 +74,7 @@
             numbers: RefCell::default(),
             budgets: RefCell::default(),
             in_flight: Cell::new(0),
+            buffered_bytes: Cell::new(0),
             config,
         }
     }
@@ -169,6 +171,17 @@
         numbers.open.first().map_or(numbers.last, |first| first - 1)
     }
 
+    /// Reserves memory for the body of a request; `None` if the bound on all of
+    /// them is reached.
+    pub(crate) fn buffer(self: &Rc<Self>, bytes: u64) -> Option<Buffered> {
+        let total = self.buffered_bytes.get() + bytes;
+        if total > self.config.limits.max_buffered_bytes {
+            return None;
+        }
+        self.buffered_bytes.set(total);
+        Some(Buffered { shared: self.clone(), bytes })
+    }
+
     /// Counts a request as in progress until the guard is dropped.
     pub(crate) fn enter(self: &Rc<Self>) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
@@ -207,6 +220,19 @@
     }
 }
 
+/// Memory reserved for the body of a request.
+#[derive(Debug)]
+pub(crate) struct Buffered {
+    shared: Rc<Shared>,
+    bytes: u64,
+}
+
+impl Drop for Buffered {
+    fn drop(&mut self) {
+        self.shared.buffered_bytes.set(self.shared.buffered_bytes.get() - self.bytes);
+    }
+}
+
 /// Request in progress.
 #[derive(Debug)]
 pub(crate) struct InFlight(Rc<Shared>);
--- a/components/settings/src/gateway.rs
+++ b/components/settings/src/gateway.rs
@@ -72,12 +72,14 @@
 }
 
 fn timers(timers: GatewayTimers, checker: &mut Checker<'_>) -> GatewayTimers {
-    let mut seconds = |name: &str, value, default| {
-        checker.number(&format!("timers.{name}"), value, default, 0.1, HOUR_S)
-    };
     GatewayTimers {
-        grace_period_s: seconds("grace_period_s", timers.grace_period_s, 30.0),
-        address_life_s: seconds("address_life_s", timers.address_life_s, 5.0),
+        grace_period_s: checker.number(
+            "timers.grace_period_s",
+            timers.grace_period_s,
+            30.0,
+            0.1,
+            HOUR_S,
+        ),
         connect_timeout_ms: checker.number(
             "timers.connect_timeout_ms",
             timers.connect_timeout_ms,
