--- a/components/bench/src/policy/mod.rs
+++ b/components/bench/src/policy/mod.rs
@@ -4,9 +4,11 @@
 //! fakes in simulated time; there is no network, control plane or process.
 //! Baselines and switched-off mechanisms run on the same arrivals.
 
+mod capacity;
 mod compared;
 mod engine;
 mod mix;
+mod names;
 mod plot;
 mod score;
 mod simulation;
--- a/components/bench/src/policy/simulation.rs
+++ b/components/bench/src/policy/simulation.rs
@@ -4,7 +4,7 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::sync::Arc;
 
-use compact_str::{CompactString, format_compact};
+use compact_str::CompactString;
 use placement::{
     Acquire, AskId, Effect, Placement, Placer, PlacerOptions, Release, TicketId, View,
 };
@@ -17,9 +17,13 @@
 use smallvec::smallvec;
 
 use super::Disturbance;
+use super::capacity::capacity_per_s;
 use super::compared::Policy;
-use super::engine::{Engine, MAX_RUNNING, Stepped};
-use super::mix::{Drawn, Kind, Mix};
+use super::engine::{Engine, Stepped};
+use super::mix::{Drawn, Mix};
+use super::names::{
+    data_centre, engine_index, engine_name, entry_index, service_of, vm, workspace,
+};
 use super::score::{Outcome, Score};
 
 const ENGINES: usize = 20;
@@ -29,13 +33,8 @@
 const LINK_US: u64 = 1_500;
 const WARM_UP_US: u64 = 20_000_000;
 const US_PER_S: u64 = 1_000_000;
-/// Requests over which the capacity of an engine is measured, and how many
-/// wait at it all the time.
-const CALIBRATION_REQUESTS: usize = 20_000;
-const CALIBRATION_WAITING: usize = 8;
 const BURST_PERIOD_US: u64 = 30 * US_PER_S;
 const BURST_US: u64 = 5 * US_PER_S;
-const SERVICES: [&str; 2] = ["quick-llm", "long-llm"];
 const VERSION: &str = "model-1";
 
 #[derive(Clone, Debug)]
@@ -481,56 +480,3 @@
         }
     }
 }
-
-/// Returns the requests that one engine completes in a second when it always
-/// has more work than it can hold.
-fn capacity_per_s(mix: &Mix) -> f64 {
-    let mut rng = SmallRng::seed_from_u64(7);
-    let mut engine = Engine::default();
-    let mut started = 0;
-    let (mut now_us, mut ended) = (0, 0);
-    while ended < CALIBRATION_REQUESTS {
-        while engine.in_flight() < MAX_RUNNING + CALIBRATION_WAITING {
-            let drawn = mix.draw(&mut rng);
-            let rank = mix.priority(drawn.kind).rank;
-            let Drawn { prefix, prompt_tokens, output_tokens, .. } = drawn;
-            engine.start(started, rank, prefix, prompt_tokens, output_tokens);
-            started += 1;
-        }
-        let (length_us, stepped) = engine.step();
-        now_us += length_us;
-        ended += stepped.iter().filter(|s| matches!(s, Stepped::Ended(_))).count();
-    }
-    ended as f64 / (now_us as f64 / US_PER_S as f64)
-}
-
-fn vm(entry: usize) -> CompactString {
-    format_compact!("entry-{entry}")
-}
-
-fn entry_index(vm: &str) -> usize {
-    vm.strip_prefix("entry-").and_then(|number| number.parse().ok()).unwrap_or_default()
-}
-
-fn engine_name(engine: usize) -> CompactString {
-    format_compact!("engine-{engine}")
-}
-
-fn engine_index(name: &str) -> usize {
-    name.strip_prefix("engine-").and_then(|number| number.parse().ok()).unwrap_or_default()
-}
-
-fn data_centre(index: usize) -> CompactString {
-    format_compact!("dc-{}", index % 3)
-}
-
-fn workspace(index: usize) -> CompactString {
-    format_compact!("workspace-{index}")
-}
-
-fn service_of(kind: Kind) -> &'static str {
-    match kind {
-        Kind::Quick => SERVICES[0],
-        Kind::Long => SERVICES[1],
-    }
-}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod deployment;
 pub mod link;
+pub mod upstreams;
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU8, Ordering};
