Share an upstream's published connections between gateways

Cause: the published bound on connections was not read, so each gateway kept as many idle connections as it ever had requests in progress; with many gateways an upstream would reset the ones beyond its bound. Ruled out: a bound on connections in use; the placement already bounds the requests in progress, and a request without a connection would have to wait. Change: the bound is part of the set; places for requests in progress are left free and the gateways keep an even share of the rest.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -102,6 +102,6 @@
     let collecting = Limited::new(body, max_bytes).collect();
     let body = timeout_at(until, collecting).await.map_err(|_| Failure::TimedOut)?;
     let body = body.map_err(|error| Failure::Lost(error.to_string()))?.to_bytes();
-    shared.pool.keep(&target.id, connection);
+    shared.keep_connection(target, connection);
     Ok((head.status, body))
 }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -195,7 +195,7 @@
         }
         Err(_) => return Attempt::TimedOut,
     };
-    shared.pool.keep(&target.id, connection);
+    shared.keep_connection(target, connection);
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
     let failed = head.status.is_server_error();
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -51,6 +51,12 @@
 /// Noise for moved generations, whose gateways all choose at one moment.
 const MOVE_NOISE: f64 = 0.5;
 
+/// Returns how many requests are placed at an upstream with `slots` at most.
+pub(crate) fn most_places(slots: u32, engine: bool) -> u32 {
+    let fill = if engine { MOVE_FILL } else { PLAIN_FILL };
+    (f64::from(slots) * fill).ceil() as u32
+}
+
 /// Upstreams that a request was already sent to.
 pub(crate) type Excluded = SmallVec<[CompactString; 4]>;
 
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -98,11 +98,15 @@
         None
     }
 
-    /// Keeps a connection whose answer was read to its end.
-    pub(crate) fn keep(&self, upstream: &str, connection: Connection) {
+    /// Keeps a connection whose answer was read to its end, unless `most` are
+    /// kept already.
+    pub(crate) fn keep(&self, upstream: &str, connection: Connection, most: u32) {
         if connection.reusable && !connection.sender.is_closed() {
-            let idle = Idle { connection, since: Instant::now() };
-            self.idle.borrow_mut().entry(upstream.into()).or_default().push(idle);
+            let mut idle = self.idle.borrow_mut();
+            let kept = idle.entry(upstream.into()).or_default();
+            if kept.len() < most as usize {
+                kept.push(Idle { connection, since: Instant::now() });
+            }
         }
     }
 
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -184,8 +184,7 @@
     fn complete(&mut self) -> Option<Bytes> {
         self.log_end("complete");
         if let Some(source) = self.source.take() {
-            let id = source.place.target.id.clone();
-            self.shared.pool.keep(&id, source.connection);
+            self.shared.keep_connection(&source.place.target, source.connection);
         }
         let rest = self.events.rest();
         (!rest.is_empty()).then_some(rest)
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use balance::{Health, Loads, RetryBudget, RetryLimits};
+use balance::{Health, Loads, RetryBudget, RetryLimits, kept_connections};
 use clock::Clock;
 use compact_str::CompactString;
 use registry::{Change, Fleet};
@@ -17,8 +17,10 @@
 use wire::Link;
 
 use crate::dialect::Dialect;
+use crate::exchange::Target;
 use crate::metrics::Metrics;
-use crate::pool::Pool;
+use crate::place::most_places;
+use crate::pool::{Connection, Pool};
 
 /// Time for which a silent arbiter is not asked.
 const ARBITER_PAUSE: Duration = Duration::from_secs(1);
@@ -113,6 +115,18 @@
         }
     }
 
+    /// Keeps a connection whose answer was read to its end, as far as the
+    /// published bound of its upstream leaves room.
+    pub(crate) fn keep_connection(&self, target: &Target, connection: Connection) {
+        let table = self.table();
+        let service = table.service(&target.service);
+        let accepted = service.map_or(0, |service| service.max_connections);
+        let engine = service.is_some_and(|service| service.engine.is_some());
+        let slots = self.fleet.borrow().get(&target.id).map_or(0, |member| member.record.slots);
+        let most = kept_connections(accepted, most_places(slots, engine), self.entries.get());
+        self.pool.keep(&target.id, connection, most);
+    }
+
     /// Takes the right to send a request to `service` once more.
     pub(crate) fn take_retry(&self, service: &str) -> bool {
         let now_ms = self.now_ms();
