Trace requests through gateways; take changed settings over without a signal

Cause: gateways opened no spans, and a settings file that changed without SIGHUP went unnoticed; what a reload left out was not said. Change: a request span in the caller's trace with spans for each choice and each exchange; the choice's context goes on to the control process.

--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -27,6 +27,7 @@
 /// Running control process.
 #[derive(Debug)]
 pub struct Control {
+    config: ControlConfig,
     replica: Addr<Replica>,
     endpoint: Endpoint,
     http: ServerHandle,
@@ -47,8 +48,13 @@
             Endpoint::bind(config.peer_address, &tls).map_err(listen(config.peer_address))?;
         let http_address = config.http_address;
         let (on_failure, failure) = watch::channel(false);
-        let replica =
-            Replica::new(config, endpoint.clone(), metrics.clone(), spans.clone(), on_failure)?;
+        let replica = Replica::new(
+            config.clone(),
+            endpoint.clone(),
+            metrics.clone(),
+            spans.clone(),
+            on_failure,
+        )?;
         let replica = replica.start();
         let (server, http_address) =
             http::serve(http_address, replica.clone(), metrics).map_err(listen(http_address))?;
@@ -57,7 +63,7 @@
         let service = Service { replica: replica.clone() };
         let serving = endpoint.clone();
         actix_rt::spawn(async move { serving.serve(service).await });
-        Ok(Control { replica, endpoint, http, http_address, spans, failure })
+        Ok(Control { config, replica, endpoint, http, http_address, spans, failure })
     }
 
     /// Returns the interface for adapters in this process.
@@ -95,7 +101,8 @@
     /// Takes over what can change while the process runs: the control VMs to
     /// begin with.
     pub fn reload(&self, config: ControlConfig) {
-        log::info!(seeds = config.control_addresses.len(); "settings read again; only the control VMs to begin with are taken over");
+        let restart_needed = self.config.restart_needed(&config).join(",");
+        log::info!(seeds = config.control_addresses.len(), restart_needed = restart_needed.as_str(); "settings read again; the control VMs to begin with are taken over");
         self.replica.do_send(Reload(config.control_addresses));
     }
 
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -3,9 +3,12 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use actix_rt::signal::unix::{Signal, SignalKind, signal};
 use settings::SettingsError;
 
+mod signals;
+
+pub use signals::{Event, Signals};
+
 const EXIT_USAGE: u8 = 2;
 const EXIT_FAILURE: u8 = 1;
 
@@ -45,48 +48,3 @@
         Err(()) => ExitCode::from(EXIT_FAILURE),
     }
 }
-
-/// What a signal asks a daemon to do.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Event {
-    /// End without cutting off work.
-    Stop,
-    /// Read the settings again.
-    Reload,
-}
-
-/// Signals that a daemon reacts to.
-#[derive(Debug)]
-pub struct Signals {
-    terminate: Signal,
-    interrupt: Signal,
-    hangup: Signal,
-}
-
-impl Signals {
-    /// Starts to listen; needs a running runtime.
-    pub fn listen() -> std::io::Result<Self> {
-        Ok(Signals {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-            hangup: signal(SignalKind::hangup())?,
-        })
-    }
-
-    /// Waits for the next SIGTERM, SIGINT or SIGHUP.
-    pub async fn next(&mut self) -> Event {
-        tokio::select! {
-            _ = self.terminate.recv() => Event::Stop,
-            _ = self.interrupt.recv() => Event::Stop,
-            _ = self.hangup.recv() => Event::Reload,
-        }
-    }
-
-    /// Waits for SIGTERM or SIGINT, in daemons that read their settings at
-    /// their start only.
-    pub async fn stopped(&mut self) {
-        while self.next().await == Event::Reload {
-            log::warn!("settings are read at the start only; restart to take them over");
-        }
-    }
-}
--- /dev/null
+++ b/components/daemon/tests/signals.rs
@@ -0,0 +1,42 @@
+//! A settings file that changes without a signal.
+
+use daemon::{Event, Signals};
+use tempfile::TempDir;
+
+fn settings_file() -> (TempDir, std::path::PathBuf) {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let path = folder.path().join("settings.jsonc");
+    std::fs::write(&path, "{}").expect("writable");
+    (folder, path)
+}
+
+#[test]
+fn changed_and_replaced_files_are_read_again() {
+    actix_rt::System::new().block_on(async {
+        let (folder, path) = settings_file();
+        let mut signals = Signals::listen().expect("signals").watching(path.clone()).await;
+
+        std::fs::write(&path, "{ }").expect("writable");
+        let changed = signals.next().await;
+        std::fs::remove_file(&path).expect("removable");
+        let other = folder.path().join("other");
+        std::fs::write(&other, "{  }").expect("writable");
+        std::fs::rename(&other, &path).expect("movable");
+        let replaced = signals.next().await;
+
+        assert_eq!((changed, replaced), (Event::Reload, Event::Reload));
+    });
+}
+
+#[test]
+fn unchanged_file_causes_nothing() {
+    actix_rt::System::new().block_on(async {
+        let (_folder, path) = settings_file();
+        let mut signals = Signals::listen().expect("signals").watching(path).await;
+        tokio::time::pause();
+
+        let nothing = tokio::time::timeout(std::time::Duration::from_secs(60), signals.next());
+
+        assert!(nothing.await.is_err());
+    });
+}
--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -5,13 +5,14 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use http::header::{CONTENT_LENGTH, EXPECT};
+use http::header::{CONTENT_LENGTH, EXPECT, HeaderName};
 use http::{HeaderMap, Method, Request, StatusCode, Uri, request};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::{Body as _, Incoming};
 use rand::RngExt as _;
 use routing::{NoRoute, RouteTable, draw_service};
 use schema::{EntryPhase, RepeatKind, RouteRule};
+use telemetry::Span;
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{Refusal, strip_hop_by_hop};
@@ -20,6 +21,8 @@
 use crate::place::Need;
 use crate::shared::{Buffered, Shared};
 
+/// Trace context of the caller (W3C), which its upstream gets unchanged.
+const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
 /// Largest body of a request where the published set gives no bound.
 const DEFAULT_MAX_BODY_BYTES: u64 = 4 << 20;
 /// Memory reserved for a body that comes in chunks.
@@ -46,6 +49,8 @@
 /// Request of a caller with all that its attempts need.
 #[derive(Debug)]
 pub(crate) struct Call {
+    /// Span from the request's arrival to the end of its answer.
+    pub(crate) span: Span,
     pub(crate) head: CallHead,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
@@ -153,7 +158,12 @@
     headers.remove(CONTENT_LENGTH);
     headers.remove(EXPECT);
     shared.count_first(service);
+    let context = headers.get(TRACEPARENT).and_then(|value| value.to_str().ok());
+    let span = shared.spans.server("request", context.unwrap_or_default());
+    span.set("request", call_head.id.to_string());
+    span.set("route", routed.route.name.clone());
     Ok(Call {
+        span,
         need: Need::new(service, engine, call_head.prompt),
         head: call_head,
         method: head.method,
--- a/components/gateway/src/error.rs
+++ b/components/gateway/src/error.rs
@@ -13,6 +13,8 @@
     Listen(SocketAddr, std::io::Error),
     /// cannot register metrics: {0}
     Metrics(prometheus::Error),
+    /// cannot start traces: {0}
+    Spans(telemetry::SpanError),
 }
 
 impl std::error::Error for StartError {}
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 use http::{Request, response};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
+use telemetry::Span;
 use tokio::time::{Instant, timeout_at};
 
 use crate::pool::Connection;
@@ -45,14 +46,19 @@
 /// Sends a request to an upstream and returns the head of its answer.
 pub(crate) async fn exchange(
     shared: &Shared,
+    parent: &Span,
     target: &Target,
     request: Request<Full<Bytes>>,
     until: Instant,
 ) -> Result<Reply, Failure> {
-    match timeout_at(until, send(shared, target, request)).await {
-        Ok(result) => result,
-        Err(_) => Err(Failure::TimedOut),
+    let span = shared.spans.client("upstream", parent);
+    span.set("upstream", target.id.to_string());
+    let result = timeout_at(until, send(shared, target, request)).await;
+    let result = result.unwrap_or(Err(Failure::TimedOut));
+    if let Err(failure) = &result {
+        span.fail(failure.to_string());
     }
+    result
 }
 
 async fn send(
@@ -92,13 +98,14 @@
 /// Sends an order to an upstream and returns the status and body of its answer.
 pub(crate) async fn order(
     shared: &Shared,
+    parent: &Span,
     target: &Target,
     request: Request<Bytes>,
     until: Instant,
     max_bytes: usize,
 ) -> Result<(http::StatusCode, Bytes), Failure> {
     let Reply { head, body, connection } =
-        exchange(shared, target, request.map(Full::new), until).await?;
+        exchange(shared, parent, target, request.map(Full::new), until).await?;
     let collecting = Limited::new(body, max_bytes).collect();
     let body = timeout_at(until, collecting).await.map_err(|_| Failure::TimedOut)?;
     let body = body.map_err(|error| Failure::Lost(error.to_string()))?.to_bytes();
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -71,8 +71,7 @@
     let hold_ms = call.route.target_latency_ms as f64 * HOLD_SHARE;
     let hold_until = (call.arrived + Duration::from_millis(hold_ms as u64)).min(call.until);
     let result = loop {
-        let place = match wait_for_place(shared, &call.need, call.rank, &excluded, hold_until).await
-        {
+        let place = match wait_for_place(shared, &call, &excluded, hold_until).await {
             Ok(place) => place,
             Err(NoPlace::NoUpstream) => {
                 break Err(Refusal::unavailable("no upstream", RETRY_NO_UPSTREAM));
@@ -135,6 +134,7 @@
             (refusal.into_response(), CompactString::default(), reason)
         }
     };
+    call.span.set("outcome", reason);
     let waited_ms = elapsed_ms(call.arrived);
     log::info!(request = call.head.id.as_str(), route = call.route.name.as_str(), service = call.need.service.as_str(), upstream = upstream.as_str(), sends, status = response.status().as_u16(), outcome = reason, waited_ms; "request answered");
     let service = call.need.service.as_str();
@@ -153,7 +153,7 @@
     let target = place.target.clone();
     let resume = call.head.last_event_id.map(|id| Resume { last_event_id: Some(id), memory: None });
     let request = call.to_request(shared, &target, resume.as_ref());
-    let reply = match exchange(shared, &target, request, call.until).await {
+    let reply = match exchange(shared, &call.span, &target, request, call.until).await {
         Ok(reply) => reply,
         Err(failure) => return failed(shared, call, &target, &failure),
     };
--- a/components/gateway/src/moves.rs
+++ b/components/gateway/src/moves.rs
@@ -172,7 +172,7 @@
     let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
     let stopping = Pending::spawn(async move {
         let order = MoveOrder { request_id: &call.head.id, to, stop: true };
-        match give(&shared, &source, order).await {
+        match give(&shared, &call, &source, order).await {
             MoveResult::Copied(handle) => Stopped::Copied(handle),
             MoveResult::NoRun => Stopped::NoRun,
             MoveResult::Kept(_) | MoveResult::Failed => Stopped::Failed,
@@ -199,12 +199,12 @@
     let mut excluded: Excluded = [source.id.clone()].into_iter().collect();
     let started = Instant::now();
     while started.elapsed() < COPY_TIMEOUT {
-        let Ok(place) = place_for_move(shared, &call.need, &excluded, source).await else {
+        let Ok(place) = place_for_move(shared, call, &excluded, source).await else {
             sleep(RETRY_DELAY).await;
             continue;
         };
         let to = place.target.address;
-        match give(shared, source, MoveOrder { request_id, to, stop: false }).await {
+        match give(shared, call, source, MoveOrder { request_id, to, stop: false }).await {
             MoveResult::Copied(handle) => {
                 let memory = MemoryRef { source: source.address, handle };
                 return Some(Moved { place, memory });
@@ -217,10 +217,16 @@
     None
 }
 
-async fn give(shared: &Shared, source: &Target, move_order: MoveOrder<'_>) -> MoveResult {
+async fn give(
+    shared: &Shared,
+    call: &Call,
+    source: &Target,
+    move_order: MoveOrder<'_>,
+) -> MoveResult {
     let request = shared.dialect.move_request(&move_order);
     let until = Instant::now() + COPY_TIMEOUT;
-    let (result, status) = match order(shared, source, request, until, MAX_ANSWER_BYTES).await {
+    let ordered = order(shared, &call.span, source, request, until, MAX_ANSWER_BYTES).await;
+    let (result, status) = match ordered {
         Ok((status, body)) => (shared.dialect.read_move(status, &body), status.to_string()),
         Err(failure) => (MoveResult::Failed, failure.to_string()),
     };
@@ -231,12 +237,13 @@
 }
 
 /// Frees a copy that is not needed any more.
-pub(crate) fn free(shared: &Rc<Shared>, source: &Target, moved: Moved) {
-    let (shared, source) = (shared.clone(), source.clone());
+pub(crate) fn free(shared: &Rc<Shared>, call: &Rc<Call>, source: &Target, moved: Moved) {
+    let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
     actix_rt::spawn(async move {
         let request = shared.dialect.free_request(&moved.memory.handle);
         let until = Instant::now() + COPY_TIMEOUT;
-        if let Err(failure) = order(&shared, &source, request, until, MAX_ANSWER_BYTES).await {
+        let ordered = order(&shared, &call.span, &source, request, until, MAX_ANSWER_BYTES);
+        if let Err(failure) = ordered.await {
             log::info!(upstream = source.id.as_str(), error = failure.to_string().as_str(); "copy not freed");
         }
     });
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -9,9 +9,11 @@
     EngineCapacity, PlaceCandidate, PlaceRequest, Request, UpstreamPhase, reply, request,
 };
 use smallvec::SmallVec;
+use telemetry::Span;
 use tokio::time::{Instant, sleep};
 use wire::CallError;
 
+use crate::accept::Call;
 use crate::dialect::Prompt;
 use crate::exchange::Target;
 use crate::forward::elapsed_ms;
@@ -134,23 +136,26 @@
     noise: f64,
     rank: u32,
     unread_tokens: u64,
+    span: &'a Span,
 }
 
 /// Waits until `until` for a place at an upstream.
 pub(crate) async fn wait_for_place(
     shared: &Rc<Shared>,
-    need: &Need,
-    rank: u32,
+    call: &Call,
     excluded: &Excluded,
     until: Instant,
 ) -> Result<Place, NoPlace> {
+    let need = &call.need;
+    let span = shared.spans.client("place", &call.span);
     let terms = Terms {
         near: shared.config.data_centre.as_str(),
         remote_cost: REMOTE_COST,
         fill: if need.engine.is_some() { FILL } else { PLAIN_FILL },
         noise: NOISE,
-        rank,
+        rank: call.rank,
         unread_tokens: need.prompt_tokens,
+        span: &span,
     };
     let since = Instant::now();
     loop {
@@ -168,10 +173,12 @@
 /// Finds a place for a generation that is moved.
 pub(crate) async fn place_for_move(
     shared: &Rc<Shared>,
-    need: &Need,
+    call: &Call,
     excluded: &Excluded,
     source: &Target,
 ) -> Result<Place, NoPlace> {
+    let need = &call.need;
+    let span = shared.spans.client("place", &call.span);
     let near = shared.fleet.borrow().get(&source.id).map(|m| m.record.data_centre.clone());
     let terms = Terms {
         near: near.as_deref().unwrap_or_default(),
@@ -180,6 +187,7 @@
         noise: MOVE_NOISE,
         rank: MOVE_RANK,
         unread_tokens: 0,
+        span: &span,
     };
     find_place(shared, need, excluded, &terms, Instant::now(), Duration::ZERO).await
 }
@@ -203,7 +211,7 @@
         let number = shared.open_number();
         let ask = to_request(shared, need, &offers, terms, number.number(), since, wait);
         let body = request::Body::Place(ask);
-        let request = Request { traceparent: String::new(), body: Some(body) };
+        let request = Request { traceparent: terms.span.traceparent(), body: Some(body) };
         match arbiter.call(request, wait + ASK_TIMEOUT).await {
             Ok(reply::Body::Place(place)) if place.id.is_empty() => return Err(NoPlace::Full),
             Ok(reply::Body::Place(place)) => {
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -7,6 +7,7 @@
 use credentials::{Identity, Role, TlsConfigs};
 use schema::EntryPhase;
 use settings::{GatewayConfig, PeerTls};
+use telemetry::Spans;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
@@ -43,12 +44,14 @@
     ) -> Result<Gateway, StartError> {
         let tls = peer_tls(&config)?;
         let metrics = Metrics::new().map_err(StartError::Metrics)?;
+        let process = format!("gateway/{}", config.vm);
+        let spans = Spans::start(&process, &config.telemetry).map_err(StartError::Spans)?;
         let callers = listen(config.caller_address).await?;
         let ready = listen(config.ready_address).await?;
         let metrics_listener = listen(config.metrics_address).await?;
         let endpoint = Endpoint::bind(config.peer_address, &tls)
             .map_err(|error| StartError::Listen(config.peer_address, error))?;
-        let shared = Rc::new(Shared::new(config, dialect, metrics));
+        let shared = Rc::new(Shared::new(config, dialect, metrics, spans));
         let (closing, is_closing) = watch::channel(false);
         let links = ControlLinks::start(shared.clone(), endpoint.clone());
         actix_rt::spawn(server::serve(shared.clone(), callers, is_closing));
@@ -61,7 +64,8 @@
     /// Takes over what can change while the process runs: the control VMs to
     /// begin with.
     pub fn reload(&self, config: &GatewayConfig) {
-        log::info!(seeds = config.seeds.len(); "settings read again; only the control VMs to begin with are taken over");
+        let restart_needed = self.shared.config.restart_needed(config).join(",");
+        log::info!(seeds = config.seeds.len(), restart_needed = restart_needed.as_str(); "settings read again; the control VMs to begin with are taken over");
         self.links.follow(&config.seeds.iter().copied().collect());
     }
 
@@ -81,6 +85,7 @@
         }
         log::info!(in_flight = self.shared.in_flight(); "callers are gone");
         self.endpoint.close();
+        self.shared.spans.shutdown();
     }
 }
 
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -239,7 +239,7 @@
             && let Moving::Copied(moved, _) = std::mem::take(&mut self.moving)
             && let Some(source) = &self.source
         {
-            moves::free(&self.shared, &source.place.target, moved);
+            moves::free(&self.shared, &self.call, &source.place.target, moved);
             return None;
         }
         self.moving.take_memory(cut).await
@@ -274,8 +274,7 @@
         let failed = self.source.take().map(|source| source.place.target.id.clone());
         self.events.rest();
         let excluded: Excluded = failed.into_iter().collect();
-        let (until, rank) = (self.call.until, self.call.rank);
-        match wait_for_place(&self.shared, &self.call.need, rank, &excluded, until).await {
+        match wait_for_place(&self.shared, &self.call, &excluded, self.call.until).await {
             Ok(place) => self.resume(place, None).await,
             Err(_) => {
                 self.log_end("no place to go on");
@@ -291,7 +290,8 @@
     ) -> Result<(), BrokenOff> {
         let resume = Resume { last_event_id: self.last_event_id, memory };
         let request = self.call.to_request(&self.shared, &place.target, Some(&resume));
-        let reply = exchange(&self.shared, &place.target, request, self.call.until).await;
+        let reply =
+            exchange(&self.shared, &self.call.span, &place.target, request, self.call.until).await;
         let reply = reply.map_err(|failure| {
             self.log_end(&failure.to_string());
             BrokenOff
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -12,6 +12,7 @@
 use routing::RouteTable;
 use schema::EntryPhase;
 use settings::GatewayConfig;
+use telemetry::Spans;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use wire::Link;
@@ -34,6 +35,7 @@
     pub(crate) epoch: u64,
     pub(crate) dialect: Box<dyn Dialect>,
     pub(crate) metrics: Metrics,
+    pub(crate) spans: Spans,
     pub(crate) table: RefCell<Rc<RouteTable>>,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) loads: RefCell<Loads>,
@@ -56,12 +58,18 @@
 }
 
 impl Shared {
-    pub(crate) fn new(config: GatewayConfig, dialect: Box<dyn Dialect>, metrics: Metrics) -> Self {
+    pub(crate) fn new(
+        config: GatewayConfig,
+        dialect: Box<dyn Dialect>,
+        metrics: Metrics,
+        spans: Spans,
+    ) -> Self {
         Shared {
             clock: Clock::start(),
             epoch: rand::random_range(1..=u64::MAX >> 11),
             dialect,
             metrics,
+            spans,
             table: RefCell::default(),
             fleet: RefCell::default(),
             loads: RefCell::default(),
--- a/components/settings/src/control.rs
+++ b/components/settings/src/control.rs
@@ -15,7 +15,7 @@
 const ANNOUNCE_INTERVAL_MS: u64 = 1_000;
 
 /// Checked settings of one control process.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ControlConfig {
     /// VM that the process runs on.
     pub vm: VmName,
@@ -56,6 +56,35 @@
     pub announce_interval_ms: u64,
 }
 
+impl ControlConfig {
+    /// Returns the settings that differ from `other` and need a restart: all
+    /// but the control VMs to begin with, and the first start, which is over.
+    pub fn restart_needed(&self, other: &Self) -> Vec<&'static str> {
+        let fields = [
+            ("vm", self.vm == other.vm),
+            ("data_centre", self.data_centre == other.data_centre),
+            ("region", self.region == other.region),
+            ("peer_address", self.peer_address == other.peer_address),
+            (
+                "advertised_peer_address",
+                self.advertised_peer_address == other.advertised_peer_address,
+            ),
+            ("http_address", self.http_address == other.http_address),
+            ("data_path", self.data_path == other.data_path),
+            ("tls", self.tls == other.tls),
+            ("telemetry", self.telemetry == other.telemetry),
+            ("target_voters", self.target_voters == other.target_voters),
+            ("timers", self.timers == other.timers),
+            ("limits", self.limits == other.limits),
+            ("tolerated_losses", self.tolerated_losses == other.tolerated_losses),
+            ("gateway_api_address", self.gateway_api_address == other.gateway_api_address),
+            ("directory_address", self.directory_address == other.directory_address),
+            ("announce_interval_ms", self.announce_interval_ms == other.announce_interval_ms),
+        ];
+        fields.into_iter().filter(|(_, same)| !same).map(|(name, _)| name).collect()
+    }
+}
+
 /// Reads and checks the settings of a control process.
 pub fn load_control(path: &Path) -> Result<ControlConfig, SettingsError> {
     load(path, check)
--- a/components/settings/src/gateway.rs
+++ b/components/settings/src/gateway.rs
@@ -14,7 +14,7 @@
 const MIB: u64 = 1 << 20;
 
 /// Checked settings of one gateway.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct GatewayConfig {
     /// VM that the process runs on.
     pub vm: VmName,
@@ -40,6 +40,26 @@
     pub limits: GatewayLimits,
 }
 
+impl GatewayConfig {
+    /// Returns the settings that differ from `other` and need a restart: all
+    /// but the control VMs to begin with.
+    pub fn restart_needed(&self, other: &Self) -> Vec<&'static str> {
+        let fields = [
+            ("vm", self.vm == other.vm),
+            ("data_centre", self.data_centre == other.data_centre),
+            ("caller_address", self.caller_address == other.caller_address),
+            ("ready_address", self.ready_address == other.ready_address),
+            ("metrics_address", self.metrics_address == other.metrics_address),
+            ("peer_address", self.peer_address == other.peer_address),
+            ("tls", self.tls == other.tls),
+            ("telemetry", self.telemetry == other.telemetry),
+            ("timers", self.timers == other.timers),
+            ("limits", self.limits == other.limits),
+        ];
+        fields.into_iter().filter(|(_, same)| !same).map(|(name, _)| name).collect()
+    }
+}
+
 /// Reads and checks the settings of a gateway.
 pub fn load_gateway(path: &Path) -> Result<GatewayConfig, SettingsError> {
     load(path, check)
--- a/components/settings/src/security.rs
+++ b/components/settings/src/security.rs
@@ -3,7 +3,7 @@
 use schema::TlsSettings;
 
 /// How the system's own processes know one another.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum PeerTls {
     /// Certificates of the deployment CA on both sides.
     Files(TlsSettings),
