--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -17,6 +17,8 @@
     pub(crate) moves: IntCounterVec,
     /// Requests in progress.
     pub(crate) in_flight: IntGauge,
+    /// Upstreams that take work.
+    pub(crate) upstreams: IntGauge,
     /// Number of the set of routes in force.
     pub(crate) set_number: IntGauge,
 }
@@ -47,6 +49,7 @@
             connections: counter("connections_total", "Connections opened.", &["service"])?,
             moves: counter("moves_total", "Moves of generations.", &["outcome"])?,
             in_flight: gauge("in_flight", "Requests in progress.")?,
+            upstreams: gauge("upstreams", "Upstreams that take work.")?,
             set_number: gauge("set_number", "Number of the set of routes in force.")?,
             seconds,
             registry,
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -19,7 +19,7 @@
 use crate::exchange::{Reply, exchange};
 use crate::forward::elapsed_ms;
 use crate::moves::{self, Moved, Moving, Progress, Stopped};
-use crate::place::{Excluded, Place, is_ending, wait_for_place};
+use crate::place::{Excluded, Place, is_ending, place_for_backup, wait_for_place};
 use crate::pool::Connection;
 use crate::shared::{InFlight, Shared};
 
@@ -29,6 +29,8 @@
     body: Incoming,
     connection: Connection,
     place: Place,
+    /// Engine that holds a copy of the memory.
+    backup: Option<Place>,
 }
 
 struct Relay {
@@ -67,6 +69,7 @@
     call: &Rc<Call>,
     reply: Reply,
     mut place: Place,
+    backup: Option<Place>,
     in_flight: Option<InFlight>,
 ) -> Response<Body> {
     // The head comes with the first token.
@@ -80,7 +83,7 @@
     let relay = Relay {
         shared: shared.clone(),
         call: call.clone(),
-        source: Some(Source { body, connection, place }),
+        source: Some(Source { body, connection, place, backup }),
         events: Events::default(),
         last_event_id: call.head.last_event_id,
         relayed: 0,
@@ -249,6 +252,9 @@
         if let Some(moved) = self.take_memory(true).await {
             return self.go_on(moved).await;
         }
+        if let Some(moved) = self.take_backup().await {
+            return self.go_on(moved).await;
+        }
         let resumable = self.call.route.kind() == RepeatKind::ResumableStream;
         let may_run = self.runs < self.call.route.max_attempts.max(1);
         if resumable && may_run && self.shared.take_retry(&self.call.need.service) {
@@ -260,6 +266,21 @@
         Err(BrokenOff)
     }
 
+    /// Returns the copy that grew with the run, once the run has ended.
+    async fn take_backup(&mut self) -> Option<Moved> {
+        // A run that made nothing since it last went on would do so for ever.
+        if self.resumed {
+            return None;
+        }
+        let source = self.source.as_mut()?;
+        let place = source.backup.take()?;
+        if !self.shared.take_retry(&self.call.need.service) {
+            return None;
+        }
+        let source = &source.place.target;
+        Some(moves::end_run(&self.shared, &self.call, source, place).await)
+    }
+
     /// Goes on from moved memory at its new engine.
     async fn go_on(&mut self, moved: Moved) -> Result<(), BrokenOff> {
         let from = self.source.take().map(|source| source.place.target.id.clone());
@@ -289,7 +310,9 @@
         memory: Option<MemoryRef>,
     ) -> Result<(), BrokenOff> {
         let resume = Resume { last_event_id: self.last_event_id, memory };
-        let request = self.call.to_request(&self.shared, &place.target, Some(&resume));
+        let backup = place_for_backup(&self.shared, &self.call, &place.target);
+        let request =
+            self.call.to_request(&self.shared, &place.target, backup.as_ref(), Some(&resume));
         let reply =
             exchange(&self.shared, &self.call.span, &place.target, request, self.call.until).await;
         let reply = reply.map_err(|failure| {
@@ -307,7 +330,7 @@
         self.resumed = true;
         place.mark_read();
         let Reply { body, connection, .. } = reply;
-        self.source = Some(Source { body, connection, place });
+        self.source = Some(Source { body, connection, place, backup });
         self.start_move();
         Ok(())
     }
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -118,6 +118,10 @@
                 }
             }
         }
+        if !changes.is_empty() {
+            let serving = self.fleet.borrow().iter().filter(|member| member.takes_work()).count();
+            self.metrics.upstreams.set(i64::try_from(serving).unwrap_or(i64::MAX));
+        }
         if ending {
             self.endings.send_modify(|count| *count += 1);
         }
