--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -243,9 +243,7 @@
     log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(), error = text.as_str(); "exchange failed");
     match failure {
         Failure::NotSent(_) => {
-            let now_ms = shared.now_ms();
-            let ejected_ms = shared.health.borrow_mut().unreachable(&target.id, now_ms);
-            log_ejection(target, ejected_ms, "unreachable");
+            note_unreachable(shared, target);
             Attempt::TurnedDown("upstream unreachable")
         }
         Failure::Lost(_) => {
@@ -259,6 +257,12 @@
     }
 }
 
+pub(crate) fn note_unreachable(shared: &Shared, target: &Target) {
+    let now_ms = shared.now_ms();
+    let ejected_ms = shared.health.borrow_mut().unreachable(&target.id, now_ms);
+    log_ejection(target, ejected_ms, "unreachable");
+}
+
 fn note_failure(shared: &Shared, target: &Target, reason: &str) {
     let now_ms = shared.now_ms();
     let ejected_ms = shared.health.borrow_mut().failed(&target.id, now_ms);
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -1,6 +1,7 @@
 //! Streams of events, which survive the end of their engine.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::stream::unfold;
@@ -17,12 +18,19 @@
 use crate::dialect::{MemoryRef, Resume};
 use crate::events::Events;
 use crate::exchange::{Reply, exchange};
-use crate::forward::elapsed_ms;
+use crate::forward::{elapsed_ms, note_unreachable};
 use crate::moves::{self, Moved, Moving, Progress, Stopped};
 use crate::place::{Excluded, Place, is_ending, place_for_backup, wait_for_place};
 use crate::pool::Connection;
 use crate::shared::{InFlight, Shared};
 
+/// Pause between two events after which it is asked whether the engine can be
+/// reached at all: several times the pause that callers call late.
+const SILENCE: Duration = Duration::from_millis(700);
+/// Longest wait for a connection to an engine whose stream is silent: a lost
+/// opening packet is sent again after a second.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1_200);
+
 /// Engine that the stream comes from.
 #[derive(Debug)]
 struct Source {
@@ -41,6 +49,8 @@
     last_event_id: Option<u64>,
     relayed: u64,
     last_event_at: Instant,
+    /// When a silent engine is asked next.
+    probe_at: Instant,
     /// The stream goes on at another engine, whose first event is awaited.
     resumed: bool,
     runs: u32,
@@ -60,6 +70,8 @@
     Endings,
     /// A move went on.
     Moving(Progress),
+    /// No event came for a while.
+    Silent,
     TimedOut,
 }
 
@@ -88,6 +100,7 @@
         last_event_id: call.head.last_event_id,
         relayed: 0,
         last_event_at: Instant::now(),
+        probe_at: Instant::now() + SILENCE,
         resumed: false,
         runs: 1,
         endings,
@@ -144,6 +157,15 @@
                         return Some(Err(broken));
                     }
                 }
+                Step::Silent => {
+                    if self.can_go_on()
+                        && !self.is_reachable().await
+                        && let Err(broken) = self.recover("engine unreachable").await
+                    {
+                        return Some(Err(broken));
+                    }
+                    self.probe_at = Instant::now() + SILENCE;
+                }
                 Step::TimedOut => {
                     self.log_end("timed out");
                     self.source = None;
@@ -164,6 +186,7 @@
             },
             Ok(()) = self.endings.changed() => Step::Endings,
             progress = self.moving.progress() => Step::Moving(progress),
+            () = sleep_until(self.probe_at) => Step::Silent,
             () = sleep_until(self.call.until) => Step::TimedOut,
         }
     }
@@ -181,9 +204,35 @@
             log::info!(request = self.call.head.id.as_str(), last_event_id = self.last_event_id, pause_ms = elapsed_ms(self.last_event_at); "stream resumed");
         }
         self.last_event_at = Instant::now();
+        self.probe_at = self.last_event_at + SILENCE;
         Some(event)
     }
 
+    /// Returns whether the stream could go on without its engine.
+    fn can_go_on(&self) -> bool {
+        let backed_up = self.source.as_ref().is_some_and(|source| source.backup.is_some());
+        let copied = !matches!(self.moving, Moving::Idle | Moving::Copying(..));
+        backed_up || copied || self.call.route.kind() == RepeatKind::ResumableStream
+    }
+
+    /// Returns whether the engine of a silent stream accepts connections.
+    async fn is_reachable(&self) -> bool {
+        let Some(source) = &self.source else { return false };
+        let target = &source.place.target;
+        let since_event_ms = elapsed_ms(self.last_event_at);
+        match Connection::open(target.address, PROBE_TIMEOUT).await {
+            Ok(connection) => {
+                self.shared.keep_connection(target, connection);
+                true
+            }
+            Err(error) => {
+                log::warn!(request = self.call.head.id.as_str(), upstream = target.id.as_str(), since_event_ms, error = error.to_string().as_str(); "engine of a silent stream is unreachable");
+                note_unreachable(&self.shared, target);
+                false
+            }
+        }
+    }
+
     fn complete(&mut self) -> Option<Bytes> {
         self.log_end("complete");
         if let Some(source) = self.source.take() {
