--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -39,7 +39,7 @@
 const MOVE_FILL: f64 = 1.1;
 /// Share of an engine's memory up to which copies of other engines' runs are
 /// placed there: they leave the rest to requests.
-const BACKUP_FILL: f64 = 0.75;
+const BACKUP_FILL: f64 = 0.4;
 /// Plain services queue a few requests beyond their slots.
 const PLAIN_FILL: f64 = 4.0;
 
