Leave engines that cannot be reached; take the backups of streams out again

Cause: an engine that vanishes without notice cuts the streams that it holds, and one that goes dark holds them to the caller's deadline.

--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -18,7 +18,7 @@
 use crate::answer::{Refusal, strip_hop_by_hop};
 use crate::dialect::{CallHead, Resume, Send};
 use crate::exchange::Target;
-use crate::place::{Need, Place};
+use crate::place::Need;
 use crate::shared::{Buffered, Shared};
 
 /// Trace context of the caller (W3C), which its upstream gets unchanged.
@@ -94,7 +94,6 @@
         &self,
         shared: &Shared,
         target: &Target,
-        backup: Option<&Place>,
         resume: Option<&Resume>,
     ) -> Request<Full<Bytes>> {
         let left = self.until.saturating_duration_since(Instant::now());
@@ -103,7 +102,6 @@
             deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1),
             workspace: self.workspace.as_deref(),
             rank: self.engine_rank.filter(|_| self.need.engine.is_some()),
-            backup: backup.map(|place| place.target.address),
             resume,
         };
         let mut headers = self.headers.clone();
--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -70,8 +70,6 @@
     pub workspace: Option<&'a str>,
     /// Rank among the requests of a model engine; 0 is served first.
     pub rank: Option<u32>,
-    /// Engine that the run's memory is copied to as it grows.
-    pub backup: Option<SocketAddr>,
     /// Set if the request continues an earlier run.
     pub resume: Option<&'a Resume>,
 }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -15,7 +15,7 @@
 use crate::answer::{Body, Refusal, full, strip_hop_by_hop};
 use crate::dialect::{AnswerHead, Resume};
 use crate::exchange::{Failure, Reply, Target, exchange};
-use crate::place::{Excluded, NoPlace, Place, place_for_backup, wait_for_place};
+use crate::place::{Excluded, NoPlace, Place, wait_for_place};
 use crate::relay;
 use crate::shared::{InFlight, Shared};
 
@@ -152,8 +152,7 @@
 ) -> Attempt {
     let target = place.target.clone();
     let resume = call.head.last_event_id.map(|id| Resume { last_event_id: Some(id), memory: None });
-    let backup = place_for_backup(shared, call, &target);
-    let request = call.to_request(shared, &target, backup.as_ref(), resume.as_ref());
+    let request = call.to_request(shared, &target, resume.as_ref());
     let reply = match exchange(shared, &call.span, &target, request, call.until).await {
         Ok(reply) => reply,
         Err(failure) => return failed(shared, call, &target, &failure),
@@ -178,14 +177,7 @@
     let succeeded = reply.head.status.is_success();
     if succeeded && call.is_stream() {
         shared.health.borrow_mut().succeeded(&target.id);
-        return Attempt::Answered(relay::start(
-            shared,
-            call,
-            reply,
-            place,
-            backup,
-            in_flight.take(),
-        ));
+        return Attempt::Answered(relay::start(shared, call, reply, place, in_flight.take()));
     }
     collect(shared, call, &target, reply).await
 }
--- a/components/gateway/src/moves.rs
+++ b/components/gateway/src/moves.rs
@@ -27,9 +27,6 @@
 const COPY_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Longest wait for the result of a stop order after the stream was closed.
 const STOP_RESULT_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Longest wait for an engine to end a run whose stream was cut; one that does
-/// not answer is lost, with its run.
-const END_TIMEOUT: Duration = Duration::from_millis(120);
 /// Latest stop after the announcement of an engine's end; the shortest
 /// announcements come a second and a half before it.
 const LATEST_STOP: Duration = Duration::from_millis(1_150);
@@ -239,21 +236,6 @@
     result
 }
 
-/// Ends a run whose stream was cut, if it still goes on, and returns the memory
-/// at its backup.
-pub(crate) async fn end_run(shared: &Shared, call: &Call, source: &Target, backup: Place) -> Moved {
-    let address = backup.target.address;
-    let order = MoveOrder { request_id: &call.head.id, to: address, stop: true };
-    let ended = timeout(END_TIMEOUT, give(shared, call, source, order)).await;
-    let memory = match ended {
-        Ok(MoveResult::Copied(handle)) => MemoryRef { source: source.address, handle },
-        Ok(MoveResult::Kept(_) | MoveResult::NoRun | MoveResult::Failed) | Err(_) => {
-            MemoryRef { source: address, handle: call.head.id.clone() }
-        }
-    };
-    Moved { place: backup, memory }
-}
-
 /// Frees a copy that is not needed any more.
 pub(crate) fn free(shared: &Rc<Shared>, call: &Rc<Call>, source: &Target, moved: Moved) {
     let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -6,8 +6,7 @@
 use balance::{Candidate, Demand, Offer, sample_size};
 use compact_str::CompactString;
 use schema::{
-    EngineCapacity, PlaceCandidate, PlaceRequest, RepeatKind, Request, UpstreamPhase, reply,
-    request,
+    EngineCapacity, PlaceCandidate, PlaceRequest, Request, UpstreamPhase, reply, request,
 };
 use smallvec::SmallVec;
 use telemetry::Span;
@@ -37,9 +36,6 @@
 /// Share of an engine's memory that moved generations may fill: they cannot
 /// wait.
 const MOVE_FILL: f64 = 1.1;
-/// Share of an engine's memory up to which copies of other engines' runs are
-/// placed there: they leave the rest to requests.
-const BACKUP_FILL: f64 = 0.4;
 /// Plain services queue a few requests beyond their slots.
 const PLAIN_FILL: f64 = 4.0;
 
@@ -196,29 +192,6 @@
     find_place(shared, need, excluded, &terms, Instant::now(), Duration::ZERO).await
 }
 
-/// Finds a place for a copy of the memory of a generation that cannot run
-/// again; `None` if it may, or if the engines' memory is needed for requests.
-pub(crate) fn place_for_backup(shared: &Rc<Shared>, call: &Call, target: &Target) -> Option<Place> {
-    let backups = call.need.engine.is_some_and(|engine| engine.backups);
-    if !backups || call.route.kind() != RepeatKind::Stream {
-        return None;
-    }
-    let span = shared.spans.client("place", &call.span);
-    let terms = Terms {
-        near: shared.config.data_centre.as_str(),
-        remote_cost: 0.0,
-        fill: BACKUP_FILL,
-        noise: NOISE,
-        rank: call.rank,
-        unread_tokens: 0,
-        span: &span,
-    };
-    let excluded: Excluded = [target.id.clone()].into_iter().collect();
-    let offers = offers(shared, &call.need, &excluded, &terms);
-    let chosen = choose(shared, &call.need, &offers, &terms)?;
-    take(shared, &call.need, &terms, &chosen)
-}
-
 async fn find_place(
     shared: &Rc<Shared>,
     need: &Need,
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -20,7 +20,7 @@
 use crate::exchange::{Reply, exchange};
 use crate::forward::{elapsed_ms, note_unreachable};
 use crate::moves::{self, Moved, Moving, Progress, Stopped};
-use crate::place::{Excluded, Place, is_ending, place_for_backup, wait_for_place};
+use crate::place::{Excluded, Place, is_ending, wait_for_place};
 use crate::pool::Connection;
 use crate::shared::{InFlight, Shared};
 
@@ -37,8 +37,6 @@
     body: Incoming,
     connection: Connection,
     place: Place,
-    /// Engine that holds a copy of the memory.
-    backup: Option<Place>,
 }
 
 struct Relay {
@@ -81,7 +79,6 @@
     call: &Rc<Call>,
     reply: Reply,
     mut place: Place,
-    backup: Option<Place>,
     in_flight: Option<InFlight>,
 ) -> Response<Body> {
     // The head comes with the first token.
@@ -95,7 +92,7 @@
     let relay = Relay {
         shared: shared.clone(),
         call: call.clone(),
-        source: Some(Source { body, connection, place, backup }),
+        source: Some(Source { body, connection, place }),
         events: Events::default(),
         last_event_id: call.head.last_event_id,
         relayed: 0,
@@ -210,9 +207,8 @@
 
     /// Returns whether the stream could go on without its engine.
     fn can_go_on(&self) -> bool {
-        let backed_up = self.source.as_ref().is_some_and(|source| source.backup.is_some());
         let copied = !matches!(self.moving, Moving::Idle | Moving::Copying(..));
-        backed_up || copied || self.call.route.kind() == RepeatKind::ResumableStream
+        copied || self.call.route.kind() == RepeatKind::ResumableStream
     }
 
     /// Returns whether the engine of a silent stream accepts connections.
@@ -301,9 +297,6 @@
         if let Some(moved) = self.take_memory(true).await {
             return self.go_on(moved).await;
         }
-        if let Some(moved) = self.take_backup().await {
-            return self.go_on(moved).await;
-        }
         let resumable = self.call.route.kind() == RepeatKind::ResumableStream;
         let may_run = self.runs < self.call.route.max_attempts.max(1);
         if resumable && may_run && self.shared.take_retry(&self.call.need.service) {
@@ -315,21 +308,6 @@
         Err(BrokenOff)
     }
 
-    /// Returns the copy that grew with the run, once the run has ended.
-    async fn take_backup(&mut self) -> Option<Moved> {
-        // A run that made nothing since it last went on would do so for ever.
-        if self.resumed {
-            return None;
-        }
-        let source = self.source.as_mut()?;
-        let place = source.backup.take()?;
-        if !self.shared.take_retry(&self.call.need.service) {
-            return None;
-        }
-        let source = &source.place.target;
-        Some(moves::end_run(&self.shared, &self.call, source, place).await)
-    }
-
     /// Goes on from moved memory at its new engine.
     async fn go_on(&mut self, moved: Moved) -> Result<(), BrokenOff> {
         let from = self.source.take().map(|source| source.place.target.id.clone());
@@ -359,9 +337,7 @@
         memory: Option<MemoryRef>,
     ) -> Result<(), BrokenOff> {
         let resume = Resume { last_event_id: self.last_event_id, memory };
-        let backup = place_for_backup(&self.shared, &self.call, &place.target);
-        let request =
-            self.call.to_request(&self.shared, &place.target, backup.as_ref(), Some(&resume));
+        let request = self.call.to_request(&self.shared, &place.target, Some(&resume));
         let reply =
             exchange(&self.shared, &self.call.span, &place.target, request, self.call.until).await;
         let reply = reply.map_err(|failure| {
@@ -379,7 +355,7 @@
         self.resumed = true;
         place.mark_read();
         let Reply { body, connection, .. } = reply;
-        self.source = Some(Source { body, connection, place, backup });
+        self.source = Some(Source { body, connection, place });
         self.start_move();
         Ok(())
     }
