Let the comparison of policies end: engines turn requests away, short defaults

Cause: the baselines' engines queued without bound beyond capacity and sorted the queue at every step; the calibration of the capacity did the same; nothing was printed before the end. Ruled out: the placer's waiting lists; a run of it took 1 s.

--- a/components/bench/src/policy/capacity.rs
+++ b/components/bench/src/policy/capacity.rs
@@ -24,7 +24,9 @@
             let drawn = mix.draw(&mut rng);
             let rank = mix.priority(drawn.kind).rank;
             let Drawn { prefix, prompt_tokens, output_tokens, .. } = drawn;
-            engine.start(started, rank, prefix, prompt_tokens, output_tokens);
+            if !engine.start(started, rank, prefix, prompt_tokens, output_tokens) {
+                break;
+            }
             started += 1;
         }
         let (length_us, stepped) = engine.step();
--- a/components/bench/src/policy/engine.rs
+++ b/components/bench/src/policy/engine.rs
@@ -9,6 +9,9 @@
 const STEP_BASE_US: u64 = 10_000;
 const STEP_PER_STREAM_US: u64 = 300;
 const STEP_PER_PREFILL_TOKEN_US: u64 = 25;
+/// Requests that an engine queues before it turns more away: as many as it
+/// runs at a time.
+const MAX_WAITING: usize = MAX_RUNNING;
 /// Prompt tokens that are computed in one step, so that decoding goes on.
 const PREFILL_CHUNK: u64 = 512;
 /// Prefixes held in the cache beside the streams.
@@ -56,6 +59,7 @@
 }
 
 impl Engine {
+    /// Takes a request in; `false` if too many wait.
     pub(crate) fn start(
         &mut self,
         request: usize,
@@ -63,7 +67,10 @@
         prefix: u64,
         prompt_tokens: u64,
         output_tokens: u64,
-    ) {
+    ) -> bool {
+        if self.waiting.len() >= MAX_WAITING {
+            return false;
+        }
         let order = self.next_order;
         self.next_order += 1;
         self.waiting.push(Stream {
@@ -76,6 +83,7 @@
             prefill_left: 0,
             order,
         });
+        true
     }
 
     pub(crate) fn is_idle(&self) -> bool {
--- a/components/bench/src/policy/mod.rs
+++ b/components/bench/src/policy/mod.rs
@@ -72,8 +72,12 @@
     pub score: Score,
 }
 
-/// Runs all combinations and returns them in order.
-pub fn run_policies(options: &PolicyOptions) -> Vec<PolicyRow> {
+/// Runs all combinations and returns them in order; `progress` is told after
+/// each one how many of all are done.
+pub fn run_policies(
+    options: &PolicyOptions,
+    progress: impl Fn(usize, usize) + Sync,
+) -> Vec<PolicyRow> {
     let mut cells = Vec::new();
     for mix in &options.mixes {
         for load in &options.loads {
@@ -93,6 +97,7 @@
                     let row = run_cell(options, *mix, *policy, *load);
                     if let Ok(mut rows) = rows.lock() {
                         rows.push((index, row));
+                        progress(rows.len(), cells.len());
                     }
                 }
             });
--- a/components/bench/src/policy/simulation.rs
+++ b/components/bench/src/policy/simulation.rs
@@ -378,7 +378,11 @@
             self.end(request, false);
             return;
         }
-        self.engines[engine].start(request, rank, prefix, prompt_tokens, output_tokens);
+        if !self.engines[engine].start(request, rank, prefix, prompt_tokens, output_tokens) {
+            self.outcomes[request].refused = true;
+            self.end(request, false);
+            return;
+        }
         if !self.stepping[engine] {
             self.stepping[engine] = true;
             self.schedule(0, Event::Step(engine));
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -212,10 +212,10 @@
         #[bpaf(argument("LOAD"))]
         load: Vec<f64>,
         /// Runs of each combination
-        #[bpaf(argument("COUNT"), fallback(5))]
+        #[bpaf(argument("COUNT"), fallback(1), display_fallback)]
         seeds: u64,
         /// Simulated seconds of one run
-        #[bpaf(argument("SECONDS"), fallback(120))]
+        #[bpaf(argument("SECONDS"), fallback(20), display_fallback)]
         seconds: u64,
         /// Runs at a time
         #[bpaf(argument("COUNT"), fallback(4))]
--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -76,7 +76,12 @@
                 threads,
                 disturbance,
             };
-            let rows = run_policies(&options);
+            let rows = run_policies(&options, |done, all| {
+                eprint!("\r{done} of {all} combinations");
+                if done == all {
+                    eprintln!();
+                }
+            });
             if let Some(folder) = plots {
                 write_plots(&rows, &folder).map_err(CommandError::Invalid)?;
             }
