Free the copy of a move whose caller leaves

Cause: a caller that left while its generation was moved left the copy in the destination's memory until its handle expired, on engines that are crowded. Change: the copy is freed at both ends, also one that is still under way.

--- a/components/balance/src/arbiter.rs
+++ b/components/balance/src/arbiter.rs
@@ -24,6 +24,18 @@
     pub extra_cost: f64,
 }
 
+impl Offer {
+    /// Returns the upstream as a candidate for a choice by load.
+    pub fn as_candidate(&self) -> Candidate<'_> {
+        Candidate {
+            id: &self.id,
+            slots: self.slots,
+            cache_tokens: self.cache_tokens,
+            extra_cost: self.extra_cost,
+        }
+    }
+}
+
 /// Request for a place.
 #[derive(Clone, Debug)]
 pub struct Ask {
@@ -112,12 +124,7 @@
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.retain(|_, (_, reply)| is_wanted(reply));
         while let Some((key, (ask, reply))) = waiting.pop_first() {
-            let candidates = ask.offers.iter().map(|offer| Candidate {
-                id: &offer.id,
-                slots: offer.slots,
-                cache_tokens: offer.cache_tokens,
-                extra_cost: offer.extra_cost,
-            });
+            let candidates = ask.offers.iter().map(Offer::as_candidate);
             let granted = loads.choose(candidates, ask.demand, rng).map(CompactString::from);
             match granted {
                 Some(id) => {
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -10,7 +10,7 @@
 use routing::RouteTable;
 use schema::{EntryPhase, Request, RouteSet, SyncReply, SyncRequest, UpstreamUse, reply, request};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until};
 use wire::{CallError, Endpoint, Link};
 
 use crate::shared::Shared;
@@ -122,9 +122,7 @@
                     links.set_connected(address, Some(link.clone()));
                 }
                 known = take_over(&links, address, known, reply);
-                let next = started + MIN_INTERVAL;
-                // The deadline has usually passed already.
-                let _ = timeout_at(next, std::future::pending::<()>()).await;
+                sleep_until(started + MIN_INTERVAL).await;
             }
             Some(failed) => {
                 if connected {
--- a/components/gateway/src/moves.rs
+++ b/components/gateway/src/moves.rs
@@ -236,6 +236,27 @@
     result
 }
 
+/// Frees the copy of a move whose caller left, once there is one.
+pub(crate) fn abandon(shared: &Rc<Shared>, call: &Rc<Call>, source: &Target, moving: Moving) {
+    let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
+    actix_rt::spawn(async move {
+        let moved = match moving {
+            Moving::Idle => None,
+            Moving::Copying(mut pending, _) => pending.wait().await.flatten(),
+            Moving::Copied(moved, _) | Moving::Stopped(moved) => Some(moved),
+            Moving::Stopping(mut moved, mut pending) => {
+                if let Some(Stopped::Copied(handle)) = pending.wait().await {
+                    moved.memory.handle = handle;
+                }
+                Some(moved)
+            }
+        };
+        if let Some(moved) = moved {
+            free(&shared, &call, &source, moved);
+        }
+    });
+}
+
 /// Frees a copy that is not needed any more.
 pub(crate) fn free(shared: &Rc<Shared>, call: &Rc<Call>, source: &Target, moved: Moved) {
     let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use balance::{Candidate, Demand, Offer, sample_size};
+use balance::{Demand, Offer, sample_size};
 use compact_str::CompactString;
 use schema::{
     EngineCapacity, PlaceCandidate, PlaceRequest, Request, UpstreamPhase, reply, request,
@@ -268,12 +268,7 @@
     let arrivals = shared.rate_per_ms(&need.service) * USE_LAG_MS;
     let sample = sample_size(offers.len(), arrivals);
     let demand = Demand { tokens: need.tokens, fill: terms.fill, noise: terms.noise, sample };
-    let candidates = offers.iter().map(|offer| Candidate {
-        id: &offer.id,
-        slots: offer.slots,
-        cache_tokens: offer.cache_tokens,
-        extra_cost: offer.extra_cost,
-    });
+    let candidates = offers.iter().map(Offer::as_candidate);
     let chosen = shared.loads.borrow().choose(candidates, demand, &mut rand::rng());
     chosen.map(CompactString::from)
 }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -114,9 +114,10 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        if self.source.is_some() {
-            self.log_end("caller left");
-        }
+        let Some(source) = &self.source else { return };
+        let moving = std::mem::take(&mut self.moving);
+        moves::abandon(&self.shared, &self.call, &source.place.target, moving);
+        self.log_end("caller left");
     }
 }
 
