--- a/components/bench/src/policy/simulation.rs
+++ b/components/bench/src/policy/simulation/mod.rs
@@ -5,27 +5,25 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
-use placement::{
-    Acquire, AskId, Effect, Placement, Placer, PlacerOptions, Release, TicketId, View,
-};
+use placement::{AskId, Placement, Placer, PlacerOptions, Release, TicketId, View};
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
 use schema::{
     AnnounceRequest, CreditRelease, CreditRenew, CreditReply, CreditRequest, DigestRequest,
     EngineLoad, EntryMember, UpstreamKind,
 };
-use smallvec::smallvec;
 
 use super::Disturbance;
 use super::capacity::capacity_per_s;
 use super::compared::Policy;
 use super::engine::{Engine, Stepped};
 use super::mix::{Drawn, Mix};
-use super::names::{
-    data_centre, engine_index, engine_name, entry_index, service_of, vm, workspace,
-};
+use super::names::{data_centre, engine_name, entry_index, service_of, vm, workspace};
 use super::score::{Outcome, Score};
 
+mod baselines;
+mod entries;
+
 const ENGINES: usize = 20;
 const ENTRIES: usize = 9;
 const REPORT_US: u64 = 500_000;
@@ -261,22 +259,11 @@
         self.entry_of.push(entry);
         self.engine_of.push(None);
         match self.policy {
-            Policy::RoundRobin => {
-                let engine = self.next_alive(entry);
+            Policy::Placer(_) => self.acquire(request, entry),
+            Policy::RoundRobin | Policy::LeastInFlight | Policy::TwoChoices => {
+                let engine = self.choose_baseline(entry);
                 self.start(request, engine);
             }
-            Policy::LeastInFlight => {
-                let alive = (0..ENGINES).filter(|engine| !self.engines[*engine].lost);
-                let engine = alive.min_by_key(|engine| self.in_flight[entry][*engine]);
-                self.start(request, engine.unwrap_or_default());
-            }
-            Policy::TwoChoices => {
-                let (a, b) = (self.next_random(), self.next_random());
-                let load =
-                    |engine: usize| self.reports[engine].running + self.reports[engine].waiting;
-                self.start(request, if load(a) <= load(b) { a } else { b });
-            }
-            Policy::Placer(_) => self.acquire(request, entry),
         }
     }
 
@@ -288,86 +275,6 @@
         }
     }
 
-    fn next_alive(&mut self, entry: usize) -> usize {
-        loop {
-            self.next_engine[entry] = (self.next_engine[entry] + 1) % ENGINES;
-            if !self.engines[self.next_engine[entry]].lost {
-                return self.next_engine[entry];
-            }
-        }
-    }
-
-    fn next_random(&mut self) -> usize {
-        loop {
-            let engine = self.rng.random_range(0..ENGINES);
-            if !self.engines[engine].lost {
-                return engine;
-            }
-        }
-    }
-
-    fn acquire(&mut self, request: usize, entry: usize) {
-        let drawn = self.requests[request].clone();
-        let priority = self.mix.priority(drawn.kind);
-        let acquire = Acquire {
-            service: service_of(drawn.kind).into(),
-            workspace: workspace(drawn.workspace),
-            share: self.mix.shares[drawn.workspace],
-            max_streams: 10_000,
-            max_waiting: 10_000,
-            priority: priority.name.as_str().into(),
-            rank: priority.rank,
-            max_wait_ms: priority.max_wait_ms,
-            due_in_ms: priority.first_token_ms,
-            needs: smallvec![VERSION.into()],
-            prompt_tokens: drawn.prompt_tokens,
-            max_output_tokens: self.mix.max_output_tokens,
-            prefix: drawn.prefix,
-            exclude: smallvec![],
-        };
-        let now_ms = self.now_ms();
-        match self.placers[entry].acquire(acquire, now_ms) {
-            Ok(ticket) => {
-                self.tickets.insert((entry, ticket), request);
-            }
-            Err(_) => self.outcomes[request].refused = true,
-        }
-        self.carry_out(entry);
-    }
-
-    fn carry_out(&mut self, entry: usize) {
-        for effect in self.placers[entry].take_effects() {
-            match effect {
-                Effect::Placed(ticket, placement) => {
-                    if let Some(request) = self.tickets.remove(&(entry, ticket)) {
-                        let engine = engine_index(&placement.upstream);
-                        self.placements.insert(request, placement);
-                        self.start(request, engine);
-                    }
-                }
-                Effect::Refused(ticket, _) => {
-                    if let Some(request) = self.tickets.remove(&(entry, ticket)) {
-                        self.outcomes[request].refused = true;
-                    }
-                }
-                Effect::AskOwner { ask, owner_vm, request, .. } => {
-                    let to = entry_index(&owner_vm);
-                    self.schedule(LINK_US, Event::Ask { from: entry, ask, to, request });
-                }
-                Effect::Release(vm, release) => {
-                    self.schedule(LINK_US, Event::Release { to: entry_index(&vm), release });
-                }
-                Effect::Renew(vm, renew) => {
-                    self.schedule(LINK_US, Event::Renew { to: entry_index(&vm), renew });
-                }
-                Effect::Digest(vm, digest) => {
-                    let to = entry_index(&vm);
-                    self.schedule(LINK_US, Event::Digest { from: entry, to, digest });
-                }
-            }
-        }
-    }
-
     fn start(&mut self, request: usize, engine: usize) {
         let drawn = &self.requests[request];
         let rank = self.mix.priority(drawn.kind).rank;
--- a/components/entry/src/broker/mod.rs
+++ b/components/entry/src/broker/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::shared::Stop;
+use crate::stop::Stop;
 use crate::view::{Mode, View};
 
 pub(crate) use messages::{
--- /dev/null
+++ b/components/entry/src/generation.rs
@@ -0,0 +1,43 @@
+//! Request for a generation, and what its caller gets.
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use units::GenerationId;
+use verdict::Failure;
+
+/// Event for the caller.
+#[derive(Clone, Debug)]
+pub(crate) enum RelayEvent {
+    /// The engine accepted the generation.
+    Started(GenerationId),
+    /// Next token.
+    Token(u64, String),
+    /// The output is complete.
+    End {
+        /// `stop`, `length` or `cancelled`.
+        reason: String,
+        /// Tokens of the whole output.
+        output_tokens: u64,
+    },
+    /// The output ends here with an error.
+    Failed(Failure),
+}
+
+/// Request for one generation.
+#[derive(Clone, Debug)]
+pub(crate) struct GenerationRequest {
+    pub(crate) service: CompactString,
+    pub(crate) workspace: CompactString,
+    pub(crate) share: u32,
+    pub(crate) max_streams: u32,
+    pub(crate) max_waiting: u32,
+    pub(crate) priority: schema::Priority,
+    pub(crate) version: CompactString,
+    pub(crate) adapter: CompactString,
+    pub(crate) prompt: String,
+    pub(crate) prompt_tokens: u64,
+    pub(crate) max_output_tokens: u64,
+    /// Takes over while no engine serves this request's service.
+    pub(crate) fallback: Option<Arc<GenerationRequest>>,
+}
--- a/components/entry/src/http/chat.rs
+++ b/components/entry/src/http/chat.rs
@@ -21,8 +21,9 @@
 use super::{VERDICT_HEADER, body, verdict_value};
 use crate::broker::Locate;
 use crate::engine::EngineClient;
+use crate::generation::{GenerationRequest, RelayEvent};
 use crate::records::{self, Execution};
-use crate::relay::{GenerationRequest, Relay, RelayEvent};
+use crate::relay::Relay;
 use crate::shared::Shared;
 
 const MAX_QUEUED_EVENTS: usize = 64;
--- a/components/entry/src/http/sse.rs
+++ b/components/entry/src/http/sse.rs
@@ -11,7 +11,7 @@
 use super::failure::ErrorBody;
 use super::openai::{Chunk, ChunkChoice, Delta};
 use super::{VERDICT_HEADER, verdict_value};
-use crate::relay::RelayEvent;
+use crate::generation::RelayEvent;
 use crate::shared::InFlightGuard;
 
 const EVENT_STREAM: &str = "text/event-stream";
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -9,15 +9,18 @@
 mod control;
 mod engine;
 mod error;
+mod generation;
 mod http;
 mod http_client;
 mod membership;
 mod metrics;
+mod peer_service;
 mod peers;
 mod process;
 mod records;
 mod relay;
 mod shared;
+mod stop;
 mod view;
 
 pub use error::StartError;
--- a/components/entry/src/membership.rs
+++ b/components/entry/src/membership.rs
@@ -20,7 +20,7 @@
 use crate::control::{ControlClient, ControlError};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::shared::Stop;
+use crate::stop::Stop;
 use crate::view::{Mode, View};
 
 const TICK: Duration = Duration::from_millis(50);
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -21,8 +21,10 @@
 use crate::http;
 use crate::membership::{Leave, Membership, StartDraining, StartLeaving};
 use crate::metrics::Metrics;
-use crate::peers::{PeerService, Peers};
-use crate::shared::{Shared, Stop};
+use crate::peer_service::PeerService;
+use crate::peers::Peers;
+use crate::shared::Shared;
+use crate::stop::Stop;
 use crate::view::{Mode, View};
 
 const DRAIN_POLL: Duration = Duration::from_millis(50);
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -21,6 +21,7 @@
 
 use crate::broker::{AcquirePlace, Progress, ReleasePlace, SpendRetry};
 use crate::engine::{EngineClient, EngineError, EngineEvent, EngineEvents, StartGeneration};
+use crate::generation::{GenerationRequest, RelayEvent};
 use crate::shared::Shared;
 
 /// Attempts to continue a generation without progress in between.
@@ -30,42 +31,6 @@
 const MAX_PLACEMENTS: u32 = 3;
 const PROGRESS_TOKENS: u64 = 32;
 
-/// Event for the caller.
-#[derive(Clone, Debug)]
-pub(crate) enum RelayEvent {
-    /// The engine accepted the generation.
-    Started(GenerationId),
-    /// Next token.
-    Token(u64, String),
-    /// The output is complete.
-    End {
-        /// `stop`, `length` or `cancelled`.
-        reason: String,
-        /// Tokens of the whole output.
-        output_tokens: u64,
-    },
-    /// The output ends here with an error.
-    Failed(Failure),
-}
-
-/// Request for one generation.
-#[derive(Clone, Debug)]
-pub(crate) struct GenerationRequest {
-    pub(crate) service: CompactString,
-    pub(crate) workspace: CompactString,
-    pub(crate) share: u32,
-    pub(crate) max_streams: u32,
-    pub(crate) max_waiting: u32,
-    pub(crate) priority: schema::Priority,
-    pub(crate) version: CompactString,
-    pub(crate) adapter: CompactString,
-    pub(crate) prompt: String,
-    pub(crate) prompt_tokens: u64,
-    pub(crate) max_output_tokens: u64,
-    /// Takes over while no engine serves this request's service.
-    pub(crate) fallback: Option<Arc<GenerationRequest>>,
-}
-
 /// Relay of one generation.
 pub(crate) struct Relay {
     pub(crate) shared: Shared,
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use actix::{Addr, Message};
+use actix::Addr;
 use settings::EntryConfig;
 use telemetry::Spans;
 use tokio::sync::watch;
@@ -63,8 +63,3 @@
         self.count.fetch_sub(1, Ordering::Relaxed);
     }
 }
-
-/// Stops an actor.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub(crate) struct Stop;
--- a/components/placement/src/announce.rs
+++ b/components/placement/src/announce.rs
@@ -7,6 +7,7 @@
 
 use crate::RETRY_AFTER_MS;
 use crate::placer::Placer;
+use crate::state::Owned;
 
 /// Standard deviations of memory kept free when a preemption costs nothing,
 /// and what its share of all costs adds.
@@ -15,15 +16,6 @@
 /// Bits below the clock in the first credit of a ledger.
 const CREDIT_BITS: u32 = 16;
 
-/// Upstream that this entry owns.
-#[derive(Debug)]
-pub(crate) struct Owned {
-    pub(crate) announce: AnnounceRequest,
-    pub(crate) expires_ms: u64,
-    /// Present for engines.
-    pub(crate) ledger: Option<Ledger>,
-}
-
 /// Result of an announcement for the upstream.
 #[derive(Clone, Debug)]
 pub struct Announced {
--- a/components/placement/src/credits.rs
+++ b/components/placement/src/credits.rs
@@ -8,39 +8,12 @@
     CreditProgress, CreditRelease, CreditRenew, CreditRenewReply, CreditReply, CreditRequest,
 };
 
-use crate::acquire::Placement;
 use crate::effect::Effect;
 use crate::placer::Placer;
+use crate::request::{Placement, Release};
 
 const RENEWALS_PER_LEASE: u64 = 4;
 
-/// Credit that this entry holds.
-#[derive(Clone, Debug)]
-pub(crate) struct Held {
-    pub(crate) owner_vm: CompactString,
-    pub(crate) workspace: CompactString,
-    pub(crate) output_tokens: u64,
-}
-
-/// End of a generation.
-#[derive(Clone, Debug)]
-pub struct Release {
-    /// Place that is given back.
-    pub placement: Placement,
-    /// Service of the request.
-    pub service: CompactString,
-    /// Workspace of the caller.
-    pub workspace: CompactString,
-    /// Relative share of the workspace.
-    pub share: u32,
-    /// Length of the prompt.
-    pub prompt_tokens: u64,
-    /// Length of the output.
-    pub output_tokens: u64,
-    /// The output ended by itself, so its length tells about later ones.
-    pub whole: bool,
-}
-
 impl Placer {
     /// Notes the output so far of a generation.
     pub fn progress(&mut self, upstream: &str, credit: u64, output_tokens: u64) {
--- a/components/placement/src/digest.rs
+++ b/components/placement/src/digest.rs
@@ -1,12 +1,11 @@
 //! Coarse state of upstreams, told by each owner to the entries that listen.
 
-use std::collections::HashMap;
-
 use compact_str::CompactString;
 use schema::{DigestRequest, UpstreamDigest};
 
 use crate::effect::Effect;
 use crate::placer::Placer;
+use crate::state::Watcher;
 
 /// Shortest interval between two digests to one watcher.
 const DIGEST_INTERVAL_MS: u64 = 250;
@@ -25,17 +24,6 @@
 
 const MS_PER_S: u64 = 1_000;
 
-/// Entry that listens to this one.
-#[derive(Debug, Default)]
-pub(crate) struct Watcher {
-    sequence: u64,
-    /// What the watcher was told, by upstream.
-    told: HashMap<String, UpstreamDigest>,
-    needs_whole: bool,
-    in_flight: bool,
-    last_sent_ms: u64,
-}
-
 impl Placer {
     /// Works out who listens after a change of the membership.
     pub(crate) fn follow_watchers(&mut self) {
--- a/components/placement/src/effect.rs
+++ b/components/placement/src/effect.rs
@@ -5,7 +5,7 @@
 use schema::{CreditRelease, CreditRenew, CreditRequest, DigestRequest};
 use verdict::Failure;
 
-use crate::acquire::Placement;
+use crate::request::Placement;
 
 /// Id of a request for a credit, for its answer.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -13,15 +13,16 @@
 mod options;
 mod placer;
 mod plain;
+mod request;
 mod service;
+mod state;
 
-pub use acquire::{Acquire, Placement};
 pub use announce::Announced;
-pub use credits::Release;
 pub use effect::{AskId, Effect};
 pub use options::{Mechanisms, PlacerOptions};
 pub use placer::{Placer, View};
 pub use plain::PlainPlacement;
+pub use request::{Acquire, Placement, Release};
 
 pub use admission::TicketId;
 
--- a/components/placement/src/placer.rs
+++ b/components/placement/src/placer.rs
@@ -10,12 +10,10 @@
 use routing::{Directory, PrefixHints};
 use schema::{EntryMember, Priority, Weights};
 
-use crate::announce::Owned;
-use crate::credits::Held;
-use crate::digest::Watcher;
 use crate::effect::{AskId, Effect};
 use crate::options::PlacerOptions;
 use crate::service::{Asked, ServiceQueue};
+use crate::state::{Held, Owned, Watcher};
 
 const MAX_PREFIX_HINTS: usize = 50_000;
 const PREFIX_HINT_LIFE_MS: u64 = 60_000;
--- a/components/placement/src/service.rs
+++ b/components/placement/src/service.rs
@@ -8,7 +8,7 @@
 use routing::Choice;
 use smallvec::SmallVec;
 
-use crate::acquire::Acquire;
+use crate::request::Acquire;
 
 /// Weight of the newest interval in the pace of grants.
 const PACE_WEIGHT: f64 = 0.1;
