Keep the use that gateways tell once, and convert it in one place

The control process kept each gateway's use twice, in its view of the gateway and in the arbiter, and copied it at every exchange, 12 a second and gateway; the sum for the others now comes from the arbiter. The message was converted by hand in three places; balance does it now. The condition for another run stood twice; freeing a copy started a task inside a task. Behaviour is the same.

--- a/components/balance/src/arbiter.rs
+++ b/components/balance/src/arbiter.rs
@@ -102,6 +102,16 @@
         self.waiting.retain(|_, (ask, _)| ask.entry != entry);
     }
 
+    /// Returns the use that all entries but one told, by upstream.
+    pub fn told_by_others(&self, entry: &str) -> BTreeMap<&str, Use> {
+        let mut total: BTreeMap<&str, Use> = BTreeMap::new();
+        let others = self.accounts.iter().filter(|(name, _)| name.as_str() != entry);
+        for (id, used) in others.flat_map(|(_, account)| &account.told) {
+            *total.entry(id).or_default() += *used;
+        }
+        total
+    }
+
     /// Adds a request; `reply` comes back with the decision.
     pub fn ask(&mut self, ask: Ask, reply: T) {
         self.arrivals += 1;
--- a/components/balance/src/load.rs
+++ b/components/balance/src/load.rs
@@ -1,9 +1,11 @@
 //! Load of upstreams, and choice by it.
 
 use std::collections::HashMap;
+use std::ops::AddAssign;
 
 use compact_str::CompactString;
 use rand::{Rng, RngExt as _};
+use schema::UpstreamUse;
 use smallvec::SmallVec;
 
 /// Unread prompt tokens that weigh as much as a full upstream: about the time
@@ -20,6 +22,35 @@
     pub unread_tokens: u64,
 }
 
+impl Use {
+    /// Reads the use of one upstream from a message.
+    pub fn from_message(message: &UpstreamUse) -> Self {
+        Use {
+            running: message.running,
+            tokens: message.committed_tokens,
+            unread_tokens: message.unread_tokens,
+        }
+    }
+
+    /// Returns the message that tells this use of the upstream `id`.
+    pub fn to_message(self, id: &str) -> UpstreamUse {
+        UpstreamUse {
+            id: id.to_string(),
+            running: self.running,
+            committed_tokens: self.tokens,
+            unread_tokens: self.unread_tokens,
+        }
+    }
+}
+
+impl AddAssign for Use {
+    fn add_assign(&mut self, other: Use) {
+        self.running += other.running;
+        self.tokens += other.tokens;
+        self.unread_tokens += other.unread_tokens;
+    }
+}
+
 /// What one request needs.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Demand {
@@ -81,10 +112,7 @@
 
     /// Adds work that was counted elsewhere.
     pub fn add(&mut self, id: &str, used: Use) {
-        let load = self.own.entry(id.into()).or_default();
-        load.running += used.running;
-        load.tokens += used.tokens;
-        load.unread_tokens += used.unread_tokens;
+        *self.own.entry(id.into()).or_default() += used;
     }
 
     /// Counts that a prompt was read.
@@ -117,13 +145,9 @@
 
     /// Returns the load of an upstream by all entries.
     pub fn total(&self, id: &str) -> Use {
-        let own = self.own.get(id).copied().unwrap_or_default();
-        let others = self.others.get(id).copied().unwrap_or_default();
-        Use {
-            running: own.running + others.running,
-            tokens: own.tokens + others.tokens,
-            unread_tokens: own.unread_tokens + others.unread_tokens,
-        }
+        let mut total = self.own.get(id).copied().unwrap_or_default();
+        total += self.others.get(id).copied().unwrap_or_default();
+        total
     }
 
     /// Returns the least loaded of a random sample of the candidates that have
--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -35,7 +35,6 @@
     data_centre: CompactString,
     caller_address: SocketAddr,
     phase: EntryPhase,
-    used: Vec<UpstreamUse>,
     confirmed_version: u64,
     synced_ms: u64,
 }
@@ -127,18 +126,11 @@
             data_centre: request.data_centre.as_str().into(),
             caller_address: address,
             phase: request.phase(),
-            used: request.r#use.clone(),
             confirmed_version,
             synced_ms: now_ms,
         };
-        let told = request.r#use.iter().map(|used| {
-            let load = Use {
-                running: used.running,
-                tokens: used.committed_tokens,
-                unread_tokens: used.unread_tokens,
-            };
-            (used.id.as_str().into(), load)
-        });
+        let told = request.r#use.iter();
+        let told = told.map(|used| (used.id.as_str().into(), Use::from_message(used)));
         if !known {
             self.arbiter.forget(&vm);
         }
@@ -158,16 +150,8 @@
     }
 
     fn use_by_others(&self, vm: &str) -> Vec<UpstreamUse> {
-        let mut total: BTreeMap<&str, UpstreamUse> = BTreeMap::new();
-        let others = self.entries.iter().filter(|(name, _)| name.as_str() != vm);
-        for used in others.flat_map(|(_, view)| &view.used) {
-            let sum = total.entry(&used.id).or_default();
-            sum.running += used.running;
-            sum.committed_tokens += used.committed_tokens;
-            sum.unread_tokens += used.unread_tokens;
-        }
-        let name = |(id, sum): (&str, UpstreamUse)| UpstreamUse { id: id.to_string(), ..sum };
-        total.into_iter().map(name).collect()
+        let told = self.arbiter.told_by_others(vm).into_iter();
+        told.map(|(id, used)| used.to_message(id)).collect()
     }
 }
 
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -8,7 +8,7 @@
 
 use balance::Use;
 use routing::RouteTable;
-use schema::{EntryPhase, Request, RouteSet, SyncReply, SyncRequest, UpstreamUse, reply, request};
+use schema::{EntryPhase, Request, RouteSet, SyncReply, SyncRequest, reply, request};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until};
 use wire::{CallError, Endpoint, Link};
@@ -142,12 +142,7 @@
 
 fn sync_request(shared: &Shared, known: Known, gathers_use: bool) -> SyncRequest {
     let loads = shared.loads.borrow();
-    let used = loads.own().filter(|_| gathers_use).map(|(id, load)| UpstreamUse {
-        id: id.to_string(),
-        running: load.running,
-        committed_tokens: load.tokens,
-        unread_tokens: load.unread_tokens,
-    });
+    let used = loads.own().filter(|_| gathers_use).map(|(id, load)| load.to_message(id));
     let config = &shared.config;
     SyncRequest {
         vm: config.vm.to_string(),
@@ -180,14 +175,8 @@
         take_set(shared, set, address);
     }
     if links.gathers_use(address) {
-        let others = reply.r#use.into_iter().map(|used| {
-            let load = Use {
-                running: used.running,
-                tokens: used.committed_tokens,
-                unread_tokens: used.unread_tokens,
-            };
-            (used.id.into(), load)
-        });
+        let others = reply.r#use.iter();
+        let others = others.map(|used| (used.id.as_str().into(), Use::from_message(used)));
         shared.loads.borrow_mut().set_others(others);
     }
     shared.entries.set(reply.entries.max(1));
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -85,6 +85,7 @@
         log_placement(shared, &call, &place);
         let attempt = attempt(shared, &call, place, &mut in_flight).await;
         let may_send = sends < MAX_SENDS && Instant::now() < call.until;
+        let may_run_again = |runs| may_send && call.may_repeat() && runs < call.route.max_attempts;
         let (again, last) = match attempt {
             Attempt::Answered(response) => break Ok((response, upstream)),
             Attempt::TurnedDown(reason) => {
@@ -92,13 +93,11 @@
             }
             Attempt::Failed(response) => {
                 runs += 1;
-                let again = may_send && call.may_repeat() && runs < call.route.max_attempts;
-                (again, Ok((response, upstream.clone())))
+                (may_run_again(runs), Ok((response, upstream.clone())))
             }
             Attempt::Lost(reason) => {
                 runs += 1;
-                let again = may_send && call.may_repeat() && runs < call.route.max_attempts;
-                (again, Err(Refusal::unknown(StatusCode::BAD_GATEWAY, reason)))
+                (may_run_again(runs), Err(Refusal::unknown(StatusCode::BAD_GATEWAY, reason)))
             }
             Attempt::TimedOut => {
                 break Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, "timed out"));
--- a/components/gateway/src/moves.rs
+++ b/components/gateway/src/moves.rs
@@ -236,7 +236,7 @@
     result
 }
 
-/// Frees the copy of a move whose caller left, once there is one.
+/// Frees the copy of a move that nobody waits for any more, once there is one.
 pub(crate) fn abandon(shared: &Rc<Shared>, call: &Rc<Call>, source: &Target, moving: Moving) {
     let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
     actix_rt::spawn(async move {
@@ -252,20 +252,17 @@
             }
         };
         if let Some(moved) = moved {
-            free(&shared, &call, &source, moved);
+            free(&shared, &call, &source, moved).await;
         }
     });
 }
 
 /// Frees a copy that is not needed any more.
-pub(crate) fn free(shared: &Rc<Shared>, call: &Rc<Call>, source: &Target, moved: Moved) {
-    let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
-    actix_rt::spawn(async move {
-        let request = shared.dialect.free_request(&moved.memory.handle);
-        let until = Instant::now() + COPY_TIMEOUT;
-        let ordered = order(&shared, &call.span, &source, request, until, MAX_ANSWER_BYTES);
-        if let Err(failure) = ordered.await {
-            log::info!(upstream = source.id.as_str(), error = failure.to_string().as_str(); "copy not freed");
-        }
-    });
+async fn free(shared: &Shared, call: &Call, source: &Target, moved: Moved) {
+    let request = shared.dialect.free_request(&moved.memory.handle);
+    let until = Instant::now() + COPY_TIMEOUT;
+    let ordered = order(shared, &call.span, source, request, until, MAX_ANSWER_BYTES);
+    if let Err(failure) = ordered.await {
+        log::info!(upstream = source.id.as_str(), error = failure.to_string().as_str(); "copy not freed");
+    }
 }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -285,10 +285,10 @@
     async fn take_memory(&mut self, cut: bool) -> Option<Moved> {
         if !cut
             && let Moving::Copied(..) = self.moving
-            && let Moving::Copied(moved, _) = std::mem::take(&mut self.moving)
             && let Some(source) = &self.source
         {
-            moves::free(&self.shared, &self.call, &source.place.target, moved);
+            let moving = std::mem::take(&mut self.moving);
+            moves::abandon(&self.shared, &self.call, &source.place.target, moving);
             return None;
         }
         self.moving.take_memory(cut).await
