--- a/components/consensus/src/node/election.rs
+++ b/components/consensus/src/node/election.rs
@@ -120,12 +120,16 @@
 
     /// Starts an election immediately because the leader transfers its role here.
     pub(super) fn handle_timeout_now(&mut self) {
-        let is_voter = membership::is_voter(self.configurations.current(), self.id);
-        if is_voter && !self.is_leader() {
+        if self.is_eligible() && !self.is_leader() {
             self.start_election(true);
         }
     }
 
+    /// Returns whether this replica may start an election.
+    pub(super) fn is_eligible(&self) -> bool {
+        self.may_campaign && membership::is_voter(self.configurations.current(), self.id)
+    }
+
     /// Steps down once the newest configuration is committed and this replica is
     /// not one of its voters. Older configurations are ignored, because a
     /// restarted replica applies them again.
--- a/components/consensus/src/node/leader.rs
+++ b/components/consensus/src/node/leader.rs
@@ -116,14 +116,19 @@
         Ok(id)
     }
 
-    /// Starts a leadership transfer to the voter with the highest match index.
+    /// Starts a leadership transfer to the voter with the highest match index among
+    /// those that replied within the minimum election timeout, else among all.
     /// Proposals are rejected until the transfer ends or times out.
     pub fn transfer_leadership(&mut self) -> Result<(), ProposeError> {
         let others = self.other_voters();
-        let deadline_ms = self.now_ms + self.options.election_ms;
+        let (now_ms, election_ms) = (self.now_ms, self.options.election_ms);
+        let deadline_ms = now_ms + election_ms;
         let leadership = self.leadership_for_proposal()?;
-        let match_index = |id: &u64| leadership.progress.get(*id).map_or(0, |p| p.match_index);
-        let Some(target) = others.into_iter().max_by_key(match_index) else {
+        let suitability = |id: &u64| {
+            let progress = leadership.progress.get(*id);
+            progress.map(|p| (now_ms < p.last_reply_ms + election_ms, p.match_index))
+        };
+        let Some(target) = others.into_iter().max_by_key(suitability) else {
             return Err(ProposeError::NotCaughtUp);
         };
         leadership.transfer = Some(Transfer { target, deadline_ms, timeout_now_sent: false });
--- a/components/consensus/src/node/mod.rs
+++ b/components/consensus/src/node/mod.rs
@@ -55,6 +55,7 @@
     leader_id: u64,
     last_leader_contact_ms: Option<u64>,
     election_deadline_ms: u64,
+    may_campaign: bool,
     commit_index: u64,
     applied_index: u64,
     durable_index: u64,
@@ -110,6 +111,7 @@
             leader_id: NO_REPLICA,
             last_leader_contact_ms: None,
             election_deadline_ms: 0,
+            may_campaign: true,
             commit_index: snapshot_position.index,
             applied_index: snapshot_position.index,
             durable_index: last,
@@ -152,12 +154,19 @@
             self.tick_leader();
         } else if now_ms >= self.election_deadline_ms {
             self.reset_election_deadline();
-            if membership::is_voter(self.configurations.current(), self.id) {
+            if self.is_eligible() {
                 self.start_pre_vote();
             }
         }
     }
 
+    /// Sets whether this replica may start elections, initially true. A replica whose
+    /// disk refuses writes could not make its vote durable: it would leave the term of
+    /// the leader without being able to win the next one.
+    pub fn set_may_campaign(&mut self, may_campaign: bool) {
+        self.may_campaign = may_campaign;
+    }
+
     /// Handles a message from another replica.
     pub fn step(&mut self, now_ms: u64, message: ConsensusMessage) {
         self.now_ms = now_ms;
--- a/components/consensus/tests/rules.rs
+++ b/components/consensus/tests/rules.rs
@@ -274,3 +274,41 @@
     assert_eq!(changes.len(), 4);
     assert!(node.is_leader());
 }
+
+#[test]
+fn replica_that_may_not_campaign_starts_no_election() {
+    let mut node = restore_replica(1, Vec::new());
+
+    node.set_may_campaign(false);
+    node.tick(2 * ELECTION_MS);
+    let timeout_now = Body::TimeoutNow(schema::TimeoutNow {});
+    node.step(2 * ELECTION_MS, message(2, 1, timeout_now));
+    let messages = node.take_messages();
+    node.set_may_campaign(true);
+    node.tick(4 * ELECTION_MS);
+    let later = node.take_messages();
+
+    assert_eq!((node.term(), messages.len()), (1, 0));
+    assert_eq!(later.len(), 2, "pre-vote requests to both other voters");
+}
+
+#[test]
+fn leadership_is_transferred_to_a_voter_that_still_replies() {
+    let mut node = restore_replica(1, Vec::new());
+    let now_ms = elect(&mut node, 0);
+    persist(&mut node);
+    node.step(now_ms, message(2, node.term(), accepted(2)));
+    let later_ms = now_ms + ELECTION_MS;
+    node.step(later_ms, message(3, node.term(), accepted(2)));
+    node.take_messages();
+
+    node.transfer_leadership().expect("no transfer is in progress");
+
+    let asked: Vec<u64> = node
+        .take_messages()
+        .into_iter()
+        .filter(|message| matches!(message.body, Some(Body::TimeoutNow(_))))
+        .map(|message| message.to)
+        .collect();
+    assert_eq!(asked, vec![3]);
+}
--- a/components/control/src/main.rs
+++ b/components/control/src/main.rs
@@ -27,12 +27,16 @@
 
 async fn run(config: settings::ControlConfig) -> Result<(), ()> {
     let vm = config.vm.to_string();
-    let mut control = Control::start(config).map_err(|error| {
-        log::error!(error = error.to_string().as_str(); "cannot start");
-    })?;
     let mut signals = Signals::listen().map_err(|error| {
         log::error!(error = error.to_string().as_str(); "cannot listen for signals");
     })?;
+    let started = tokio::select! {
+        started = Control::start(config) => started,
+        () = signals.stop_requested() => return Ok(()),
+    };
+    let mut control = started.map_err(|error| {
+        log::error!(error = error.to_string().as_str(); "cannot start");
+    })?;
     log::info!(vm = vm.as_str(), http_address = control.http_address().to_string().as_str(); "control started");
     tokio::select! {
         () = signals.stop_requested() => {}
--- a/components/control/src/metrics.rs
+++ b/components/control/src/metrics.rs
@@ -12,6 +12,7 @@
     pub(crate) commit_index: IntGauge,
     pub(crate) applied_index: IntGauge,
     pub(crate) log_bytes: IntGauge,
+    pub(crate) disk_available: IntGauge,
     pub(crate) revision: IntGauge,
     pub(crate) records: IntGauge,
     pub(crate) members: IntGauge,
@@ -47,6 +48,8 @@
         )?;
         registry.register(Box::new(leader_changes.clone()))?;
         let latency = LATENCY_BUCKETS_SECONDS.to_vec();
+        let disk_available = gauge("disk_available", "1 while the disk accepts writes.")?;
+        disk_available.set(1);
         let entries = prometheus::exponential_buckets(1.0, 2.0, 12)?;
         Ok(Metrics {
             term: gauge("term", "Current term.")?,
@@ -54,6 +57,7 @@
             commit_index: gauge("commit_index", "Last committed log index.")?,
             applied_index: gauge("applied_index", "Last applied log index.")?,
             log_bytes: gauge("log_bytes", "Size of the log on disk.")?,
+            disk_available,
             revision: gauge("revision", "Published revision.")?,
             records: gauge("records", "At-most-once records held.")?,
             members: gauge("members", "Entries that hold a lease.")?,
--- a/components/control/src/process.rs
+++ b/components/control/src/process.rs
@@ -1,6 +1,7 @@
 //! Startup and shutdown of a control process.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 use actix::{Actor as _, Addr};
@@ -8,6 +9,7 @@
 use credentials::{Identity, Role, TlsConfigs};
 use futures::FutureExt as _;
 use futures::future::BoxFuture;
+use journal::{Disk, Journal, RecoveredState, SystemDisk};
 use schema::{ConsensusMessage, ErrorCode, Reply, Request};
 use settings::{ControlConfig, PeerTls};
 use telemetry::Spans;
@@ -23,6 +25,8 @@
 
 const LEADERSHIP_TRANSFER_ATTEMPTS: u32 = 50;
 const LEADERSHIP_TRANSFER_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Delay before the data folder is opened again on a disk that refused it.
+const JOURNAL_OPEN_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Running control process.
 #[derive(Debug)]
@@ -37,8 +41,18 @@
 }
 
 impl Control {
-    /// Starts a control process inside a running [`actix::System`].
-    pub fn start(config: ControlConfig) -> Result<Control, StartError> {
+    /// Starts a control process inside a running [`actix::System`], once the disk
+    /// accepts writes: a new data folder needs them, and a full one is read only.
+    pub async fn start(config: ControlConfig) -> Result<Control, StartError> {
+        Control::start_on(config, || Box::new(SystemDisk)).await
+    }
+
+    /// The same on another disk than the system's.
+    pub async fn start_on(
+        config: ControlConfig,
+        disk: impl Fn() -> Box<dyn Disk>,
+    ) -> Result<Control, StartError> {
+        let journal = open_journal(&config.data_path, disk).await?;
         let tls = peer_tls(&config)?;
         let process = format!("control/{}", config.vm);
         let spans = Spans::start(&process, &config.telemetry).map_err(StartError::Spans)?;
@@ -50,6 +64,7 @@
         let (on_failure, failure) = watch::channel(false);
         let replica = Replica::new(
             config.clone(),
+            journal,
             endpoint.clone(),
             metrics.clone(),
             spans.clone(),
@@ -118,6 +133,25 @@
     }
 }
 
+/// Opens the data folder, and repeats that while the disk is full or returns errors.
+async fn open_journal(
+    path: &Path,
+    disk: impl Fn() -> Box<dyn Disk>,
+) -> Result<(Journal, RecoveredState), StartError> {
+    let mut reported = false;
+    loop {
+        match Journal::open_on(path, disk()) {
+            Err(error) if error.is_transient() => {
+                if !std::mem::replace(&mut reported, true) {
+                    log::error!(error = error.to_string().as_str(); "cannot open the data folder yet; trying again until the disk accepts writes");
+                }
+                sleep(JOURNAL_OPEN_RETRY_DELAY).await;
+            }
+            opened => return opened.map_err(StartError::Journal),
+        }
+    }
+}
+
 fn peer_tls(config: &ControlConfig) -> Result<TlsConfigs, StartError> {
     let identity = Identity { role: Role::Control, name: config.vm.clone() };
     let tls = match &config.tls {
--- a/components/control/src/replica/drive.rs
+++ b/components/control/src/replica/drive.rs
@@ -50,13 +50,14 @@
     }
 
     fn submit_storage_job(&mut self) {
-        let Some(storage) = self.storage.as_ref().filter(|_| !self.storage_job_in_flight) else {
+        let Some(storage) = self.storage.as_ref().filter(|_| self.storage_job_since_ms.is_none())
+        else {
             return;
         };
         if self.is_compaction_due()
             && let Some(job) = self.compaction_job()
         {
-            self.storage_job_in_flight = true;
+            self.storage_job_since_ms = Some(self.clock.now_ms());
             storage.submit(job);
             return;
         }
@@ -65,7 +66,7 @@
             let last = batch.last;
             self.handle_durable_batch(batch, last);
         } else {
-            self.storage_job_in_flight = true;
+            self.storage_job_since_ms = Some(self.clock.now_ms());
             storage.submit(Job::Batch(batch));
         }
     }
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -6,6 +6,7 @@
 //! messages to peers, passes batches to the storage thread, applies committed
 //! commands to the state and replies to requests.
 
+mod disk;
 mod drive;
 mod heartbeats;
 mod join;
@@ -71,8 +72,10 @@
     state: State,
     journal: Option<Journal>,
     storage: Option<Storage>,
-    /// At most one job is in flight at the storage thread.
-    storage_job_in_flight: bool,
+    /// When the job in flight at the storage thread was submitted; at most one is.
+    storage_job_since_ms: Option<u64>,
+    /// Why the disk refuses writes.
+    disk_error: Option<String>,
     snapshot_index: u64,
     links: HashMap<SocketAddr, Link>,
     proposals: Proposals,
@@ -95,12 +98,12 @@
 impl Replica {
     pub(crate) fn new(
         config: ControlConfig,
+        (journal, recovered): (Journal, RecoveredState),
         endpoint: Endpoint,
         metrics: Metrics,
         spans: Spans,
         on_failure: watch::Sender<bool>,
     ) -> Result<Self, StartError> {
-        let (journal, recovered) = Journal::open(&config.data_path).map_err(StartError::Journal)?;
         if recovered.dropped_bytes > 0 {
             log::warn!(bytes = recovered.dropped_bytes; "truncated an incomplete write at the end of the log");
         }
@@ -124,7 +127,8 @@
             state,
             journal: Some(journal),
             storage: None,
-            storage_job_in_flight: false,
+            storage_job_since_ms: None,
+            disk_error: None,
             snapshot_index,
             links: HashMap::new(),
             proposals: Proposals::new(config.limits.max_queued_proposals as usize),
@@ -158,6 +162,7 @@
             return;
         }
         let now_ms = self.clock.now_ms();
+        self.check_disk(now_ms);
         self.node.tick(now_ms);
         self.record_waiters.expire(now_ms, &self.state);
         self.bootstrap_at_first_start(now_ms);
@@ -256,14 +261,22 @@
     type Result = ();
 
     fn handle(&mut self, result: JobResult, _: &mut Context<Self>) {
-        self.storage_job_in_flight = false;
         match result {
-            JobResult::Durable(batch, last) => self.handle_durable_batch(batch, last),
+            JobResult::Durable(batch, last) => {
+                self.storage_job_since_ms = None;
+                self.handle_durable_batch(batch, last);
+            }
             JobResult::Compacted(snapshot) => {
+                self.storage_job_since_ms = None;
                 self.snapshot_index = snapshot.index;
                 let kept_entries = self.config.limits.snapshot_entries / KEPT_ENTRIES_DIVISOR;
                 self.node.compact(snapshot, kept_entries);
             }
+            JobResult::Unavailable(error) => {
+                self.set_disk_error(Some(error));
+                self.check_disk(self.clock.now_ms());
+            }
+            JobResult::Available => self.set_disk_error(None),
             JobResult::Failed(error) => self.fail(&error),
         }
         self.drive();
--- a/components/control/src/replica/status.rs
+++ b/components/control/src/replica/status.rs
@@ -30,6 +30,7 @@
             revision: self.state.current().0,
             records: self.state.records().len() as u64,
             entries: self.state.members().iter().map(entry).collect(),
+            disk_error: self.disk_error.clone().unwrap_or_default(),
             log_bytes: u64::try_from(self.metrics.log_bytes.get()).unwrap_or_default(),
         };
         Reply { body: Some(reply::Body::Status(status)) }
--- a/components/control/src/storage.rs
+++ b/components/control/src/storage.rs
@@ -14,7 +14,10 @@
 /// to a marked write is reported as corruption rather than dropped as incomplete.
 const SYNC_MARK_DELAY: Duration = Duration::from_millis(500);
 
-/// Job for the storage thread.
+/// Delay before a failed write is repeated.
+const RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Job for the storage thread. At most one is in flight.
 #[derive(Debug)]
 pub(crate) enum Job {
     /// Write and sync a batch.
@@ -32,7 +35,12 @@
     Durable(Batch, LogPosition),
     /// The snapshot is durable and the log up to its index is deleted.
     Compacted(Snapshot),
-    /// Writing to the journal failed; the replica must stop.
+    /// The disk is full or returns errors; the job in flight is repeated until it
+    /// succeeds.
+    Unavailable(String),
+    /// The disk accepts writes again.
+    Available,
+    /// The journal is damaged; the replica must stop.
     Failed(String),
 }
 
@@ -66,18 +74,34 @@
     on_result: &Recipient<JobResult>,
     metrics: &Metrics,
 ) {
+    let mut pending = None;
+    let mut available = true;
     loop {
-        let result = match queue.recv_timeout(SYNC_MARK_DELAY) {
-            Ok(job) => run_job(&mut journal, job, metrics),
-            Err(RecvTimeoutError::Timeout) => match journal.mark_synced() {
-                Ok(()) => continue,
-                Err(error) => Err(error),
-            },
+        let wait = if available { SYNC_MARK_DELAY } else { RETRY_DELAY };
+        match queue.recv_timeout(wait) {
+            Ok(job) => pending = Some(job),
+            Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return,
+        }
+        let written = match &pending {
+            Some(job) => write_job(&mut journal, job, metrics),
+            None => journal.mark_synced(),
         };
         metrics.log_bytes.set(i64::try_from(journal.log_bytes()).unwrap_or(i64::MAX));
-        match result {
-            Ok(result) => on_result.do_send(result),
+        match written {
+            Ok(()) => {
+                if !std::mem::replace(&mut available, true) {
+                    on_result.do_send(JobResult::Available);
+                }
+                if let Some(job) = pending.take() {
+                    on_result.do_send(job.into_result());
+                }
+            }
+            Err(error) if error.is_transient() => {
+                if std::mem::replace(&mut available, false) {
+                    on_result.do_send(JobResult::Unavailable(error.to_string()));
+                }
+            }
             Err(error) => {
                 on_result.do_send(JobResult::Failed(error.to_string()));
                 return;
@@ -86,20 +110,28 @@
     }
 }
 
-fn run_job(journal: &mut Journal, job: Job, metrics: &Metrics) -> Result<JobResult, JournalError> {
+impl Job {
+    fn into_result(self) -> JobResult {
+        match self {
+            Job::Batch(batch) => {
+                let last = batch.last;
+                JobResult::Durable(batch, last)
+            }
+            Job::Compact(snapshot, _) => JobResult::Compacted(snapshot),
+        }
+    }
+}
+
+fn write_job(journal: &mut Journal, job: &Job, metrics: &Metrics) -> Result<(), JournalError> {
     let started = Instant::now();
     match job {
         Job::Batch(batch) => {
-            write_batch(journal, &batch)?;
+            write_batch(journal, batch)?;
             metrics.sync_seconds.observe(started.elapsed().as_secs_f64());
             metrics.sync_entries.observe(batch.entries.len() as f64);
-            let last = batch.last;
-            Ok(JobResult::Durable(batch, last))
-        }
-        Job::Compact(snapshot, tail) => {
-            journal.install_snapshot(&snapshot, &tail)?;
-            Ok(JobResult::Compacted(snapshot))
+            Ok(())
         }
+        Job::Compact(snapshot, tail) => journal.install_snapshot(snapshot, tail),
     }
 }
 
--- a/components/journal/src/error.rs
+++ b/components/journal/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of the data folder.
 
+use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 
 use displaydoc::Display;
@@ -44,6 +45,21 @@
         JournalError::Corrupt { path: path.display().to_string(), offset, reason: reason.into() }
     }
 
+    /// Returns whether the same operation may succeed later, as on a full disk or one
+    /// that returns errors for a while; false for damage and wrong paths or rights.
+    pub fn is_transient(&self) -> bool {
+        let JournalError::Io { source, .. } = self else { return false };
+        !matches!(
+            source.kind(),
+            ErrorKind::PermissionDenied
+                | ErrorKind::NotFound
+                | ErrorKind::NotADirectory
+                | ErrorKind::IsADirectory
+                | ErrorKind::ReadOnlyFilesystem
+                | ErrorKind::InvalidInput
+        )
+    }
+
     pub(crate) fn missing(path: PathBuf) -> Self {
         JournalError::Missing { path: path.display().to_string() }
     }
--- a/components/journal/src/folder.rs
+++ b/components/journal/src/folder.rs
@@ -1,7 +1,6 @@
 //! Files in a data folder.
 
 use std::fs::{File, OpenOptions, TryLockError};
-use std::io::Write as _;
 use std::path::{Path, PathBuf};
 
 use prost::Message as _;
@@ -9,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::segment::Segment;
-use crate::{AppendBatch, JournalError, with_suffix};
+use crate::{AppendBatch, Disk, JournalError, with_suffix};
 
 const IDENTITY_FILE: &str = "identity.json";
 const LOCK_FILE: &str = "lock";
@@ -30,22 +29,27 @@
 pub(crate) struct Folder {
     path: PathBuf,
     identity: Identity,
+    disk: Box<dyn Disk>,
     _lock: File,
 }
 
 impl Folder {
-    pub(crate) fn open(path: &Path) -> Result<Folder, JournalError> {
+    pub(crate) fn open(path: &Path, disk: Box<dyn Disk>) -> Result<Folder, JournalError> {
         std::fs::create_dir_all(path).map_err(JournalError::io("create", path))?;
         let lock = lock(&path.join(LOCK_FILE))?;
         let identity_path = path.join(IDENTITY_FILE);
         if !identity_path.exists() {
-            initialise(path)?;
+            initialise(path, disk.as_ref())?;
         }
         let text =
             std::fs::read(&identity_path).map_err(JournalError::io("read", &identity_path))?;
         let identity: Identity = serde_json::from_slice(&text)
             .map_err(|error| JournalError::corrupt(&identity_path, 0, error.to_string()))?;
-        Ok(Folder { path: path.to_path_buf(), identity, _lock: lock })
+        Ok(Folder { path: path.to_path_buf(), identity, disk, _lock: lock })
+    }
+
+    pub(crate) fn disk(&self) -> &dyn Disk {
+        self.disk.as_ref()
     }
 
     pub(crate) fn replica_id(&self) -> u64 {
@@ -89,7 +93,8 @@
         let encoded = snapshot.encode_to_vec();
         let crc = crc32fast::hash(&encoded);
         let path = snapshot_path(&self.path, snapshot.index);
-        write_file_atomically(&path, &[&crc.to_le_bytes(), &encoded])?;
+        let bytes = [crc.to_le_bytes().as_slice(), &encoded].concat();
+        write_file_atomically(self.disk(), &path, &bytes)?;
         self.sync()
     }
 
@@ -97,24 +102,28 @@
     pub(crate) fn remove_stale(&self, index: u64) -> Result<(), JournalError> {
         for stale in indices(&self.path, SEGMENT_PREFIX, SEGMENT_SUFFIX)? {
             if stale != index {
-                remove(&self.segment_path(stale))?;
+                self.remove(&self.segment_path(stale))?;
             }
         }
         for stale in indices(&self.path, SNAPSHOT_PREFIX, SNAPSHOT_SUFFIX)? {
             if stale != index {
-                remove(&snapshot_path(&self.path, stale))?;
+                self.remove(&snapshot_path(&self.path, stale))?;
             }
         }
         Ok(())
     }
 
+    fn remove(&self, path: &Path) -> Result<(), JournalError> {
+        self.disk.remove(path).map_err(JournalError::io("remove", path))
+    }
+
     pub(crate) fn sync(&self) -> Result<(), JournalError> {
-        sync_folder(&self.path)
+        sync_folder(self.disk(), &self.path)
     }
 }
 
 /// Creates the first segment and then the identity in an empty folder.
-fn initialise(path: &Path) -> Result<(), JournalError> {
+fn initialise(path: &Path, disk: &dyn Disk) -> Result<(), JournalError> {
     let found = indices(path, SEGMENT_PREFIX, SEGMENT_SUFFIX)?;
     let snapshots = indices(path, SNAPSHOT_PREFIX, SNAPSHOT_SUFFIX)?;
     // A crash in this function leaves a segment at index 0 without records.
@@ -124,18 +133,18 @@
     }
     let segment_path = segment_path(path, 0);
     if found.contains(&0) {
-        let (_, contents) = Segment::open(&segment_path)?;
+        let (_, contents) = Segment::open(disk, &segment_path)?;
         if !contents.entries.is_empty() || contents.hard_state.term > 0 {
             return Err(JournalError::missing(path.join(IDENTITY_FILE)));
         }
     }
-    Segment::create(&segment_path, AppendBatch::default())?;
-    sync_folder(path)?;
+    Segment::create(disk, &segment_path, AppendBatch::default())?;
+    sync_folder(disk, path)?;
     // The id fits in 53 bits, which JSON numbers represent exactly.
     let identity = Identity { replica_id: rand::random_range(1..=u64::MAX >> 11) };
     let text = serde_json::to_vec(&identity).expect("identity serializes to JSON");
-    write_file_atomically(&path.join(IDENTITY_FILE), &[&text])?;
-    sync_folder(path)
+    write_file_atomically(disk, &path.join(IDENTITY_FILE), &text)?;
+    sync_folder(disk, path)
 }
 
 fn lock(path: &Path) -> Result<File, JournalError> {
@@ -187,21 +196,14 @@
 
 /// Writes a temporary file, syncs it and renames it to `path`. The rename is
 /// durable only once the folder is synced.
-fn write_file_atomically(path: &Path, parts: &[&[u8]]) -> Result<(), JournalError> {
+fn write_file_atomically(disk: &dyn Disk, path: &Path, bytes: &[u8]) -> Result<(), JournalError> {
     let temporary = with_suffix(path, ".tmp");
-    let mut file = File::create(&temporary).map_err(JournalError::io("create", &temporary))?;
-    for part in parts {
-        file.write_all(part).map_err(JournalError::io("write", &temporary))?;
-    }
-    file.sync_all().map_err(JournalError::io("sync", &temporary))?;
-    std::fs::rename(&temporary, path).map_err(JournalError::io("rename", &temporary))
-}
-
-fn remove(path: &Path) -> Result<(), JournalError> {
-    std::fs::remove_file(path).map_err(JournalError::io("remove", path))
+    let file = disk.create(&temporary).map_err(JournalError::io("create", &temporary))?;
+    disk.write_at(&file, bytes, 0).map_err(JournalError::io("write", &temporary))?;
+    disk.sync(&file).map_err(JournalError::io("sync", &temporary))?;
+    disk.rename(&temporary, path).map_err(JournalError::io("rename", &temporary))
 }
 
-fn sync_folder(path: &Path) -> Result<(), JournalError> {
-    let folder = File::open(path).map_err(JournalError::io("open", path))?;
-    folder.sync_all().map_err(JournalError::io("sync", path))
+fn sync_folder(disk: &dyn Disk, path: &Path) -> Result<(), JournalError> {
+    disk.sync_folder(path).map_err(JournalError::io("sync", path))
 }
--- a/components/journal/src/lib.rs
+++ b/components/journal/src/lib.rs
@@ -10,8 +10,12 @@
 //!
 //! [`Journal::open`] fails if a record that was synced can no longer be read. Only
 //! an unfinished last write is dropped.
+//!
+//! A write that fails, for example on a full disk, changes nothing that counts as
+//! durable, and may be repeated.
 
 mod codec;
+mod disk;
 mod error;
 mod folder;
 mod header;
@@ -21,6 +25,7 @@
 
 use schema::{HardState, LogEntry, Snapshot};
 
+pub use disk::{Disk, SystemDisk};
 pub use error::JournalError;
 use folder::Folder;
 use segment::Segment;
@@ -58,10 +63,19 @@
 impl Journal {
     /// Opens the data folder at `path`, or creates it if it is missing or empty.
     pub fn open(path: &Path) -> Result<(Journal, RecoveredState), JournalError> {
-        let folder = Folder::open(path)?;
+        Journal::open_on(path, Box::new(SystemDisk))
+    }
+
+    /// The same on another disk than the system's.
+    pub fn open_on(
+        path: &Path,
+        disk: Box<dyn Disk>,
+    ) -> Result<(Journal, RecoveredState), JournalError> {
+        let folder = Folder::open(path, disk)?;
         let snapshot_index = folder.snapshot_index()?;
         let snapshot = folder.read_snapshot(snapshot_index)?;
-        let (segment, contents) = Segment::open(&folder.segment_path(snapshot_index))?;
+        let segment_path = folder.segment_path(snapshot_index);
+        let (segment, contents) = Segment::open(folder.disk(), &segment_path)?;
         folder.remove_stale(snapshot_index)?;
         let mut recovered = RecoveredState {
             hard_state: contents.hard_state,
@@ -85,22 +99,24 @@
         self.segment.len_bytes()
     }
 
-    /// Appends `batch` and returns once it is durable.
+    /// Appends `batch` and returns once it is durable. After an I/O error nothing of
+    /// it is, and the call may be repeated.
     pub fn append(&mut self, batch: AppendBatch<'_>) -> Result<(), JournalError> {
-        if let Some(hard_state) = batch.hard_state {
-            self.hard_state = hard_state;
-        }
-        self.segment.append(batch)
+        self.segment.append(self.folder.disk(), batch)?;
+        self.hard_state = batch.hard_state.unwrap_or(self.hard_state);
+        Ok(())
     }
 
     /// Records in the header that the last write is synced; the next append does
     /// so as well. Until then, corruption of that write cannot be distinguished from
     /// an unfinished write, and opening the folder drops it.
     pub fn mark_synced(&mut self) -> Result<(), JournalError> {
-        self.segment.mark_synced()
+        self.segment.mark_synced(self.folder.disk())
     }
 
-    /// Replaces the log by `snapshot` and the entries that follow it.
+    /// Replaces the log by `snapshot` and the entries that follow it. After an I/O
+    /// error the replacement may be done in part: no other write may come before the
+    /// call is repeated with the same arguments and succeeds.
     pub fn install_snapshot(
         &mut self,
         snapshot: &Snapshot,
@@ -109,7 +125,7 @@
         self.folder.write_snapshot(snapshot)?;
         let path = self.folder.segment_path(snapshot.index);
         let batch = AppendBatch { hard_state: Some(self.hard_state), entries: tail };
-        let segment = Segment::create(&path, batch)?;
+        let segment = Segment::create(self.folder.disk(), &path, batch)?;
         // The newest segment selects the snapshot by its name, so the rename in
         // `Segment::create` switches over and this sync makes the switch durable.
         self.folder.sync()?;
--- a/components/journal/src/segment.rs
+++ b/components/journal/src/segment.rs
@@ -1,14 +1,13 @@
 //! Log segment: one file of log records.
 
 use std::fs::{File, OpenOptions};
-use std::os::unix::fs::FileExt as _;
 use std::path::{Path, PathBuf};
 
 use schema::{HardState, LogEntry};
 
 use crate::codec::{self, Record};
 use crate::header::{HEADER_BYTES, Header};
-use crate::{AppendBatch, JournalError, with_suffix};
+use crate::{AppendBatch, Disk, JournalError, with_suffix};
 
 /// Open log segment.
 #[derive(Debug)]
@@ -16,8 +15,9 @@
     file: File,
     path: PathBuf,
     header: Header,
-    /// Set once a write failed, because the contents of the file are then unknown.
-    write_failed: bool,
+    /// The file may contain an unfinished write after `header.written_bytes`, which
+    /// the next write truncates first.
+    has_unfinished_write: bool,
 }
 
 /// Records read from a log segment.
@@ -31,29 +31,28 @@
 impl Segment {
     /// Creates a durable segment that holds `batch`, and replaces any file at
     /// `path`. The rename is durable only once the folder is synced.
-    pub(crate) fn create(path: &Path, batch: AppendBatch<'_>) -> Result<Segment, JournalError> {
+    pub(crate) fn create(
+        disk: &dyn Disk,
+        path: &Path,
+        batch: AppendBatch<'_>,
+    ) -> Result<Segment, JournalError> {
         let temporary = with_suffix(path, ".tmp");
-        let file = OpenOptions::new()
-            .read(true)
-            .write(true)
-            .create(true)
-            .truncate(true)
-            .open(&temporary)
-            .map_err(JournalError::io("create", &temporary))?;
+        let file = disk.create(&temporary).map_err(JournalError::io("create", &temporary))?;
         let header =
             Header { sequence: 0, synced_bytes: HEADER_BYTES, written_bytes: HEADER_BYTES };
-        file.set_len(HEADER_BYTES).map_err(JournalError::io("extend", &temporary))?;
-        let mut segment = Segment { file, path: temporary.clone(), header, write_failed: false };
-        segment.append(batch)?;
-        segment.mark_synced()?;
-        std::fs::rename(&temporary, path).map_err(JournalError::io("rename", &temporary))?;
+        disk.set_len(&file, HEADER_BYTES).map_err(JournalError::io("extend", &temporary))?;
+        let mut segment =
+            Segment { file, path: temporary.clone(), header, has_unfinished_write: false };
+        segment.append(disk, batch)?;
+        segment.mark_synced(disk)?;
+        disk.rename(&temporary, path).map_err(JournalError::io("rename", &temporary))?;
         segment.path = path.to_path_buf();
         Ok(segment)
     }
 
-    /// Opens a segment, reads its records, truncates an unfinished last write and
-    /// marks the rest as synced.
-    pub(crate) fn open(path: &Path) -> Result<(Segment, Contents), JournalError> {
+    /// Opens a segment, reads its records and syncs them. Writes nothing, so that a
+    /// full disk can be opened; the next write truncates an unfinished last one.
+    pub(crate) fn open(disk: &dyn Disk, path: &Path) -> Result<(Segment, Contents), JournalError> {
         let bytes = match std::fs::read(path) {
             Ok(bytes) => bytes,
             Err(error) if error.kind() == std::io::ErrorKind::NotFound => {
@@ -69,10 +68,12 @@
             .write(true)
             .open(path)
             .map_err(JournalError::io("open", path))?;
-        file.set_len(end).map_err(JournalError::io("truncate", path))?;
+        // A process that was killed between its write and the sync left records that
+        // can be read but are not durable yet.
+        disk.sync(&file).map_err(JournalError::io("sync", path))?;
         let header = Header { written_bytes: end, ..header };
-        let mut segment = Segment { file, path: path.to_path_buf(), header, write_failed: false };
-        segment.mark_synced()?;
+        let segment =
+            Segment { file, path: path.to_path_buf(), header, has_unfinished_write: true };
         Ok((segment, contents))
     }
 
@@ -84,7 +85,13 @@
         self.header.written_bytes
     }
 
-    pub(crate) fn append(&mut self, batch: AppendBatch<'_>) -> Result<(), JournalError> {
+    /// Appends `batch` durably. After an error the segment is unchanged but for an
+    /// unfinished write, and the call may be repeated.
+    pub(crate) fn append(
+        &mut self,
+        disk: &dyn Disk,
+        batch: AppendBatch<'_>,
+    ) -> Result<(), JournalError> {
         let mut buffer = Vec::new();
         if let Some(hard_state) = &batch.hard_state {
             codec::encode_hard_state(&mut buffer, hard_state);
@@ -98,31 +105,35 @@
             synced_bytes: start,
             written_bytes: start + buffer.len() as u64,
         };
-        self.write(start, &buffer, header)
+        self.write(disk, start, &buffer, header)
     }
 
     /// Writes a header that marks all written bytes as synced.
-    pub(crate) fn mark_synced(&mut self) -> Result<(), JournalError> {
+    pub(crate) fn mark_synced(&mut self, disk: &dyn Disk) -> Result<(), JournalError> {
         let Header { sequence, written_bytes, synced_bytes } = self.header;
         if synced_bytes == written_bytes && sequence > 0 {
             return Ok(());
         }
         let header = Header { sequence: sequence + 1, synced_bytes: written_bytes, written_bytes };
-        self.write(written_bytes, &[], header)
+        self.write(disk, written_bytes, &[], header)
     }
 
-    fn write(&mut self, start: u64, buffer: &[u8], header: Header) -> Result<(), JournalError> {
-        if self.write_failed {
-            let reason = "an earlier write failed, so the file contents are unknown";
-            return Err(JournalError::corrupt(&self.path, start, reason));
+    fn write(
+        &mut self,
+        disk: &dyn Disk,
+        start: u64,
+        buffer: &[u8],
+        header: Header,
+    ) -> Result<(), JournalError> {
+        if self.has_unfinished_write {
+            disk.set_len(&self.file, start).map_err(JournalError::io("truncate", &self.path))?;
         }
-        let result = self
-            .file
-            .write_all_at(buffer, start)
-            .and_then(|()| self.file.write_all_at(&header.encode(), header.slot_offset()))
-            .and_then(|()| self.file.sync_data());
-        self.write_failed = result.is_err();
-        result.map_err(JournalError::io("write", &self.path))?;
+        self.has_unfinished_write = true;
+        disk.write_at(&self.file, buffer, start)
+            .and_then(|()| disk.write_at(&self.file, &header.encode(), header.slot_offset()))
+            .and_then(|()| disk.sync(&self.file))
+            .map_err(JournalError::io("write", &self.path))?;
+        self.has_unfinished_write = false;
         self.header = header;
         Ok(())
     }
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -64,6 +64,9 @@
         status.revision,
         status.records
     );
+    if !status.disk_error.is_empty() {
+        println!("control {}  disk refuses writes: {}", process.address, status.disk_error);
+    }
 }
 
 fn print_entries(leader: &StatusReply) {
--- a/tests/support/deployment.rs
+++ b/tests/support/deployment.rs
@@ -8,7 +8,7 @@
 use control::{Control, StartError};
 use credentials::{Identity, Role, TlsConfigs, create_ca, issue_certificate};
 use entry::Entry;
-use journal::JournalError;
+use journal::{Disk, JournalError};
 use schema::{
     BootstrapRequest, ObjectSet, Publish, PublishOutcome, Request, StatusReply, StatusRequest,
     TlsSettings, reply, request,
@@ -17,6 +17,7 @@
 use tokio::time::sleep;
 use wire::Endpoint;
 
+use super::disk::FaultyDisk;
 use super::link::UdpRelay;
 use super::upstreams::{Engine, Service};
 use super::{eventually, socket_address, unique_loopback_address};
@@ -40,6 +41,8 @@
     pub(super) address: Ipv4Addr,
     folder: TempDir,
     pub controls: Vec<Option<Control>>,
+    /// Disks of the control processes.
+    pub disks: Vec<FaultyDisk>,
     pub entries: Vec<Option<Entry>>,
     pub control_relays: Vec<UdpRelay>,
     pub entry_relays: Vec<UdpRelay>,
@@ -127,6 +130,7 @@
             address,
             folder,
             controls: (0..controls).map(|_| None).collect(),
+            disks: (0..controls).map(|_| FaultyDisk::default()).collect(),
             entries: (0..entries).map(|_| None).collect(),
             control_relays,
             entry_relays,
@@ -147,8 +151,9 @@
     /// held by the killed one; returns any other error.
     pub async fn try_start_control(&self, index: usize) -> Result<Control, StartError> {
         let config = self.control_config(index);
+        let disk = || Box::new(self.disks[index].clone()) as Box<dyn Disk>;
         for _ in 0..RESTART_ATTEMPTS {
-            match Control::start(config.clone()) {
+            match Control::start_on(config.clone(), disk).await {
                 // A killed process releases its address and the lock on its data
                 // folder asynchronously.
                 Err(StartError::Listen(..) | StartError::Journal(JournalError::Locked { .. })) => {
@@ -157,7 +162,7 @@
                 result => return result,
             }
         }
-        Control::start(config)
+        Control::start_on(config, disk).await
     }
 
     pub async fn kill_control(&mut self, index: usize) {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 pub mod deployment;
+pub mod disk;
 pub mod link;
 pub mod upstreams;
 
