--- a/components/balance/src/arbiter.rs
+++ b/components/balance/src/arbiter.rs
@@ -12,6 +12,7 @@
 use rand::Rng;
 
 use crate::load::{Candidate, Loads, PlacementDemand, UpstreamLoad};
+use crate::prefill::FirstEventTarget;
 
 /// Upstream on which a slot may be reserved.
 #[derive(Clone, Debug)]
@@ -45,12 +46,15 @@
     pub entry: CompactString,
     /// Sequence number of the request at its entry.
     pub request_number: u64,
-    /// Priority; 0 is served first.
+    /// Priority; 0 is served first. Within a rank, requests are served in the order in
+    /// which their first events are due.
     pub rank: u32,
+    /// Rank of its route, which decides between requests that are due together.
+    pub route_rank: u32,
     /// Capacity that the request needs.
     pub demand: PlacementDemand,
-    /// Prompt tokens that need prefill.
-    pub prefill_tokens: u64,
+    /// When its first event is due, if that is known.
+    pub target: Option<FirstEventTarget>,
     /// Upstreams that can serve the request.
     pub candidates: Vec<OwnedCandidate>,
     /// Time at which the request began to wait for capacity.
@@ -59,6 +63,29 @@
     pub deadline_ms: u64,
 }
 
+impl ReservationRequest {
+    /// Returns the demand at `now_ms`: a request that can still be in time is not
+    /// placed behind prompts that would make it late.
+    fn demand_at(&self, now_ms: u64) -> PlacementDemand {
+        let prefill_tokens = self.demand.prefill_tokens;
+        let max = self.target.and_then(|t| t.max_prefill_tokens(prefill_tokens, now_ms));
+        PlacementDemand { max_prefill_tokens: max, ..self.demand }
+    }
+
+    /// Returns whether the first event will be late at any upstream.
+    fn is_late(&self, now_ms: u64) -> bool {
+        let prefill_tokens = self.demand.prefill_tokens;
+        self.target.is_some_and(|t| t.max_prefill_tokens(prefill_tokens, now_ms).is_none())
+    }
+
+    /// Returns the key by which waiting requests are sorted: a request that is late
+    /// already yields to those that can still be in time.
+    fn order(&self, now_ms: u64) -> impl Ord + use<> {
+        let due_ms = self.target.map_or(0, |target| target.due_ms);
+        (self.is_late(now_ms), self.rank, due_ms, self.route_rank, self.waiting_since_ms)
+    }
+}
+
 /// Reservation that the load reports of its entry do not include yet.
 #[derive(Debug)]
 struct Grant {
@@ -78,14 +105,14 @@
 #[derive(Debug)]
 pub struct Arbiter<T> {
     entries: BTreeMap<CompactString, EntryLoad>,
-    /// Requests that wait for capacity, by rank, start of the wait and arrival.
-    waiting: BTreeMap<(u32, u64, u64), (ReservationRequest, T)>,
-    arrivals: u64,
+    /// Requests that wait for capacity, in the order of the last round; new ones at
+    /// the end.
+    waiting: Vec<(ReservationRequest, T)>,
 }
 
 impl<T> Default for Arbiter<T> {
     fn default() -> Self {
-        Arbiter { entries: BTreeMap::new(), waiting: BTreeMap::new(), arrivals: 0 }
+        Arbiter { entries: BTreeMap::new(), waiting: Vec::new() }
     }
 }
 
@@ -107,7 +134,7 @@
     /// requests.
     pub fn remove_entry(&mut self, entry: &str) {
         self.entries.remove(entry);
-        self.waiting.retain(|_, (request, _)| request.entry != entry);
+        self.waiting.retain(|(request, _)| request.entry != entry);
     }
 
     /// Returns the total load reported by all entries but `entry`, by upstream.
@@ -122,12 +149,11 @@
 
     /// Queues a request; [`Arbiter::grant_waiting`] returns `reply` with the result.
     pub fn enqueue(&mut self, request: ReservationRequest, reply: T) {
-        self.arrivals += 1;
-        self.waiting
-            .insert((request.rank, request.waiting_since_ms, self.arrivals), (request, reply));
+        self.waiting.push((request, reply));
     }
 
-    /// Grants or times out waiting requests, in the order of rank and start of the wait.
+    /// Grants or times out waiting requests. Those that can still be in time come
+    /// first; then rank, due time and start of the wait decide.
     ///
     /// Returns the `reply` of each finished request with the upstream reserved for
     /// it, or with `None` if it found no capacity by its deadline. Requests for
@@ -144,20 +170,20 @@
         let mut loads = self.loads();
         let mut finished = Vec::new();
         let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.retain(|_, (_, reply)| is_wanted(reply));
-        while let Some((key, (request, reply))) = waiting.pop_first() {
+        waiting.retain(|(_, reply)| is_wanted(reply));
+        waiting.sort_by_key(|(request, _)| request.order(now_ms));
+        for (request, reply) in waiting {
             let candidates = request.candidates.iter().map(OwnedCandidate::as_candidate);
-            let granted = loads.choose(candidates, request.demand, rng).map(CompactString::from);
+            let demand = request.demand_at(now_ms);
+            let granted = loads.choose(candidates, demand, rng).map(CompactString::from);
             match granted {
                 Some(id) => {
-                    loads.start_request(&id, request.demand.cache_tokens, request.prefill_tokens);
+                    loads.start_request(&id, demand.cache_tokens, demand.prefill_tokens);
                     self.grant(&request, id.clone());
                     finished.push((reply, Some(id)));
                 }
                 None if now_ms >= request.deadline_ms => finished.push((reply, None)),
-                None => {
-                    self.waiting.insert(key, (request, reply));
-                }
+                None => self.waiting.push((request, reply)),
             }
         }
         finished
@@ -167,7 +193,7 @@
         let load = UpstreamLoad {
             running: 1,
             committed_cache_tokens: request.demand.cache_tokens,
-            pending_prefill_tokens: request.prefill_tokens,
+            pending_prefill_tokens: request.demand.prefill_tokens,
         };
         let entry = self.entries.entry(request.entry.clone()).or_default();
         entry.grants.push(Grant { number: request.request_number, id, load });
--- /dev/null
+++ b/components/balance/src/cache.rs
@@ -0,0 +1,35 @@
+//! KV cache that a generation commits while it runs.
+
+/// Output tokens by which a generation may grow before the cache that other
+/// generations of its engine free is counted on.
+pub const GROWTH_RESERVE_TOKENS: u64 = 400;
+
+/// KV cache that one generation needs, by its progress.
+///
+/// Generations at one engine are at different stages: while some grow, others end
+/// and free more than that. Committing the expected final size of each would leave a
+/// fifth of the cache unused.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct CacheDemand {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Longest output that the caller asks for.
+    pub max_output_tokens: u64,
+}
+
+impl CacheDemand {
+    /// Returns the tokens to commit for a generation that has produced
+    /// `output_tokens`: what it holds, and room to grow.
+    ///
+    /// ```
+    /// # use balance::{CacheDemand, GROWTH_RESERVE_TOKENS};
+    /// let demand = CacheDemand { prompt_tokens: 3_000, max_output_tokens: 1_000 };
+    /// assert_eq!(demand.committed_tokens(0), 3_000 + GROWTH_RESERVE_TOKENS);
+    /// assert_eq!(demand.committed_tokens(500), 3_500 + GROWTH_RESERVE_TOKENS);
+    /// assert_eq!(demand.committed_tokens(990), 4_000);
+    /// ```
+    pub fn committed_tokens(&self, output_tokens: u64) -> u64 {
+        let output = (output_tokens + GROWTH_RESERVE_TOKENS).min(self.max_output_tokens);
+        self.prompt_tokens + output
+    }
+}
--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -4,13 +4,19 @@
 //! The crate does no I/O and reads no clock; callers pass in the time.
 
 mod arbiter;
+mod attempts;
 mod budget;
+mod cache;
 mod connections;
 mod health;
 mod load;
+mod prefill;
 
 pub use arbiter::{Arbiter, OwnedCandidate, ReservationRequest};
+pub use attempts::DeadlineHistory;
 pub use budget::{RetryBudget, RetryLimits};
+pub use cache::{CacheDemand, GROWTH_RESERVE_TOKENS};
 pub use connections::max_idle_connections;
 pub use health::OutlierDetector;
 pub use load::{Candidate, Loads, PlacementDemand, UpstreamLoad, sample_size};
+pub use prefill::{FirstEventTarget, PrefillRate};
--- a/components/balance/src/load.rs
+++ b/components/balance/src/load.rs
@@ -58,6 +58,11 @@
 pub struct PlacementDemand {
     /// Cache tokens; 0 for requests to services without a KV cache.
     pub cache_tokens: u64,
+    /// Prompt tokens that need prefill.
+    pub prefill_tokens: u64,
+    /// Maximum number of prompt tokens that await prefill at the upstream, with those
+    /// of the request; `None` without a limit.
+    pub max_prefill_tokens: Option<u64>,
     /// Maximum utilization of the upstream, including the request; a limit above 1
     /// lets it queue requests or overcommit its cache.
     pub load_limit: f64,
@@ -127,6 +132,14 @@
         *self.own.entry(id.into()).or_default() += load;
     }
 
+    /// Adds cache tokens to those of a request that was added by
+    /// [`Loads::start_request`].
+    pub fn grow_request(&mut self, id: &str, cache_tokens: u64) {
+        if let Some(load) = self.own.get_mut(id) {
+            load.committed_cache_tokens += cache_tokens;
+        }
+    }
+
     /// Subtracts the tokens of a prompt whose prefill is complete.
     pub fn finish_prefill(&mut self, id: &str, prefill_tokens: u64) {
         if let Some(load) = self.own.get_mut(id) {
@@ -185,7 +198,7 @@
     }
 
     /// Returns the cost of a candidate without jitter; `None` if the request would
-    /// exceed the load limit.
+    /// exceed the load limit or wait too long for its prefill.
     fn cost(&self, candidate: &Candidate<'_>, demand: PlacementDemand) -> Option<f64> {
         let load = self.total(candidate.id);
         let slot_use = f64::from(load.running + 1) / f64::from(candidate.slots.max(1));
@@ -196,7 +209,9 @@
                 / candidate.cache_tokens as f64
         };
         let utilization = slot_use.max(cache_use);
-        if utilization > demand.load_limit {
+        let prefill_tokens = load.pending_prefill_tokens + demand.prefill_tokens;
+        let is_backlogged = demand.max_prefill_tokens.is_some_and(|max| prefill_tokens > max);
+        if utilization > demand.load_limit || is_backlogged {
             return None;
         }
         let prefill = load.pending_prefill_tokens as f64 / FULL_LOAD_PREFILL_TOKENS;
--- a/components/balance/tests/choice.rs
+++ b/components/balance/tests/choice.rs
@@ -8,8 +8,14 @@
     Candidate { id, slots: 24, cache_tokens: 30_000, extra_cost: 0.0 }
 }
 
-const DEMAND: PlacementDemand =
-    PlacementDemand { cache_tokens: 4_000, load_limit: 1.0, cost_jitter: 0.04, sample_size: 99 };
+const DEMAND: PlacementDemand = PlacementDemand {
+    cache_tokens: 4_000,
+    prefill_tokens: 0,
+    max_prefill_tokens: None,
+    load_limit: 1.0,
+    cost_jitter: 0.04,
+    sample_size: 99,
+};
 
 #[test]
 fn choice_includes_the_load_reported_by_other_entries() {
--- /dev/null
+++ b/components/balance/tests/overload.rs
@@ -0,0 +1,223 @@
+//! Slot reservations under the loads that overload engines: each test names its
+//! pattern.
+
+use balance::{
+    Arbiter, CacheDemand, DeadlineHistory, FirstEventTarget, GROWTH_RESERVE_TOKENS, Loads,
+    OwnedCandidate, PlacementDemand, PrefillRate, ReservationRequest,
+};
+
+const CACHE_TOKENS: u64 = 21_000;
+const TOKENS_PER_MS: f64 = 7.0;
+const LONG_PROMPT_TOKENS: u64 = 3_000;
+const SHORT_PROMPT_TOKENS: u64 = 1_000;
+const LONG_TARGET_MS: u64 = 1_800;
+const SHORT_TARGET_MS: u64 = 1_500;
+/// How long requests of these tests wait for a slot.
+const PATIENCE_MS: u64 = 700;
+
+fn engines(count: usize) -> Vec<OwnedCandidate> {
+    let engine = |index| OwnedCandidate {
+        id: format!("engine-{index}").into(),
+        slots: 24,
+        cache_tokens: CACHE_TOKENS,
+        extra_cost: 0.0,
+    };
+    (0..count).map(engine).collect()
+}
+
+fn request(
+    prompt_tokens: u64,
+    due_ms: u64,
+    now_ms: u64,
+    candidates: Vec<OwnedCandidate>,
+) -> ReservationRequest {
+    ReservationRequest {
+        entry: "gateway".into(),
+        request_number: 0,
+        rank: 0,
+        route_rank: 0,
+        demand: PlacementDemand {
+            cache_tokens: prompt_tokens + GROWTH_RESERVE_TOKENS,
+            prefill_tokens: prompt_tokens,
+            max_prefill_tokens: None,
+            load_limit: 1.0,
+            cost_jitter: 0.0,
+            sample_size: usize::MAX,
+        },
+        target: Some(FirstEventTarget { due_ms, tokens_per_ms: TOKENS_PER_MS }),
+        candidates,
+        waiting_since_ms: now_ms,
+        deadline_ms: now_ms + PATIENCE_MS,
+    }
+}
+
+fn long_request(now_ms: u64, candidates: Vec<OwnedCandidate>) -> ReservationRequest {
+    request(LONG_PROMPT_TOKENS, now_ms + LONG_TARGET_MS, now_ms, candidates)
+}
+
+/// Runs one round and returns the granted and the refused requests.
+fn grant_round(arbiter: &mut Arbiter<usize>, now_ms: u64) -> (Vec<usize>, Vec<usize>) {
+    let finished = arbiter.grant_waiting(now_ms, |_| true, &mut rand::rng());
+    let (granted, refused): (Vec<_>, Vec<_>) =
+        finished.into_iter().partition(|(_, id)| id.is_some());
+    let numbers =
+        |results: Vec<(usize, _)>| results.into_iter().map(|(number, _)| number).collect();
+    (numbers(granted), numbers(refused))
+}
+
+/// A new engine has room for all that wait, but prefills one prompt after another.
+#[test]
+fn new_engine_gets_only_the_prompts_that_it_prefills_in_time() {
+    let mut arbiter = Arbiter::default();
+    for number in 0..6 {
+        arbiter.enqueue(long_request(0, engines(1)), number);
+    }
+
+    let (granted, refused) = grant_round(&mut arbiter, 0);
+
+    // 1,800 ms at 7 tokens per ms are 12,600 tokens: four prompts of 3,000.
+    assert_eq!((granted, refused), (vec![0, 1, 2, 3], vec![]));
+}
+
+/// As the new engine prefills, it gets the others, step by step.
+#[test]
+fn new_engine_fills_in_steps() {
+    let mut arbiter = Arbiter::default();
+    for number in 0..6 {
+        arbiter.enqueue(long_request(0, engines(1)), number);
+    }
+    grant_round(&mut arbiter, 0);
+    let after_two_prompts = balance::UpstreamLoad {
+        running: 4,
+        committed_cache_tokens: 4 * (LONG_PROMPT_TOKENS + GROWTH_RESERVE_TOKENS),
+        pending_prefill_tokens: 2 * LONG_PROMPT_TOKENS,
+    };
+
+    arbiter.report_load("gateway", vec![("engine-0".into(), after_two_prompts)], 4);
+    let (granted, _) = grant_round(&mut arbiter, 500);
+
+    // 1,300 ms are left, 9,100 tokens: one prompt more.
+    assert_eq!(granted, vec![4]);
+}
+
+/// Engines are full of long generations, and short prompts arrive behind more of
+/// them: the gap that opens goes to what is due first.
+#[test]
+fn short_prompt_behind_long_ones_gets_the_gap_that_is_due_first() {
+    let mut arbiter = Arbiter::default();
+    let target = FirstEventTarget { due_ms: SHORT_TARGET_MS, tokens_per_ms: TOKENS_PER_MS };
+    for number in 0..3 {
+        arbiter.enqueue(long_request(0, engines(1)), number);
+    }
+    let short = request(SHORT_PROMPT_TOKENS, target.due_ms, 0, engines(1));
+    arbiter.enqueue(short, 3);
+    let full = balance::UpstreamLoad {
+        running: 6,
+        committed_cache_tokens: CACHE_TOKENS - LONG_PROMPT_TOKENS - GROWTH_RESERVE_TOKENS,
+        pending_prefill_tokens: 0,
+    };
+
+    arbiter.report_load("gateway", vec![("engine-0".into(), full)], 0);
+    let (granted, _) = grant_round(&mut arbiter, 0);
+
+    assert_eq!(granted, vec![3]);
+}
+
+/// All callers come back at once after a kill: each engine gets what it can prefill
+/// in time, and the others are told when their wait is over.
+#[test]
+fn returning_callers_overload_no_engine() {
+    let mut arbiter = Arbiter::default();
+    for number in 0..200 {
+        arbiter.enqueue(long_request(0, engines(8)), number);
+    }
+
+    let (granted, refused_at_once) = grant_round(&mut arbiter, 0);
+    let (_, refused) = grant_round(&mut arbiter, PATIENCE_MS);
+
+    assert_eq!((granted.len(), refused_at_once.len()), (8 * 4, 0));
+    assert_eq!(refused.len(), 200 - 8 * 4);
+}
+
+/// A caller that was refused earlier and is late already yields to one that can
+/// still be in time, and is served as soon as there is room for both.
+#[test]
+fn late_caller_yields_to_those_in_time_and_is_not_starved_by_them() {
+    let mut arbiter = Arbiter::default();
+    arbiter.enqueue(request(LONG_PROMPT_TOKENS, 0, 0, engines(1)), 0);
+    arbiter.enqueue(long_request(0, engines(1)), 1);
+    let room_for_one = balance::UpstreamLoad {
+        running: 6,
+        committed_cache_tokens: CACHE_TOKENS - LONG_PROMPT_TOKENS - GROWTH_RESERVE_TOKENS,
+        pending_prefill_tokens: 0,
+    };
+
+    arbiter.report_load("gateway", vec![("engine-0".into(), room_for_one)], 0);
+    let (first, _) = grant_round(&mut arbiter, 0);
+    arbiter.report_load("gateway", vec![("engine-0".into(), room_for_one)], 9);
+    let (second, _) = grant_round(&mut arbiter, 10);
+
+    assert_eq!((first, second), (vec![1], vec![0]));
+}
+
+/// A long answer at the head of the queue: what it holds counts, not what it may
+/// hold in the end, so that the engine takes another request while it grows.
+#[test]
+fn long_answer_commits_what_it_holds_and_room_to_grow() {
+    let demand = CacheDemand { prompt_tokens: 3_000, max_output_tokens: 1_700 };
+    let mut loads = Loads::default();
+    for _ in 0..6 {
+        loads.start_request("engine-0", demand.committed_tokens(0), 0);
+    }
+    let engine = &engines(1)[0];
+    let next = PlacementDemand {
+        cache_tokens: 500,
+        load_limit: 1.0,
+        sample_size: 1,
+        ..PlacementDemand::default()
+    };
+    let fits = |loads: &Loads| {
+        loads.choose([engine.as_candidate()].into_iter(), next, &mut rand::rng()).is_some()
+    };
+
+    let at_start = fits(&loads);
+    let grown = demand.committed_tokens(1_000) - demand.committed_tokens(0);
+    (0..6).for_each(|_| loads.grow_request("engine-0", grown));
+    let when_grown = fits(&loads);
+    loads.end_request("engine-0", demand.committed_tokens(1_000));
+    loads.end_request("engine-0", demand.committed_tokens(1_000));
+    let after_two_ended = fits(&loads);
+
+    assert!(at_start && !when_grown && after_two_ended);
+}
+
+#[test]
+fn prefill_rate_follows_slower_engines_and_forgets_a_single_stall() {
+    let mut rate = PrefillRate::default();
+    let initial = rate.tokens_per_ms();
+
+    rate.record(3_000, 3_000);
+    let after_stall = rate.tokens_per_ms();
+    (0..60).for_each(|_| rate.record(3_000, 430));
+    let recovered = rate.tokens_per_ms();
+    (0..60).for_each(|_| rate.record(3_000, 1_000));
+    let slow = rate.tokens_per_ms();
+
+    assert!(after_stall > initial / 2.0, "{after_stall}");
+    assert!((6.5..7.5).contains(&recovered), "{recovered}");
+    assert!((2.9..3.5).contains(&slow), "{slow}");
+}
+
+#[test]
+fn shorter_deadlines_of_all_callers_are_learned() {
+    let mut history = DeadlineHistory::default();
+    history.time_spent_ms("plans", 40_000);
+
+    let at_first = history.time_spent_ms("plans", 20_000);
+    (0..300).for_each(|_| {
+        history.time_spent_ms("plans", 20_000);
+    });
+
+    assert!(at_first > 10_000);
+    assert_eq!(history.time_spent_ms("plans", 20_000), 0);
+}
--- a/components/control/src/replica/places.rs
+++ b/components/control/src/replica/places.rs
@@ -1,7 +1,7 @@
 //! Slot reservations at model engines, granted to the requests of all gateways.
 
 use actix::ResponseFuture;
-use balance::{OwnedCandidate, PlacementDemand, ReservationRequest};
+use balance::{FirstEventTarget, OwnedCandidate, PlacementDemand, ReservationRequest};
 use credentials::Identity;
 use schema::{ErrorCode, PlaceReply, PlaceRequest, Reply, reply};
 use tokio::sync::oneshot;
@@ -65,13 +65,19 @@
         entry: request.vm.into(),
         request_number: request.number,
         rank: request.rank,
+        route_rank: request.route_rank,
         demand: PlacementDemand {
             cache_tokens: request.tokens,
+            prefill_tokens: request.unread_tokens,
+            max_prefill_tokens: None,
             load_limit: request.fill,
             cost_jitter: TIE_BREAK_JITTER,
             sample_size: usize::MAX,
         },
-        prefill_tokens: request.unread_tokens,
+        target: (request.prefill_tokens_per_ms > 0.0).then(|| FirstEventTarget {
+            due_ms: now_ms + request.first_event_due_ms,
+            tokens_per_ms: request.prefill_tokens_per_ms,
+        }),
         candidates: candidates.collect(),
         waiting_since_ms: now_ms.saturating_sub(request.waited_ms),
         deadline_ms: now_ms + u64::from(request.wait_ms.min(MAX_CAPACITY_WAIT_MS)),
--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -63,13 +63,15 @@
     _body_memory: BufferReservation,
     pub(crate) route: RouteRule,
     pub(crate) workspace: Option<CompactString>,
-    /// Order in which queued requests get a slot; 0 is served first.
-    pub(crate) rank: u32,
+    /// Ranks of the workspace and of the route; 0 is served first.
+    pub(crate) ranks: (u32, u32),
     /// Rank at the engine, where a request may preempt a running one of a
     /// higher rank number; the engine's rank depends on the workspace only.
     pub(crate) engine_rank: Option<u32>,
     pub(crate) requirements: Requirements,
     pub(crate) arrived: Instant,
+    /// When the response, or the first event of a stream, is due for its full value.
+    pub(crate) first_event_due: Instant,
     /// Earlier of the route's timeout and the caller's deadline.
     pub(crate) until: Instant,
 }
@@ -151,6 +153,10 @@
     let timeout = Duration::from_millis(routed.route.timeout_ms);
     let deadline = request_head.deadline_ms.map_or(timeout, Duration::from_millis);
     let until = arrived + timeout.min(deadline);
+    let spent = request_head.deadline_ms.map_or(Duration::ZERO, |deadline_ms| {
+        shared.time_spent_earlier(&routed.route.name, deadline_ms)
+    });
+    let target = Duration::from_millis(routed.route.target_latency_ms);
     let expected = body.size_hint().upper().unwrap_or(UNKNOWN_LENGTH_BODY_BYTES).min(limit);
     let body_memory = shared
         .reserve_buffer(expected)
@@ -179,9 +185,10 @@
         _body_memory: body_memory,
         route: routed.route.clone(),
         workspace: routed.workspace.map(|workspace| workspace.name.as_str().into()),
-        rank: routed.rank(),
+        ranks: routed.ranks(),
         engine_rank: routed.workspace_rank(),
         arrived,
+        first_event_due: arrived + target.saturating_sub(spent),
         until,
     })
 }
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -207,6 +207,8 @@
         return;
     }
     log::info!(number, routes = set.routes.len(), control = address.to_string().as_str(); "set of routes activated");
+    let names: BTreeSet<&str> = set.routes.iter().map(|route| route.name.as_str()).collect();
+    shared.deadlines.borrow_mut().retain_routes(|route| names.contains(route));
     *shared.table.borrow_mut() = Rc::new(RouteTable::new(set));
     shared.metrics.set_number.set(i64::try_from(number).unwrap_or(i64::MAX));
     shared.phase.send_if_modified(|phase| {
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -123,7 +123,7 @@
         return;
     }
     let load = shared.loads.borrow().total(&reservation.target.id);
-    log::info!(request = call.head.id.as_str(), upstream = reservation.target.id.as_str(), tokens = call.requirements.cache_tokens, held_ms = elapsed_ms(call.arrived), running = load.running, committed_tokens = load.committed_cache_tokens, unread_tokens = load.pending_prefill_tokens; "slot reserved for request");
+    log::info!(request = call.head.id.as_str(), upstream = reservation.target.id.as_str(), tokens = reservation.cache_tokens(), held_ms = elapsed_ms(call.arrived), due_in_ms = call.first_event_due.saturating_duration_since(Instant::now()).as_millis(), running = load.running, committed_tokens = load.committed_cache_tokens, unread_tokens = load.pending_prefill_tokens; "slot reserved for request");
 }
 
 fn finish(
--- a/components/gateway/src/moves.rs
+++ b/components/gateway/src/moves.rs
@@ -158,12 +158,19 @@
 }
 
 /// Starts to copy the KV cache of a generation that keeps running.
-pub(crate) fn start_copy(shared: &Rc<Shared>, call: &Rc<Call>, source: &Target) -> MoveState {
+/// `events` is the number of events that it has produced.
+pub(crate) fn start_copy(
+    shared: &Rc<Shared>,
+    call: &Rc<Call>,
+    source: &Target,
+    events: u64,
+) -> MoveState {
     let copy_time = time_to_copy_all(shared, call, source);
     let at = Instant::now() + copy_time.min(MAX_STOP_DELAY);
     let plan = StopPlan { at, link_saturated: copy_time > MAX_STOP_DELAY };
     let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
-    let copying = PendingTask::spawn(async move { copy_cache(&shared, &call, &source).await });
+    let copying =
+        PendingTask::spawn(async move { copy_cache(&shared, &call, &source, events).await });
     MoveState::Copying(copying, plan)
 }
 
@@ -202,12 +209,18 @@
     Duration::from_secs_f64(bits / (link_mbps * 1e6) * COPY_TIME_FACTOR)
 }
 
-async fn copy_cache(shared: &Rc<Shared>, call: &Call, source: &Target) -> Option<CacheCopy> {
+async fn copy_cache(
+    shared: &Rc<Shared>,
+    call: &Call,
+    source: &Target,
+    events: u64,
+) -> Option<CacheCopy> {
     let request_id = call.head.id.as_str();
     let mut excluded: Excluded = [source.id.clone()].into_iter().collect();
     let started = Instant::now();
     while started.elapsed() < COPY_TIMEOUT {
-        let Ok(reservation) = reserve_for_move(shared, call, &excluded, source).await else {
+        let Ok(reservation) = reserve_for_move(shared, call, &excluded, source, events).await
+        else {
             sleep(RETRY_DELAY).await;
             continue;
         };
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use balance::{OwnedCandidate, PlacementDemand, sample_size};
+use balance::{CacheDemand, FirstEventTarget, OwnedCandidate, PlacementDemand, sample_size};
 use compact_str::CompactString;
 use schema::{
     EngineCapacity, PlaceCandidate, PlaceRequest, Request, UpstreamPhase, reply, request,
@@ -31,8 +31,8 @@
 const ARBITER_MAX_WAIT: Duration = Duration::from_millis(250);
 /// Time for the arbiter's reply in addition to the queueing time.
 const ARBITER_REPLY_TIMEOUT: Duration = Duration::from_millis(120);
-/// Rank of moved generations; no other request has a lower one.
-const MOVE_RANK: u32 = 0;
+/// Ranks of moved generations; no other request has lower ones.
+const MOVE_RANKS: (u32, u32) = (0, 0);
 /// Extra cost of an upstream that is still warming up, as a share of the cost
 /// of a fully loaded one.
 const WARM_UP_COST: f64 = 0.3;
@@ -75,9 +75,7 @@
 pub(crate) struct Requirements {
     pub(crate) service: CompactString,
     pub(crate) engine: Option<EngineCapacity>,
-    /// KV cache tokens expected at the end of the generation.
-    pub(crate) cache_tokens: u64,
-    pub(crate) prompt_tokens: u64,
+    pub(crate) cache: CacheDemand,
 }
 
 impl Requirements {
@@ -90,18 +88,24 @@
         Requirements {
             service: service.into(),
             engine,
-            cache_tokens: expected_cache_tokens(token_counts),
-            prompt_tokens: token_counts.prompt_tokens,
+            cache: CacheDemand {
+                prompt_tokens: token_counts.prompt_tokens,
+                max_output_tokens: token_counts.max_output_tokens,
+            },
         }
     }
-}
 
-/// Returns the KV cache tokens that a generation is expected to need at its
-/// end.
-fn expected_cache_tokens(token_counts: TokenCounts) -> u64 {
-    let expected =
-        token_counts.expected_output_tokens.unwrap_or(token_counts.max_output_tokens / 2);
-    token_counts.prompt_tokens + expected.min(token_counts.max_output_tokens)
+    /// Returns the output tokens in `events` events of a stream, at most.
+    fn output_tokens(&self, events: u64) -> u64 {
+        let per_event = self.engine.as_ref().map_or(0, |engine| engine.tokens_per_event.max(1));
+        events * u64::from(per_event)
+    }
+
+    /// Returns the KV cache tokens to commit for a generation that has produced
+    /// `events` events.
+    fn cache_tokens(&self, events: u64) -> u64 {
+        self.cache.committed_tokens(self.output_tokens(events))
+    }
 }
 
 /// Slot reserved at an upstream; its load is counted until this is dropped.
@@ -111,11 +115,35 @@
     pub(crate) target: Target,
     cache_tokens: u64,
     prefill_tokens: u64,
+    /// Prompt tokens that awaited prefill at the upstream, with its own.
+    prefill_backlog_tokens: u64,
+    reserved_at: Instant,
 }
 
 impl Reservation {
-    /// Marks the prompt as processed (prefill done).
-    pub(crate) fn mark_prefill_done(&mut self) {
+    /// Records the first event of the generation, whose prefill is complete.
+    pub(crate) fn record_first_event(&mut self) {
+        if self.prefill_tokens > 0 {
+            let mut rate = self.shared.prefill_rate.get();
+            rate.record(self.prefill_backlog_tokens, elapsed_ms(self.reserved_at));
+            self.shared.prefill_rate.set(rate);
+        }
+        self.release_prefill();
+    }
+
+    /// Commits the KV cache of a generation that has produced `events` events.
+    pub(crate) fn record_progress(&mut self, requirements: &Requirements, events: u64) {
+        let cache_tokens = requirements.cache_tokens(events).max(self.cache_tokens);
+        let added = cache_tokens - self.cache_tokens;
+        self.shared.loads.borrow_mut().grow_request(&self.target.id, added);
+        self.cache_tokens = cache_tokens;
+    }
+
+    pub(crate) fn cache_tokens(&self) -> u64 {
+        self.cache_tokens
+    }
+
+    fn release_prefill(&mut self) {
         let prefill_tokens = std::mem::take(&mut self.prefill_tokens);
         self.shared.loads.borrow_mut().finish_prefill(&self.target.id, prefill_tokens);
     }
@@ -123,7 +151,7 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.mark_prefill_done();
+        self.release_prefill();
         self.shared.loads.borrow_mut().end_request(&self.target.id, self.cache_tokens);
     }
 }
@@ -145,11 +173,24 @@
     remote_cost: f64,
     load_limit: f64,
     jitter: f64,
-    rank: u32,
+    /// Ranks of the workspace and of the route.
+    ranks: (u32, u32),
+    cache_tokens: u64,
     prefill_tokens: u64,
+    /// When the first event is due; `None` for generations that already run.
+    first_event_due: Option<Instant>,
     span: &'a Span,
 }
 
+impl SelectionParams<'_> {
+    /// Returns when the first event is due, on a clock that reads 0 now.
+    fn target(&self, shared: &Shared) -> Option<FirstEventTarget> {
+        let left = self.first_event_due?.saturating_duration_since(Instant::now());
+        let due_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        Some(FirstEventTarget { due_ms, tokens_per_ms: shared.prefill_rate.get().tokens_per_ms() })
+    }
+}
+
 /// Waits, at most until `until`, for a free slot at an upstream and reserves it.
 pub(crate) async fn wait_for_slot(
     shared: &Rc<Shared>,
@@ -168,8 +209,10 @@
             PLAIN_LOAD_LIMIT
         },
         jitter: COST_JITTER,
-        rank: call.rank,
-        prefill_tokens: requirements.prompt_tokens,
+        ranks: call.ranks,
+        cache_tokens: requirements.cache_tokens(0),
+        prefill_tokens: requirements.cache.prompt_tokens,
+        first_event_due: requirements.engine.is_some().then_some(call.first_event_due),
         span: &span,
     };
     let since = Instant::now();
@@ -186,12 +229,14 @@
     }
 }
 
-/// Reserves a slot for a generation that moves to another engine.
+/// Reserves a slot for a generation that moves to another engine after it has
+/// produced `events` events.
 pub(crate) async fn reserve_for_move(
     shared: &Rc<Shared>,
     call: &Call,
     excluded: &Excluded,
     source: &Target,
+    events: u64,
 ) -> Result<Reservation, ReserveError> {
     let requirements = &call.requirements;
     let span = shared.spans.start_client_span("place", &call.span);
@@ -205,8 +250,10 @@
         remote_cost: MOVE_REMOTE_COST,
         load_limit: MOVE_LOAD_LIMIT,
         jitter: MOVE_COST_JITTER,
-        rank: MOVE_RANK,
+        ranks: MOVE_RANKS,
+        cache_tokens: requirements.cache_tokens(events),
         prefill_tokens: 0,
+        first_event_due: None,
         span: &span,
     };
     try_reserve(shared, requirements, excluded, &params, Instant::now(), Duration::ZERO).await
@@ -230,15 +277,7 @@
         // The number stays pending until the slot is part of the load that this
         // gateway reports.
         let pending = shared.start_placement();
-        let place = to_place_request(
-            shared,
-            requirements,
-            &eligible,
-            params,
-            pending.number(),
-            since,
-            wait,
-        );
+        let place = to_place_request(shared, &eligible, params, pending.number(), since, wait);
         let body = request::Body::Place(place);
         let request = Request { traceparent: params.span.traceparent(), body: Some(body) };
         match arbiter.call(request, wait + ARBITER_REPLY_TIMEOUT).await {
@@ -308,7 +347,11 @@
     let arrivals = shared.arrival_rate_per_ms(&requirements.service) * LOAD_PROPAGATION_MS;
     let sample = sample_size(eligible.len(), arrivals);
     let demand = PlacementDemand {
-        cache_tokens: requirements.cache_tokens,
+        cache_tokens: params.cache_tokens,
+        prefill_tokens: params.prefill_tokens,
+        max_prefill_tokens: params
+            .target(shared)
+            .and_then(|target| target.max_prefill_tokens(params.prefill_tokens, 0)),
         load_limit: params.load_limit,
         cost_jitter: params.jitter,
         sample_size: sample,
@@ -320,7 +363,6 @@
 
 fn to_place_request(
     shared: &Shared,
-    requirements: &Requirements,
     eligible: &[OwnedCandidate],
     params: &SelectionParams<'_>,
     number: u64,
@@ -333,12 +375,16 @@
         cache_tokens: upstream.cache_tokens,
         extra_cost: upstream.extra_cost,
     });
+    let target = params.target(shared);
     PlaceRequest {
+        first_event_due_ms: target.map_or(0, |target| target.due_ms),
+        prefill_tokens_per_ms: target.map_or(0.0, |target| target.tokens_per_ms),
         vm: shared.config.vm.to_string(),
         number,
-        rank: params.rank,
+        rank: params.ranks.0,
+        route_rank: params.ranks.1,
         wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
-        tokens: requirements.cache_tokens,
+        tokens: params.cache_tokens,
         unread_tokens: params.prefill_tokens,
         fill: params.load_limit,
         candidates: candidates.collect(),
@@ -363,9 +409,17 @@
         born_ms: upstream.record.born_ms,
     };
     let prefill_tokens = params.prefill_tokens;
-    let cache_tokens = requirements.cache_tokens;
+    let cache_tokens = params.cache_tokens;
     shared.loads.borrow_mut().start_request(id, cache_tokens, prefill_tokens);
-    Some(Reservation { shared: shared.clone(), target, cache_tokens, prefill_tokens })
+    let load = shared.loads.borrow().total(id);
+    Some(Reservation {
+        shared: shared.clone(),
+        target,
+        cache_tokens,
+        prefill_tokens,
+        prefill_backlog_tokens: load.pending_prefill_tokens,
+        reserved_at: Instant::now(),
+    })
 }
 
 /// Returns whether this incarnation is known to be draining or gone.
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -48,6 +48,7 @@
     last_event_id: Option<u64>,
     relayed: u64,
     last_event_at: Instant,
+    longest_pause: Duration,
     /// When the engine of a stalled stream is probed next.
     probe_at: Instant,
     /// The stream was resumed on another engine, whose first event is pending.
@@ -83,7 +84,7 @@
     in_flight: Option<InFlightGuard>,
 ) -> Response<Body> {
     // Engines send the head together with the first token.
-    reservation.mark_prefill_done();
+    reservation.record_first_event();
     let UpstreamResponse { mut head, body, connection } = response;
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
@@ -98,6 +99,7 @@
         last_event_id: call.head.last_event_id,
         relayed: 0,
         last_event_at: Instant::now(),
+        longest_pause: Duration::ZERO,
         probe_at: Instant::now() + PROBE_AFTER,
         resumed: false,
         runs: 1,
@@ -199,9 +201,13 @@
             self.last_event_id = Some(id);
         }
         self.relayed += 1;
+        if let Some(source) = &mut self.source {
+            source.reservation.record_progress(&self.call.requirements, self.relayed);
+        }
         if std::mem::take(&mut self.resumed) {
             log::info!(request = self.call.head.id.as_str(), last_event_id = self.last_event_id, pause_ms = elapsed_ms(self.last_event_at); "stream resumed");
         }
+        self.longest_pause = self.longest_pause.max(self.last_event_at.elapsed());
         self.last_event_at = Instant::now();
         self.probe_at = self.last_event_at + PROBE_AFTER;
         Some(event)
@@ -251,7 +257,7 @@
             return;
         }
         log::info!(request = self.call.head.id.as_str(), upstream = target.id.as_str(), events = self.relayed; "engine is draining; copying the generation to another engine");
-        self.move_state = moves::start_copy(&self.shared, &self.call, target);
+        self.move_state = moves::start_copy(&self.shared, &self.call, target, self.relayed);
     }
 
     fn advance_move(&mut self, event: MoveEvent) {
@@ -272,7 +278,7 @@
             }
             // The generation may still run or be queued at the source: copy it again.
             (MoveState::Stopping(..), MoveEvent::Stopped(_)) => {
-                moves::start_copy(&self.shared, &self.call, target)
+                moves::start_copy(&self.shared, &self.call, target, self.relayed)
             }
             (_, _) => MoveState::Idle,
         };
@@ -360,7 +366,8 @@
             return Err(ResponseTruncated);
         }
         self.resumed = true;
-        reservation.mark_prefill_done();
+        reservation.record_first_event();
+        reservation.record_progress(&self.call.requirements, self.relayed);
         let UpstreamResponse { body, connection, .. } = response;
         self.source = Some(Source { body, connection, reservation });
         self.start_move();
@@ -370,6 +377,6 @@
     fn log_end(&self, outcome: &str) {
         let source = self.source.as_ref();
         let upstream = source.map_or("", |source| source.reservation.target.id.as_str());
-        log::info!(request = self.call.head.id.as_str(), upstream, outcome, events = self.relayed, ran_ms = elapsed_ms(self.call.arrived); "stream ended");
+        log::info!(request = self.call.head.id.as_str(), upstream, outcome, events = self.relayed, longest_pause_ms = self.longest_pause.as_millis(), ran_ms = elapsed_ms(self.call.arrived); "stream ended");
     }
 }
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -5,7 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use balance::{Loads, OutlierDetector, RetryBudget, RetryLimits, max_idle_connections};
+use balance::{
+    DeadlineHistory, Loads, OutlierDetector, PrefillRate, RetryBudget, RetryLimits,
+    max_idle_connections,
+};
 use clock::Clock;
 use compact_str::CompactString;
 use registry::{MergedRegistry, UpstreamChange};
@@ -40,6 +43,7 @@
     pub(crate) registry: RefCell<MergedRegistry>,
     pub(crate) loads: RefCell<Loads>,
     pub(crate) outlier_detector: RefCell<OutlierDetector>,
+    pub(crate) prefill_rate: Cell<PrefillRate>,
     pub(crate) pool: Pool,
     /// Number of gateways, which share the retry allowance and the connections
     /// that upstreams accept.
@@ -54,6 +58,7 @@
     arbiter_suspended_until: Cell<Option<Instant>>,
     placements: RefCell<PlacementNumbers>,
     budgets: RefCell<HashMap<CompactString, RetryBudget>>,
+    pub(crate) deadlines: RefCell<DeadlineHistory>,
     in_flight: Cell<u32>,
     buffered_bytes: Cell<u64>,
 }
@@ -75,6 +80,7 @@
             registry: RefCell::default(),
             loads: RefCell::default(),
             outlier_detector: RefCell::default(),
+            prefill_rate: Cell::default(),
             pool: Pool::default(),
             gateway_count: Cell::new(1),
             phase: watch::Sender::new(EntryPhase::Starting),
@@ -84,6 +90,7 @@
             arbiter_suspended_until: Cell::new(None),
             placements: RefCell::default(),
             budgets: RefCell::default(),
+            deadlines: RefCell::default(),
             in_flight: Cell::new(0),
             buffered_bytes: Cell::new(0),
             config,
@@ -181,6 +188,12 @@
         act(budget)
     }
 
+    /// Returns how long the caller of a request has waited in earlier attempts.
+    pub(crate) fn time_spent_earlier(&self, route: &str, deadline_ms: u64) -> Duration {
+        let mut deadlines = self.deadlines.borrow_mut();
+        Duration::from_millis(deadlines.time_spent_ms(route, deadline_ms))
+    }
+
     /// Returns the control process that grants slots, unless it is suspended.
     pub(crate) fn arbiter(&self) -> Option<Link> {
         let suspended = self.arbiter_suspended_until.get().is_some_and(|at| Instant::now() < at);
--- a/components/routing/src/table.rs
+++ b/components/routing/src/table.rs
@@ -104,10 +104,6 @@
 
 impl std::error::Error for RouteError {}
 
-/// Number of distinct route ranks within one workspace rank; higher route ranks
-/// count as the last one.
-const ROUTE_RANKS: u32 = 3;
-
 /// Route that a request matches, and the workspace of its API key.
 #[derive(Clone, Copy, Debug)]
 pub struct RouteMatch<'a> {
@@ -124,12 +120,10 @@
         self.workspace.and_then(|workspace| workspace.rank)
     }
 
-    /// Returns the rank of the request; 0 is served first. The rank of the
-    /// workspace takes precedence over that of the route.
-    pub fn rank(&self) -> u32 {
-        let workspace = self.workspace_rank().unwrap_or_default();
-        let route = self.route.rank.min(ROUTE_RANKS - 1);
-        workspace.saturating_mul(ROUTE_RANKS).saturating_add(route)
+    /// Returns the ranks of the workspace and of the route; 0 is served first. That of
+    /// the workspace takes precedence.
+    pub fn ranks(&self) -> (u32, u32) {
+        (self.workspace_rank().unwrap_or_default(), self.route.rank)
     }
 }
 
--- a/components/routing/tests/table.rs
+++ b/components/routing/tests/table.rs
@@ -65,7 +65,7 @@
     ranked.routes[1].rank = 1;
     ranked.workspaces[1].rank = Some(1);
     let table = RouteTable::new(ranked);
-    let rank = |path, key| table.route("a.example", path, Some(key)).unwrap().rank();
+    let rank = |path, key| table.route("a.example", path, Some(key)).unwrap().ranks();
 
     let ranks = [rank("/a/x", "k1"), rank("/a/b/", "k1"), rank("/a/x", "k2"), rank("/a/b/", "k2")];
 
