--- a/components/entry/src/http/services.rs
+++ b/components/entry/src/http/services.rs
@@ -13,7 +13,7 @@
 use schema::{Header, Plain, RecordKey, Route, StoredAnswer};
 use smallvec::SmallVec;
 use telemetry::Span;
-use verdict::{Code, Failure, Verdict};
+use verdict::{Code, Failure, RequestError, Verdict};
 
 use super::auth::{Caller, authenticate};
 use super::body;
@@ -251,6 +251,7 @@
     /// once.
     async fn run_repeatable(&self, span: &Span) -> Result<StoredAnswer, Failure> {
         let mut excluded_upstreams = SmallVec::new();
+        let mut error = RequestError::default();
         loop {
             let failure = match self.try_one_upstream(&mut excluded_upstreams, span).await {
                 Execution::Answered(answer) => return Ok(answer),
@@ -258,8 +259,9 @@
             };
             let exhausted =
                 excluded_upstreams.len() >= MAX_ATTEMPTS || failure.code == Code::NoUpstream;
+            error.record(failure.verdict, failure.clone());
             if exhausted || !self.may_retry("repeatable").await {
-                return Err(failure);
+                return Err(error.take().unwrap_or(failure));
             }
         }
     }
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -17,7 +17,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout};
 use units::{GenerationId, UpstreamName};
-use verdict::{Code, Failure};
+use verdict::{Code, Failure, RequestError};
 
 use crate::broker::{ReleasePlacement, ReportProgress, RequestPlacement, SpendRetryBudget};
 use crate::engine::{EngineClient, EngineError, EngineEvent, EngineEvents, StartGeneration};
@@ -69,25 +69,28 @@
     /// Runs a new generation, falling back to other services while no engine
     /// serves the requested one.
     pub(crate) async fn run(mut self) {
+        let mut error = RequestError::default();
         loop {
-            let Err(failure) = self.run_service().await else { return };
+            let Err(failure) = self.run_service(&mut error).await else { return };
             let fallback = self.request.fallback.clone();
             match fallback.filter(|_| failure.code == Code::NoUpstream) {
                 Some(fallback) => self.request = fallback,
-                None => return self.fail(failure).await,
+                None => return self.fail(error.take().unwrap_or(failure)).await,
             }
         }
     }
 
     /// Runs the generation on engines of the request's own service; an error
-    /// means that the caller has received no token.
-    async fn run_service(&self) -> Result<(), Failure> {
+    /// means that the caller has received no token. Records the failure of each
+    /// attempt in `error` and returns the last one.
+    async fn run_service(&self, error: &mut RequestError<Failure>) -> Result<(), Failure> {
         let mut excluded_engines = SmallVec::new();
         let mut placements_left = MAX_PLACEMENT_ATTEMPTS;
         loop {
             let Err(failure) = self.place_and_stream(&mut excluded_engines).await else {
                 return Ok(());
             };
+            error.record(failure.verdict, failure.clone());
             placements_left -= 1;
             let is_refused =
                 matches!(failure.code, Code::NoUpstream | Code::WorkspaceLimit | Code::Overloaded);
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use schema::EntryPhase;
 use tokio::time::{Instant, timeout_at};
+use verdict::RequestError;
 
 use crate::accept::{Call, RETRY_AFTER_NO_UPSTREAM, accept};
 use crate::answer::{Body, Refusal, full_body, strip_hop_by_hop};
@@ -69,53 +70,71 @@
 async fn dispatch(shared: &Rc<Shared>, call: Rc<Call>, in_flight: InFlightGuard) -> Response<Body> {
     let mut in_flight = Some(in_flight);
     let mut excluded = Excluded::new();
-    let mut runs = 0;
-    let mut sends = 0;
+    let (mut runs, mut sends) = (0, 0);
+    let mut failed = None;
+    let mut error = RequestError::default();
     let queue_ms = call.route.target_latency_ms as f64 * QUEUE_TIME_SHARE;
     let queue_until = (call.arrived + Duration::from_millis(queue_ms as u64)).min(call.until);
-    let result = loop {
+    let responded = loop {
         let reservation = match wait_for_slot(shared, &call, &excluded, queue_until).await {
             Ok(reservation) => reservation,
-            Err(ReserveError::NoUpstream) => {
-                break Err(Refusal::unavailable("no upstream", RETRY_AFTER_NO_UPSTREAM));
-            }
-            Err(ReserveError::Full) => {
-                break Err(Refusal::unavailable("upstreams full", call.retry_after_full()));
+            Err(reason) => {
+                let refusal = refuse_unplaced(&call, reason);
+                error.record(refusal.verdict, refusal);
+                break None;
             }
         };
         sends += 1;
         let upstream = reservation.target.id.clone();
         log_placement(shared, &call, &reservation);
-        let attempt = attempt(shared, &call, reservation, &mut in_flight).await;
-        let may_send = sends < MAX_SENDS && Instant::now() < call.until;
-        let may_run_again = |runs| may_send && call.may_repeat() && runs < call.route.max_attempts;
-        let (may_retry, outcome) = match attempt {
-            Attempt::Responded(response) => break Ok((response, upstream)),
+        let mut is_final = false;
+        let refusal = match attempt(shared, &call, reservation, &mut in_flight).await {
+            Attempt::Responded(response) => break Some((response, upstream)),
             Attempt::Rejected(reason) => {
-                (may_send, Err(Refusal::unavailable(reason, call.retry_after_full())))
+                Some(Refusal::unavailable(reason, call.retry_after_full()))
             }
             Attempt::Failed(response) => {
                 runs += 1;
-                (may_run_again(runs), Ok((response, upstream.clone())))
+                failed = Some((response, upstream.clone()));
+                None
             }
             Attempt::Lost(reason) => {
                 runs += 1;
-                (
-                    may_run_again(runs),
-                    Err(Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, reason)),
-                )
+                Some(Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, reason))
             }
             Attempt::TimedOut => {
-                break Err(Refusal::unknown_outcome(StatusCode::GATEWAY_TIMEOUT, "timed out"));
+                is_final = true;
+                Some(Refusal::unknown_outcome(StatusCode::GATEWAY_TIMEOUT, "timed out"))
             }
         };
-        if !may_retry || !shared.try_retry(&call.requirements.service) {
-            break outcome;
+        if let Some(refusal) = refusal {
+            error.record(refusal.verdict, refusal);
+        }
+        let may_run_again = runs == 0 || (call.may_repeat() && runs < call.route.max_attempts);
+        let may_send = !is_final && sends < MAX_SENDS && Instant::now() < call.until;
+        if !may_send || !may_run_again || !shared.try_retry(&call.requirements.service) {
+            break None;
         }
         log::info!(request = call.head.id.as_str(), upstream = upstream.as_str(), sends, runs; "retrying request on another upstream");
         excluded.push(upstream);
     };
-    finish(shared, &call, result, sends)
+    // A response that an upstream gave takes precedence over errors of other attempts.
+    let result = responded.or(failed).ok_or(error);
+    finish(shared, &call, result.map_err(refusal_of), sends)
+}
+
+/// Refuses a request for which no slot could be reserved.
+fn refuse_unplaced(call: &Call, reason: ReserveError) -> Refusal {
+    match reason {
+        ReserveError::NoUpstream => Refusal::unavailable("no upstream", RETRY_AFTER_NO_UPSTREAM),
+        ReserveError::Full => Refusal::unavailable("upstreams full", call.retry_after_full()),
+    }
+}
+
+/// Returns the refusal that is true for all attempts.
+fn refusal_of(error: RequestError<Refusal>) -> Refusal {
+    let unknown = || Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, "no attempt ended");
+    error.take().unwrap_or_else(unknown)
 }
 
 fn log_placement(shared: &Shared, call: &Call, reservation: &Reservation) {
--- a/components/verdict/src/lib.rs
+++ b/components/verdict/src/lib.rs
@@ -6,13 +6,15 @@
 use displaydoc::Display;
 
 /// Whether an upstream ran the request, which decides whether a retry is safe.
+/// Verdicts that promise less are greater.
 ///
 /// ```
 /// use verdict::Verdict;
 /// assert_eq!("may-have-run".parse(), Ok(Verdict::MayHaveRun));
 /// assert_eq!(Verdict::NotRun.to_string(), "not-run");
+/// assert!(Verdict::NotRun < Verdict::MayHaveRun);
 /// ```
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Verdict {
     /// No upstream ran the request: none received it, or each that did refused it
     /// without running it.
@@ -52,6 +54,40 @@
     }
 }
 
+/// Error of a request that is sent in several attempts: that of the attempt whose
+/// verdict promises least, as each attempt may have run the request.
+///
+/// ```
+/// use verdict::{RequestError, Verdict};
+/// let mut error = RequestError::default();
+/// error.record(Verdict::MayHaveRun, "connection lost");
+/// error.record(Verdict::NotRun, "no upstream");
+/// assert_eq!(error.take(), Some("connection lost"));
+/// ```
+#[derive(Clone, Debug)]
+pub struct RequestError<E>(Option<(Verdict, E)>);
+
+impl<E> Default for RequestError<E> {
+    fn default() -> Self {
+        RequestError(None)
+    }
+}
+
+impl<E> RequestError<E> {
+    /// Records the error of one attempt; among those of equal verdicts the last one is
+    /// kept.
+    pub fn record(&mut self, verdict: Verdict, error: E) {
+        if self.0.as_ref().is_none_or(|(kept, _)| *kept <= verdict) {
+            self.0 = Some((verdict, error));
+        }
+    }
+
+    /// Returns the error of the request; `None` if no attempt failed.
+    pub fn take(self) -> Option<E> {
+        self.0.map(|(_, error)| error)
+    }
+}
+
 /// Machine-readable reason of an error.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Code {
