--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -15,6 +15,11 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Returns the number of bytes of the incomplete event.
+    pub(crate) fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns the next complete event including the blank line that ends it.
     pub(crate) fn next(&mut self) -> Option<Bytes> {
         let end = self.find_event_end()?;
@@ -45,6 +50,11 @@
     }
 }
 
+/// Returns whether an event has data; comments and blank events have none.
+pub(crate) fn has_data(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n').any(|line| line.starts_with(b"data"))
+}
+
 #[cfg(test)]
 #[path = "../tests/unit/events.rs"]
 mod tests;
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -1,6 +1,8 @@
 //! Sends one request to one upstream.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,11 +12,15 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use telemetry::Span;
+use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
 use crate::pool::Connection;
 use crate::shared::Shared;
 
+/// Informational (1xx) responses that may precede a response.
+const MAX_INFORMATIONAL_RESPONSES: u32 = 16;
+
 /// Incarnation of an upstream that a request is sent to.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct Target {
@@ -62,10 +68,44 @@
     result
 }
 
+/// Counts the informational (1xx) responses to one request.
+#[derive(Debug, Default)]
+struct InformationalResponses {
+    count: AtomicU32,
+    too_many: Notify,
+}
+
+impl InformationalResponses {
+    fn watch(request: &mut Request<Full<Bytes>>) -> Arc<Self> {
+        let responses = Arc::new(InformationalResponses::default());
+        let counted = responses.clone();
+        hyper::ext::on_informational(request, move |_| {
+            if counted.count.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL_RESPONSES {
+                counted.too_many.notify_one();
+            }
+        });
+        responses
+    }
+}
+
 async fn send(
     shared: &Shared,
     target: &Target,
     mut request: Request<Full<Bytes>>,
+) -> Result<UpstreamResponse, ExchangeError> {
+    let informational = InformationalResponses::watch(&mut request);
+    tokio::select! {
+        result = send_on_connection(shared, target, request) => result,
+        () = informational.too_many.notified() => {
+            Err(ExchangeError::ConnectionLost("informational responses without end".into()))
+        }
+    }
+}
+
+async fn send_on_connection(
+    shared: &Shared,
+    target: &Target,
+    mut request: Request<Full<Bytes>>,
 ) -> Result<UpstreamResponse, ExchangeError> {
     if let Some(mut connection) = shared.pool.take(&target.id) {
         match connection.sender.try_send_request(request).await {
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -298,7 +298,7 @@
     log_ejection(target, ejected_ms, "unreachable");
 }
 
-fn record_failure(shared: &Shared, target: &Target, reason: &str) {
+pub(crate) fn record_failure(shared: &Shared, target: &Target, reason: &str) {
     let now_ms = shared.now_ms();
     let ejected_ms = shared.outlier_detector.borrow_mut().record_failure(&target.id, now_ms);
     log_ejection(target, ejected_ms, reason);
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -17,9 +17,9 @@
 use crate::accept::Call;
 use crate::answer::{Body, ResponseTruncated, strip_hop_by_hop};
 use crate::dialect::{KvCacheRef, Resume};
-use crate::events::EventSplitter;
+use crate::events::{EventSplitter, has_data};
 use crate::exchange::{UpstreamResponse, exchange};
-use crate::forward::{elapsed_ms, record_unreachable};
+use crate::forward::{elapsed_ms, record_failure, record_unreachable};
 use crate::moves::{self, CacheCopy, MoveEvent, MoveState, StopResult};
 use crate::place::{Excluded, Reservation, is_draining_or_gone, wait_for_slot};
 use crate::pool::Connection;
@@ -32,6 +32,10 @@
 /// is retransmitted after 1 s.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Bytes that an engine may send without a new event, in an incomplete event,
+/// comments, blank or repeated events, before its stream counts as lost.
+const MAX_BYTES_WITHOUT_PROGRESS: usize = 256 << 10;
+
 /// Engine that the stream currently comes from.
 #[derive(Debug)]
 struct Source {
@@ -47,6 +51,8 @@
     events: EventSplitter,
     last_event_id: Option<u64>,
     relayed: u64,
+    /// Bytes of comments, blank and repeated events since the last new event.
+    bytes_without_progress: usize,
     last_event_at: Instant,
     longest_pause: Duration,
     /// When the engine of a stalled stream is probed next.
@@ -98,6 +104,7 @@
         events: EventSplitter::default(),
         last_event_id: call.head.last_event_id,
         relayed: 0,
+        bytes_without_progress: 0,
         last_event_at: Instant::now(),
         longest_pause: Duration::ZERO,
         probe_at: Instant::now() + PROBE_AFTER,
@@ -129,11 +136,18 @@
     async fn next(&mut self) -> Option<Result<Bytes, ResponseTruncated>> {
         loop {
             while let Some(event) = self.events.next() {
-                if let Some(event) = self.skip_duplicate(event) {
+                if let Some(event) = self.accept_event(event) {
                     return Some(Ok(event));
                 }
             }
             self.source.as_ref()?;
+            if self.is_flooded() {
+                self.record_engine_failure("no progress");
+                if let Err(truncated) = self.recover("engine sends no new events").await {
+                    return Some(Err(truncated));
+                }
+                continue;
+            }
             match self.step().await {
                 Step::Data(bytes) => self.events.push(&bytes),
                 Step::Departures => self.start_move(),
@@ -154,6 +168,7 @@
                     None => return self.complete().map(Ok),
                 },
                 Step::Interrupted(error) => {
+                    self.record_engine_failure("stream broken off");
                     if let Err(truncated) = self.recover(&error).await {
                         return Some(Err(truncated));
                     }
@@ -193,13 +208,23 @@
     }
 
     /// Returns the event unless the caller already has it.
-    fn skip_duplicate(&mut self, event: Bytes) -> Option<Bytes> {
-        if let Some(id) = self.shared.dialect.event_id(&event) {
-            if self.last_event_id.is_some_and(|last| id <= last) {
-                return None;
-            }
-            self.last_event_id = Some(id);
+    fn accept_event(&mut self, event: Bytes) -> Option<Bytes> {
+        let id = self.shared.dialect.event_id(&event);
+        if id.is_some() && id <= self.last_event_id {
+            self.bytes_without_progress += event.len();
+            return None;
+        }
+        if id.is_none() && !has_data(&event) {
+            self.bytes_without_progress += event.len();
+            return Some(event);
         }
+        self.last_event_id = id.or(self.last_event_id);
+        self.record_progress();
+        Some(event)
+    }
+
+    fn record_progress(&mut self) {
+        self.bytes_without_progress = 0;
         self.relayed += 1;
         if let Some(source) = &mut self.source {
             source.reservation.record_progress(&self.call.requirements, self.relayed);
@@ -210,7 +235,21 @@
         self.longest_pause = self.longest_pause.max(self.last_event_at.elapsed());
         self.last_event_at = Instant::now();
         self.probe_at = self.last_event_at + PROBE_AFTER;
-        Some(event)
+    }
+
+    /// Returns whether the engine has sent too much since its last new event.
+    fn is_flooded(&self) -> bool {
+        let pending = self.bytes_without_progress + self.events.buffered_bytes();
+        pending > MAX_BYTES_WITHOUT_PROGRESS
+    }
+
+    /// Counts a failure of the engine, unless it is known to leave.
+    fn record_engine_failure(&self, reason: &str) {
+        let Some(source) = &self.source else { return };
+        let target = &source.reservation.target;
+        if !is_draining_or_gone(&self.shared, target) {
+            record_failure(&self.shared, target, reason);
+        }
     }
 
     /// Returns whether the stream could resume without its current engine.
@@ -246,6 +285,12 @@
         (!remainder.is_empty()).then_some(remainder)
     }
 
+    /// Drops what the last engine sent without a complete event.
+    fn discard_unfinished_event(&mut self) {
+        self.events.take_remainder();
+        self.bytes_without_progress = 0;
+    }
+
     fn start_move(&mut self) {
         let Some(source) = &self.source else { return };
         // Resumable streams are short, and are run again if they are interrupted.
@@ -322,7 +367,7 @@
     /// Resumes the stream on the engine that holds the copy of its KV cache.
     async fn resume_from_copy(&mut self, copy: CacheCopy) -> Result<(), ResponseTruncated> {
         let from = self.source.take().map(|source| source.reservation.target.id.clone());
-        self.events.take_remainder();
+        self.discard_unfinished_event();
         log::info!(request = self.call.head.id.as_str(), from = from.as_deref().unwrap_or_default(), to = copy.reservation.target.id.as_str(), events = self.relayed; "generation moved");
         self.shared.metrics.moves.with_label_values(&["moved"]).inc();
         self.resume(copy.reservation, Some(copy.cache)).await
@@ -332,7 +377,7 @@
     /// that was relayed.
     async fn run_again(&mut self) -> Result<(), ResponseTruncated> {
         let failed = self.source.take().map(|source| source.reservation.target.id.clone());
-        self.events.take_remainder();
+        self.discard_unfinished_event();
         let excluded: Excluded = failed.into_iter().collect();
         match wait_for_slot(&self.shared, &self.call, &excluded, self.call.until).await {
             Ok(reservation) => self.resume(reservation, None).await,
