--- a/components/consensus/src/node/election.rs
+++ b/components/consensus/src/node/election.rs
@@ -7,14 +7,19 @@
 use super::{Node, Role};
 use crate::NO_REPLICA;
 use crate::membership;
+use crate::options::Options;
 use crate::output::LogPosition;
 use crate::votes::Votes;
 
 impl Node {
+    /// Draws the next election timeout. A replica that starts has lost no leader: it
+    /// waits for a heartbeat only, before it asks for pre-votes, which disturb no
+    /// leader.
     pub(super) fn reset_election_deadline(&mut self) {
-        let election_ms = self.options.election_ms;
-        let jitter_ms = self.rng.random_range(0..election_ms.max(1));
-        self.election_deadline_ms = self.now_ms + election_ms + jitter_ms;
+        let Options { heartbeat_ms, election_ms, .. } = self.options;
+        let minimum_ms = if self.is_starting { heartbeat_ms.min(election_ms) } else { election_ms };
+        let jitter_ms = self.rng.random_range(0..minimum_ms.max(1));
+        self.election_deadline_ms = self.now_ms + minimum_ms + jitter_ms;
     }
 
     /// Returns whether this replica leads or has had contact with a leader within
@@ -61,6 +66,7 @@
 
     pub(super) fn start_election(&mut self, transfer: bool) {
         self.set_term(self.term + 1, self.id);
+        self.is_starting = false;
         self.leader_id = NO_REPLICA;
         self.reset_election_deadline();
         let mut votes = Votes::default();
@@ -91,6 +97,7 @@
         let can_vote = self.voted_for == NO_REPLICA || self.voted_for == from;
         let granted = can_vote && up_to_date;
         if granted {
+            self.is_starting = false;
             self.set_term(self.term, from);
             self.reset_election_deadline();
         }
--- a/components/consensus/src/node/follower.rs
+++ b/components/consensus/src/node/follower.rs
@@ -51,6 +51,7 @@
             self.become_follower(self.term, leader_id);
         }
         self.leader_id = leader_id;
+        self.is_starting = false;
         self.last_leader_contact_ms = Some(self.now_ms);
         self.reset_election_deadline();
     }
--- a/components/consensus/src/node/mod.rs
+++ b/components/consensus/src/node/mod.rs
@@ -56,6 +56,9 @@
     last_leader_contact_ms: Option<u64>,
     election_deadline_ms: u64,
     may_campaign: bool,
+    /// Since its start this replica has heard of no leader, voted for no replica and
+    /// held no election: the whole group may be starting.
+    is_starting: bool,
     commit_index: u64,
     applied_index: u64,
     durable_index: u64,
@@ -112,6 +115,7 @@
             last_leader_contact_ms: None,
             election_deadline_ms: 0,
             may_campaign: true,
+            is_starting: true,
             commit_index: snapshot_position.index,
             applied_index: snapshot_position.index,
             durable_index: last,
--- a/components/consensus/tests/rules.rs
+++ b/components/consensus/tests/rules.rs
@@ -312,3 +312,29 @@
         .collect();
     assert_eq!(asked, vec![3]);
 }
+
+#[test]
+fn starting_replica_asks_for_pre_votes_without_a_full_election_timeout() {
+    let mut node = restore_replica(1, Vec::new());
+    let heartbeat_ms = Options::default().heartbeat_ms;
+
+    node.tick(heartbeat_ms - 1);
+    let before_heartbeat = node.take_messages().len();
+    node.tick(2 * heartbeat_ms);
+    let pre_votes = node.take_messages().len();
+
+    assert_eq!((before_heartbeat, pre_votes), (0, 2));
+    assert_eq!(node.term(), 1);
+}
+
+#[test]
+fn replica_that_heard_a_leader_waits_for_a_full_election_timeout() {
+    let mut node = restore_replica(1, Vec::new());
+    let previous = LogPosition { term: 1, index: 1 };
+
+    node.step(0, message(2, 1, append(previous, 1, Vec::new())));
+    node.take_messages();
+    node.tick(ELECTION_MS - 1);
+
+    assert_eq!(node.take_messages().len(), 0);
+}
