--- a/components/balance/src/arbiter.rs
+++ b/components/balance/src/arbiter.rs
@@ -6,11 +6,12 @@
 //! each reservation immediately, and keeps requests that find no capacity in
 //! one queue.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use compact_str::CompactString;
 use rand::Rng;
 
+use crate::backlog::GrantHistory;
 use crate::load::{Candidate, Loads, PlacementDemand, UpstreamLoad};
 use crate::prefill::FirstEventTarget;
 
@@ -46,6 +47,8 @@
     pub entry: CompactString,
     /// Sequence number of the request at its entry.
     pub request_number: u64,
+    /// Service whose upstreams can serve the request.
+    pub service: CompactString,
     /// Priority; 0 is served first. Within a rank, requests are served in the order in
     /// which their first events are due.
     pub rank: u32,
@@ -59,8 +62,21 @@
     pub candidates: Vec<OwnedCandidate>,
     /// Time at which the request began to wait for capacity.
     pub waiting_since_ms: u64,
-    /// Time at which the request stops waiting for capacity.
+    /// Time at which this wait for capacity ends; the entry may ask again.
     pub deadline_ms: u64,
+    /// Time at which the entry stops asking.
+    pub patience_until_ms: u64,
+}
+
+/// Result of a [`ReservationRequest`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ReservationOutcome {
+    /// A slot is reserved on this upstream.
+    Granted(CompactString),
+    /// No capacity became free by the deadline.
+    TimedOut,
+    /// No capacity is expected as long as the entry would ask.
+    Hopeless,
 }
 
 impl ReservationRequest {
@@ -108,11 +124,13 @@
     /// Requests that wait for capacity, in the order of the last round; new ones at
     /// the end.
     waiting: Vec<(ReservationRequest, T)>,
+    /// Recent grants by service.
+    grants: HashMap<CompactString, GrantHistory>,
 }
 
 impl<T> Default for Arbiter<T> {
     fn default() -> Self {
-        Arbiter { entries: BTreeMap::new(), waiting: Vec::new() }
+        Arbiter { entries: BTreeMap::new(), waiting: Vec::new(), grants: HashMap::new() }
     }
 }
 
@@ -155,20 +173,22 @@
     /// Grants or times out waiting requests. Those that can still be in time come
     /// first; then rank, due time and start of the wait decide.
     ///
-    /// Returns the `reply` of each finished request with the upstream reserved for
-    /// it, or with `None` if it found no capacity by its deadline. Requests for
-    /// which `is_wanted` returns false are dropped.
+    /// Returns the `reply` of each finished request with its outcome. A request that
+    /// has more requests of its service before it than are granted in its patience is
+    /// hopeless and finished at once. Requests for which `is_wanted` returns false are
+    /// dropped.
     pub fn grant_waiting(
         &mut self,
         now_ms: u64,
         is_wanted: impl Fn(&T) -> bool,
         rng: &mut impl Rng,
-    ) -> Vec<(T, Option<CompactString>)> {
+    ) -> Vec<(T, ReservationOutcome)> {
         if self.waiting.is_empty() {
             return Vec::new();
         }
         let mut loads = self.loads();
         let mut finished = Vec::new();
+        let mut ahead: HashMap<CompactString, usize> = HashMap::new();
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.retain(|(_, reply)| is_wanted(reply));
         waiting.sort_by_key(|(request, _)| request.order(now_ms));
@@ -179,17 +199,35 @@
             match granted {
                 Some(id) => {
                     loads.start_request(&id, demand.cache_tokens, demand.prefill_tokens);
-                    self.grant(&request, id.clone());
-                    finished.push((reply, Some(id)));
+                    self.grant(&request, id.clone(), now_ms);
+                    finished.push((reply, ReservationOutcome::Granted(id)));
+                }
+                None => {
+                    let ahead = ahead.entry(request.service.clone()).or_default();
+                    if self.is_hopeless(&request, *ahead, now_ms) {
+                        finished.push((reply, ReservationOutcome::Hopeless));
+                        continue;
+                    }
+                    *ahead += 1;
+                    if now_ms >= request.deadline_ms {
+                        finished.push((reply, ReservationOutcome::TimedOut));
+                    } else {
+                        self.waiting.push((request, reply));
+                    }
                 }
-                None if now_ms >= request.deadline_ms => finished.push((reply, None)),
-                None => self.waiting.push((request, reply)),
             }
         }
         finished
     }
 
-    fn grant(&mut self, request: &ReservationRequest, id: CompactString) {
+    fn is_hopeless(&mut self, request: &ReservationRequest, ahead: usize, now_ms: u64) -> bool {
+        let patience_ms = request.patience_until_ms.saturating_sub(now_ms);
+        let history = self.grants.get_mut(&request.service);
+        history.is_some_and(|history| history.is_hopeless(ahead, patience_ms, now_ms))
+    }
+
+    fn grant(&mut self, request: &ReservationRequest, id: CompactString, now_ms: u64) {
+        self.grants.entry(request.service.clone()).or_default().record(now_ms);
         let load = UpstreamLoad {
             running: 1,
             committed_cache_tokens: request.demand.cache_tokens,
--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod arbiter;
 mod attempts;
+mod backlog;
 mod budget;
 mod cache;
 mod connections;
@@ -12,8 +13,9 @@
 mod load;
 mod prefill;
 
-pub use arbiter::{Arbiter, OwnedCandidate, ReservationRequest};
+pub use arbiter::{Arbiter, OwnedCandidate, ReservationOutcome, ReservationRequest};
 pub use attempts::DeadlineHistory;
+pub use backlog::GrantHistory;
 pub use budget::{RetryBudget, RetryLimits};
 pub use cache::{CacheDemand, GROWTH_RESERVE_TOKENS};
 pub use connections::max_idle_connections;
--- a/components/control/src/replica/places.rs
+++ b/components/control/src/replica/places.rs
@@ -1,7 +1,9 @@
 //! Slot reservations at model engines, granted to the requests of all gateways.
 
 use actix::ResponseFuture;
-use balance::{FirstEventTarget, OwnedCandidate, PlacementDemand, ReservationRequest};
+use balance::{
+    FirstEventTarget, OwnedCandidate, PlacementDemand, ReservationOutcome, ReservationRequest,
+};
 use credentials::Identity;
 use schema::{ErrorCode, PlaceReply, PlaceRequest, Reply, reply};
 use tokio::sync::oneshot;
@@ -45,15 +47,24 @@
         }
         syncs.next_scheduling_ms = now_ms + SCHEDULING_INTERVAL_MS;
         let is_request_open = |result: &oneshot::Sender<Reply>| !result.is_closed();
-        for (result, id) in syncs.arbiter.grant_waiting(now_ms, is_request_open, &mut rand::rng()) {
-            let id = id.map(String::from).unwrap_or_default();
+        let finished = syncs.arbiter.grant_waiting(now_ms, is_request_open, &mut rand::rng());
+        for (result, outcome) in finished {
+            let place = to_place_reply(outcome);
             // Fails if the request was dropped meanwhile. The next load report of the
             // gateway that covers the request's number then ends the reservation.
-            let _ = result.send(Reply { body: Some(reply::Body::Place(PlaceReply { id })) });
+            let _ = result.send(Reply { body: Some(reply::Body::Place(place)) });
         }
     }
 }
 
+fn to_place_reply(outcome: ReservationOutcome) -> PlaceReply {
+    match outcome {
+        ReservationOutcome::Granted(id) => PlaceReply { id: id.into(), hopeless: false },
+        ReservationOutcome::TimedOut => PlaceReply::default(),
+        ReservationOutcome::Hopeless => PlaceReply { hopeless: true, ..PlaceReply::default() },
+    }
+}
+
 fn to_reservation_request(request: PlaceRequest, now_ms: u64) -> ReservationRequest {
     let candidates = request.candidates.into_iter().map(|candidate| OwnedCandidate {
         id: candidate.id.into(),
@@ -64,6 +75,7 @@
     ReservationRequest {
         entry: request.vm.into(),
         request_number: request.number,
+        service: request.service.into(),
         rank: request.rank,
         route_rank: request.route_rank,
         demand: PlacementDemand {
@@ -81,5 +93,6 @@
         candidates: candidates.collect(),
         waiting_since_ms: now_ms.saturating_sub(request.waited_ms),
         deadline_ms: now_ms + u64::from(request.wait_ms.min(MAX_CAPACITY_WAIT_MS)),
+        patience_until_ms: now_ms + request.patience_ms,
     }
 }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -127,7 +127,9 @@
 fn refuse_unplaced(call: &Call, reason: ReserveError) -> Refusal {
     match reason {
         ReserveError::NoUpstream => Refusal::unavailable("no upstream", RETRY_AFTER_NO_UPSTREAM),
-        ReserveError::Full => Refusal::unavailable("upstreams full", call.retry_after_full()),
+        ReserveError::Full | ReserveError::Hopeless => {
+            Refusal::unavailable("upstreams full", call.retry_after_full())
+        }
     }
 }
 
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -33,6 +33,9 @@
 const ARBITER_REPLY_TIMEOUT: Duration = Duration::from_millis(120);
 /// Ranks of moved generations; no other request has lower ones.
 const MOVE_RANKS: (u32, u32) = (0, 0);
+/// Time for which a moved generation asks for capacity: its copy is repeated until
+/// its engine is gone.
+const MOVE_PATIENCE: Duration = Duration::from_secs(2);
 /// Extra cost of an upstream that is still warming up, as a share of the cost
 /// of a fully loaded one.
 const WARM_UP_COST: f64 = 0.3;
@@ -95,6 +98,12 @@
         }
     }
 
+    /// Returns whether the prompt does not fit into the KV cache of an engine.
+    fn exceeds_engine(&self) -> bool {
+        let engine = self.engine.as_ref();
+        engine.is_some_and(|engine| self.cache.prompt_tokens >= engine.cache_tokens)
+    }
+
     /// Returns the output tokens in `events` events of a stream, at most.
     fn output_tokens(&self, events: u64) -> u64 {
         let per_event = self.engine.as_ref().map_or(0, |engine| engine.tokens_per_event.max(1));
@@ -163,6 +172,8 @@
     NoUpstream,
     /// All upstreams are at capacity.
     Full,
+    /// The upstreams will not have capacity in time, or never enough for this request.
+    Hopeless,
 }
 
 /// Parameters of the selection for one request.
@@ -179,6 +190,8 @@
     prefill_tokens: u64,
     /// When the first event is due; `None` for generations that already run.
     first_event_due: Option<Instant>,
+    /// Until when capacity is asked for.
+    patient_until: Instant,
     span: &'a Span,
 }
 
@@ -213,13 +226,18 @@
         cache_tokens: requirements.cache_tokens(0),
         prefill_tokens: requirements.cache.prompt_tokens,
         first_event_due: requirements.engine.is_some().then_some(call.first_event_due),
+        patient_until: until,
         span: &span,
     };
+    if requirements.exceeds_engine() {
+        return Err(ReserveError::Hopeless);
+    }
     let since = Instant::now();
     loop {
         let wait = until.saturating_duration_since(Instant::now()).min(ARBITER_MAX_WAIT);
         match try_reserve(shared, requirements, excluded, &params, since, wait).await {
             Ok(reservation) => return Ok(reservation),
+            Err(ReserveError::Hopeless) => return Err(ReserveError::Hopeless),
             Err(reason) if Instant::now() >= until => return Err(reason),
             // The request has already queued at the arbiter: retry without delay.
             Err(ReserveError::Full)
@@ -254,6 +272,7 @@
         cache_tokens: requirements.cache_tokens(events),
         prefill_tokens: 0,
         first_event_due: None,
+        patient_until: Instant::now() + MOVE_PATIENCE,
         span: &span,
     };
     try_reserve(shared, requirements, excluded, &params, Instant::now(), Duration::ZERO).await
@@ -277,10 +296,21 @@
         // The number stays pending until the slot is part of the load that this
         // gateway reports.
         let pending = shared.start_placement();
-        let place = to_place_request(shared, &eligible, params, pending.number(), since, wait);
+        let place = to_place_request(
+            shared,
+            &requirements.service,
+            &eligible,
+            params,
+            pending.number(),
+            since,
+            wait,
+        );
         let body = request::Body::Place(place);
         let request = Request { traceparent: params.span.traceparent(), body: Some(body) };
         match arbiter.call(request, wait + ARBITER_REPLY_TIMEOUT).await {
+            Ok(reply::Body::Place(place)) if place.hopeless => {
+                return Err(ReserveError::Hopeless);
+            }
             Ok(reply::Body::Place(place)) if place.id.is_empty() => {
                 return Err(ReserveError::Full);
             }
@@ -363,6 +393,7 @@
 
 fn to_place_request(
     shared: &Shared,
+    service: &str,
     eligible: &[OwnedCandidate],
     params: &SelectionParams<'_>,
     number: u64,
@@ -376,6 +407,7 @@
         extra_cost: upstream.extra_cost,
     });
     let target = params.target(shared);
+    let patience = params.patient_until.saturating_duration_since(Instant::now());
     PlaceRequest {
         first_event_due_ms: target.map_or(0, |target| target.due_ms),
         prefill_tokens_per_ms: target.map_or(0.0, |target| target.tokens_per_ms),
@@ -389,6 +421,8 @@
         fill: params.load_limit,
         candidates: candidates.collect(),
         waited_ms: elapsed_ms(since),
+        service: service.to_string(),
+        patience_ms: u64::try_from(patience.as_millis()).unwrap_or(u64::MAX),
     }
 }
 
