--- a/components/registry/src/fleet.rs
+++ b/components/registry/src/fleet.rs
@@ -8,7 +8,7 @@
 use schema::{UpstreamPhase, UpstreamRecord};
 use smallvec::SmallVec;
 
-use crate::registry::phase_order;
+use crate::registry::{TOMBSTONE_RETENTION_MS, phase_order};
 
 /// Time for which an upstream that no control process reports is kept. This covers
 /// the restart of a control process, which receives the upstream's next
@@ -29,6 +29,7 @@
     pub ending_since_ms: Option<u64>,
     reports: SmallVec<[SourceReport; 3]>,
     unreported_since_ms: Option<u64>,
+    unavailable_since_ms: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -137,6 +138,7 @@
             });
         }
         known.set_report(source, is_silent);
+        known.update_warm_up(&record, now_ms);
         known.advance_phase(&record, now_ms).then(|| match record.phase() {
             UpstreamPhase::Gone => UpstreamChange::Gone(id),
             _ => UpstreamChange::Draining(id),
@@ -160,9 +162,14 @@
         }
     }
 
-    /// Removes upstreams that no control process has reported for several seconds.
+    /// Removes upstreams that no control process has reported for several seconds, and
+    /// those that have accepted no requests for as long as control processes keep
+    /// their records.
     pub fn expire(&mut self, now_ms: u64) {
         self.upstreams.retain(|_, upstream| {
+            if upstream.unavailable_for_ms(now_ms) >= TOMBSTONE_RETENTION_MS {
+                return false;
+            }
             if !upstream.reports.is_empty() {
                 upstream.unreported_since_ms = None;
                 return true;
@@ -181,6 +188,22 @@
         }
     }
 
+    fn update_warm_up(&mut self, record: &UpstreamRecord, now_ms: u64) {
+        if record.sequence > self.record.sequence {
+            self.record.sequence = record.sequence;
+            self.warm_up_until_ms = now_ms + record.warm_up_ms;
+        }
+    }
+
+    /// Returns for how long the upstream has accepted no requests, as of each call.
+    fn unavailable_for_ms(&mut self, now_ms: u64) -> u64 {
+        if self.accepts_requests() {
+            self.unavailable_since_ms = None;
+            return 0;
+        }
+        now_ms.saturating_sub(*self.unavailable_since_ms.get_or_insert(now_ms))
+    }
+
     /// Adopts the phase of `record` if it is later than the known one; returns
     /// whether the phase changed.
     fn advance_phase(&mut self, record: &UpstreamRecord, now_ms: u64) -> bool {
@@ -201,6 +224,7 @@
         ending_since_ms: is_ending.then_some(now_ms),
         reports: SmallVec::new(),
         unreported_since_ms: None,
+        unavailable_since_ms: None,
         record,
     }
 }
--- a/components/registry/src/registry.rs
+++ b/components/registry/src/registry.rs
@@ -11,7 +11,7 @@
 /// Time for which a record is kept after the last announcement. The record of an
 /// ended incarnation is a tombstone, kept for longer than a network partition may
 /// delay an announcement.
-const TOMBSTONE_RETENTION_MS: u64 = 120_000;
+pub(crate) const TOMBSTONE_RETENTION_MS: u64 = 120_000;
 
 /// Result of applying one announcement.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -65,12 +65,13 @@
             }
             if record.born_ms == known.born_ms && phase_order(&record) < phase_order(known) {
                 // An incarnation that is known as draining or gone does not become ready
-                // again. One that was draining and fell silent does.
+                // again.
                 record.phase = known.phase;
             }
             stored.last_announced_ms = now_ms;
             if is_unchanged(&record, known) {
                 stored.record.sequence = record.sequence;
+                stored.record.warm_up_ms = record.warm_up_ms;
                 return AnnounceOutcome::Unchanged;
             }
         }
@@ -81,16 +82,15 @@
         AnnounceOutcome::Changed(self.version)
     }
 
-    /// Marks upstreams that missed several announcements as silent and removes
+    /// Marks ready upstreams that missed several announcements as silent and removes
     /// those without an announcement for longer than the tombstone retention;
     /// returns the ids of the newly silent ones.
     pub fn expire(&mut self, interval_ms: u64, now_ms: u64) -> Vec<CompactString> {
         let mut silent = Vec::new();
         for (id, stored) in &mut self.by_id {
             let age_ms = now_ms.saturating_sub(stored.last_announced_ms);
-            let may_become_silent =
-                matches!(stored.record.phase(), UpstreamPhase::Ready | UpstreamPhase::Draining);
-            if may_become_silent && age_ms > SILENT_AFTER_INTERVALS * interval_ms {
+            let is_ready = stored.record.phase() == UpstreamPhase::Ready;
+            if is_ready && age_ms > SILENT_AFTER_INTERVALS * interval_ms {
                 self.version += 1;
                 stored.version = self.version;
                 stored.record.set_phase(UpstreamPhase::Silent);
@@ -118,12 +118,12 @@
     new.sequence < known.sequence && new.phase() != UpstreamPhase::Gone
 }
 
-/// Compares all fields except for the sequence number and the remaining warm-up
-/// time, which differ between announcements.
+/// Compares all fields except for those that differ between announcements: the
+/// sequence number, and the remaining warm-up time unless it grew.
 fn is_unchanged(new: &UpstreamRecord, known: &UpstreamRecord) -> bool {
     let comparable =
         UpstreamRecord { sequence: known.sequence, warm_up_ms: known.warm_up_ms, ..new.clone() };
-    comparable == *known
+    comparable == *known && new.warm_up_ms <= known.warm_up_ms
 }
 
 /// Orders the phases of one incarnation: a known later phase is kept over an
--- a/components/registry/tests/incarnations.rs
+++ b/components/registry/tests/incarnations.rs
@@ -127,3 +127,66 @@
     merged.expire(6_100);
     assert!(merged.get("e1").is_none());
 }
+
+#[test]
+fn draining_upstream_that_falls_silent_does_not_become_ready_again() {
+    let mut registry = Registry::default();
+    registry.apply_announcement(record(5, 1, UpstreamPhase::Draining), 0);
+
+    let silent = registry.expire(INTERVAL_MS, 5_000);
+    registry.apply_announcement(record(5, 2, UpstreamPhase::Ready), 5_100);
+
+    assert!(silent.is_empty());
+    assert_eq!(registry.changes_since(0).next().unwrap().phase(), UpstreamPhase::Draining);
+}
+
+#[test]
+fn later_announcements_update_the_warm_up_time() {
+    let warming = |sequence, warm_up_ms| UpstreamRecord {
+        warm_up_ms,
+        ..record(5, sequence, UpstreamPhase::Ready)
+    };
+    let mut registry = Registry::default();
+    registry.apply_announcement(warming(1, 4_000), 0);
+
+    let shorter = registry.apply_announcement(warming(2, 3_000), 1_000);
+    let kept_ms = registry.changes_since(0).next().unwrap().warm_up_ms;
+    let cold_again = registry.apply_announcement(warming(3, 6_000), 2_000);
+
+    assert_eq!((shorter, kept_ms), (AnnounceOutcome::Unchanged, 3_000));
+    assert_eq!(cold_again, AnnounceOutcome::Changed(2));
+    let mut merged = MergedRegistry::default();
+    merged.apply(source(1), true, vec![warming(1, 4_000)], 0);
+    merged.apply(source(1), false, vec![warming(3, 6_000)], 2_000);
+    assert_eq!(merged.get("e1").unwrap().warm_up_until_ms, 8_000);
+}
+
+#[test]
+fn gateway_forgets_upstreams_that_are_gone_or_silent_for_long() {
+    for phase in [UpstreamPhase::Gone, UpstreamPhase::Silent, UpstreamPhase::Draining] {
+        let mut merged = MergedRegistry::default();
+        merged.apply(source(1), true, vec![record(5, 1, UpstreamPhase::Ready)], 0);
+        merged.apply(source(1), false, vec![record(5, 2, phase)], 1_000);
+
+        merged.expire(1_000);
+        merged.expire(120_000);
+        let kept = merged.get("e1").is_some();
+        merged.expire(121_000);
+
+        assert!(kept && merged.get("e1").is_none(), "{phase:?}");
+    }
+}
+
+/// A machine that is silent for a while keeps its work: the upstream is back with its
+/// next announcement.
+#[test]
+fn silent_upstream_is_kept_and_back_with_its_next_announcement() {
+    let mut merged = MergedRegistry::default();
+    merged.apply(source(1), true, vec![record(5, 1, UpstreamPhase::Silent)], 0);
+
+    (0..100).for_each(|second| merged.expire(second * 1_000));
+    let changes = merged.apply(source(1), false, vec![record(5, 2, UpstreamPhase::Ready)], 100_000);
+
+    assert!(changes.is_empty());
+    assert!(merged.get("e1").unwrap().accepts_requests());
+}
