--- a/components/balance/src/arbiter.rs
+++ b/components/balance/src/arbiter.rs
@@ -13,8 +13,13 @@
 
 use crate::backlog::GrantHistory;
 use crate::load::{Candidate, Loads, PlacementDemand, UpstreamLoad};
+use crate::pace::Paces;
 use crate::prefill::FirstEventTarget;
 
+/// Extra cost of an engine that takes twice the mean time for an event, where 1 is a
+/// fully loaded upstream.
+const PACE_COST: f64 = 1.0;
+
 /// Upstream on which a slot may be reserved.
 #[derive(Clone, Debug)]
 pub struct OwnedCandidate {
@@ -126,11 +131,17 @@
     waiting: Vec<(ReservationRequest, T)>,
     /// Recent grants by service.
     grants: HashMap<CompactString, GrantHistory>,
+    paces: Paces,
 }
 
 impl<T> Default for Arbiter<T> {
     fn default() -> Self {
-        Arbiter { entries: BTreeMap::new(), waiting: Vec::new(), grants: HashMap::new() }
+        Arbiter {
+            entries: BTreeMap::new(),
+            waiting: Vec::new(),
+            grants: HashMap::new(),
+            paces: Paces::default(),
+        }
     }
 }
 
@@ -148,6 +159,11 @@
         load.grants.retain(|grant| grant.number > placed_through);
     }
 
+    /// Records the pace of an engine's streams at one entry; see [`Paces::record`].
+    pub fn report_pace(&mut self, id: &str, events: u32, elapsed_ms: u32, now_ms: u64) {
+        self.paces.record(id, events, elapsed_ms, now_ms);
+    }
+
     /// Removes an entry that disconnected, with its reservations and waiting
     /// requests.
     pub fn remove_entry(&mut self, entry: &str) {
@@ -188,12 +204,19 @@
         }
         let mut loads = self.loads();
         let mut finished = Vec::new();
+        self.paces.expire(now_ms);
+        let mean_gap_ms = self.paces.mean_gap_ms();
         let mut ahead: HashMap<CompactString, usize> = HashMap::new();
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.retain(|(_, reply)| is_wanted(reply));
         waiting.sort_by_key(|(request, _)| request.order(now_ms));
         for (request, reply) in waiting {
-            let candidates = request.candidates.iter().map(OwnedCandidate::as_candidate);
+            let paces = &self.paces;
+            let candidates = request.candidates.iter().map(|candidate| {
+                let slowness = paces.relative(&candidate.id, mean_gap_ms) - 1.0;
+                let extra_cost = candidate.extra_cost + PACE_COST * slowness;
+                Candidate { extra_cost, ..candidate.as_candidate() }
+            });
             let demand = request.demand_at(now_ms);
             let granted = loads.choose(candidates, demand, rng).map(CompactString::from);
             match granted {
--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -11,6 +11,7 @@
 mod connections;
 mod health;
 mod load;
+mod pace;
 mod prefill;
 
 pub use arbiter::{Arbiter, OwnedCandidate, ReservationOutcome, ReservationRequest};
@@ -21,4 +22,5 @@
 pub use connections::max_idle_connections;
 pub use health::OutlierDetector;
 pub use load::{Candidate, Loads, PlacementDemand, UpstreamLoad, sample_size};
+pub use pace::Paces;
 pub use prefill::{FirstEventTarget, PrefillRate};
--- a/components/balance/src/load.rs
+++ b/components/balance/src/load.rs
@@ -41,6 +41,7 @@
             running: self.running,
             committed_tokens: self.committed_cache_tokens,
             unread_tokens: self.pending_prefill_tokens,
+            ..UpstreamUse::default()
         }
     }
 }
--- a/components/balance/tests/overload.rs
+++ b/components/balance/tests/overload.rs
@@ -252,3 +252,30 @@
     assert!(at_first > 10_000);
     assert_eq!(history.time_spent_ms("plans", 20_000), 0);
 }
+
+/// Engines of two generations of hardware: long answers go to the faster ones until
+/// these are as much fuller as they are faster.
+#[test]
+fn faster_engines_get_more_of_the_work() {
+    let mut arbiter = Arbiter::default();
+    for engine in engines(9) {
+        let is_slow = ["engine-0", "engine-1", "engine-2"].contains(&engine.id.as_str());
+        let gaps_ms = if is_slow { 40_000 } else { 30_000 };
+        arbiter.report_pace(&engine.id, 1_000, gaps_ms, 0);
+    }
+
+    for number in 0..36 {
+        let mut request = long_request(0, engines(9));
+        request.demand.prefill_tokens = 0;
+        arbiter.enqueue(request, number);
+    }
+    let outcomes = arbiter.grant_waiting(0, |_| true, &mut rand::rng());
+
+    let is_slow = |outcome: &ReservationOutcome| {
+        let slow = ["engine-0", "engine-1", "engine-2"];
+        matches!(outcome, ReservationOutcome::Granted(id) if slow.contains(&id.as_str()))
+    };
+    // An even share were twelve.
+    let on_slow = outcomes.iter().filter(|(_, outcome)| is_slow(outcome)).count();
+    assert!((3..=9).contains(&on_slow), "{on_slow}");
+}
--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -146,6 +146,9 @@
         };
         let loads = request.r#use.iter();
         let loads = loads.map(|load| (load.id.as_str().into(), UpstreamLoad::from_message(load)));
+        for load in &request.r#use {
+            self.arbiter.report_pace(&load.id, load.events, load.event_gaps_ms, now_ms);
+        }
         if !known {
             self.arbiter.remove_entry(&vm);
         }
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -1,14 +1,14 @@
 //! State synchronisation with the control processes.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use balance::UpstreamLoad;
 use routing::RouteTable;
-use schema::{EntryPhase, Request, RouteSet, SyncReply, SyncRequest, reply, request};
+use schema::{EntryPhase, Request, RouteSet, SyncReply, SyncRequest, UpstreamUse, reply, request};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until};
 use wire::{CallError, Endpoint, Link};
@@ -149,7 +149,12 @@
 
 fn sync_request(shared: &Shared, cursor: RegistryCursor, aggregates_load: bool) -> SyncRequest {
     let loads = shared.loads.borrow();
-    let own = loads.own().filter(|_| aggregates_load).map(|(id, load)| load.to_message(id));
+    let mut gaps = if aggregates_load { shared.take_event_gaps() } else { HashMap::new() };
+    let own = loads.own().filter(|_| aggregates_load).map(|(id, load)| {
+        let (events, sum) = gaps.remove(id).unwrap_or_default();
+        let event_gaps_ms = u32::try_from(sum.as_millis()).unwrap_or(u32::MAX);
+        UpstreamUse { events, event_gaps_ms, ..load.to_message(id) }
+    });
     let config = &shared.config;
     SyncRequest {
         vm: config.vm.to_string(),
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -232,7 +232,11 @@
         if std::mem::take(&mut self.resumed) {
             log::info!(request = self.call.head.id.as_str(), last_event_id = self.last_event_id, pause_ms = elapsed_ms(self.last_event_at); "stream resumed");
         }
-        self.longest_pause = self.longest_pause.max(self.last_event_at.elapsed());
+        let gap = self.last_event_at.elapsed();
+        self.longest_pause = self.longest_pause.max(gap);
+        if let Some(source) = &self.source {
+            self.shared.record_event_gap(&source.reservation.target.id, gap);
+        }
         self.last_event_at = Instant::now();
         self.probe_at = self.last_event_at + PROBE_AFTER;
     }
