--- a/components/gateway/src/moves.rs
+++ b/components/gateway/src/moves.rs
@@ -278,14 +278,25 @@
             }
         };
         if let Some(copy) = copy {
-            free(&shared, &call, &source, copy).await;
+            free(&shared, &call, &source, &copy.cache.handle).await;
         }
     });
 }
 
+/// Frees a copy that no generation resumed from, without waiting for the result.
+pub(crate) fn free_later(
+    shared: &Rc<Shared>,
+    call: &Rc<Call>,
+    source: &Target,
+    handle: CompactString,
+) {
+    let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
+    actix_rt::spawn(async move { free(&shared, &call, &source, &handle).await });
+}
+
 /// Frees a copy through the engine that it was copied from.
-async fn free(shared: &Shared, call: &Call, source: &Target, copy: CacheCopy) {
-    let request = shared.dialect.free_copy_request(&copy.cache.handle);
+async fn free(shared: &Shared, call: &Call, source: &Target, handle: &str) {
+    let request = shared.dialect.free_copy_request(handle);
     let until = Instant::now() + COPY_TIMEOUT;
     let response = send_command(shared, &call.span, source, request, until, MAX_RESPONSE_BYTES);
     if let Err(error) = response.await {
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -124,10 +124,10 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        let Some(source) = &self.source else { return };
-        let state = std::mem::take(&mut self.move_state);
-        moves::discard(&self.shared, &self.call, &source.reservation.target, state);
-        self.log_end("caller left");
+        if self.source.is_some() {
+            self.discard_move();
+            self.log_end("caller left");
+        }
     }
 }
 
@@ -184,6 +184,7 @@
                 }
                 Step::TimedOut => {
                     self.log_end("timed out");
+                    self.discard_move();
                     self.source = None;
                     return Some(Err(ResponseTruncated));
                 }
@@ -337,16 +338,20 @@
         matches!(&self.move_state, MoveState::Copied(_, plan) if plan.link_saturated)
     }
 
+    /// Ends the move in progress and frees its copy.
+    fn discard_move(&mut self) {
+        let state = std::mem::take(&mut self.move_state);
+        if let Some(source) = &self.source {
+            moves::discard(&self.shared, &self.call, &source.reservation.target, state);
+        }
+    }
+
     /// Returns the copy to resume from. After an interruption that may be the first
     /// copy; if the stream ended before its generation was stopped, that copy is
     /// freed.
     async fn take_copy(&mut self, interrupted: bool) -> Option<CacheCopy> {
-        if !interrupted
-            && let MoveState::Copied(..) = self.move_state
-            && let Some(source) = &self.source
-        {
-            let state = std::mem::take(&mut self.move_state);
-            moves::discard(&self.shared, &self.call, &source.reservation.target, state);
+        if !interrupted && matches!(self.move_state, MoveState::Copied(..)) {
+            self.discard_move();
             return None;
         }
         self.move_state.take_copy(interrupted).await
@@ -368,13 +373,27 @@
         Err(ResponseTruncated)
     }
 
-    /// Resumes the stream on the engine that holds the copy of its KV cache.
+    /// Resumes the stream on the engine that holds the copy of its KV cache; frees the
+    /// copy if that fails.
     async fn resume_from_copy(&mut self, copy: CacheCopy) -> Result<(), ResponseTruncated> {
-        let from = self.source.take().map(|source| source.reservation.target.id.clone());
+        let source = self.source.take().map(|source| source.reservation.target.clone());
         self.discard_unfinished_event();
-        log::info!(request = self.call.head.id.as_str(), from = from.as_deref().unwrap_or_default(), to = copy.reservation.target.id.as_str(), events = self.relayed; "generation moved");
-        self.shared.metrics.moves.with_label_values(&["moved"]).inc();
-        self.resume(copy.reservation, Some(copy.cache)).await
+        let CacheCopy { reservation, cache } = copy;
+        let from = source.as_ref().map_or("", |source| source.id.as_str());
+        log::info!(request = self.call.head.id.as_str(), from, to = reservation.target.id.as_str(), events = self.relayed; "moving generation");
+        let resumed = self.resume(reservation, Some(cache.clone())).await;
+        let outcome = if resumed.is_ok() { "moved" } else { "failed" };
+        self.shared.metrics.moves.with_label_values(&[outcome]).inc();
+        match (&resumed, source) {
+            (Ok(()), _) => {
+                log::info!(request = self.call.head.id.as_str(), events = self.relayed; "generation moved");
+            }
+            (Err(_), Some(source)) => {
+                moves::free_later(&self.shared, &self.call, &source, cache.handle);
+            }
+            (Err(_), None) => {}
+        }
+        resumed
     }
 
     /// Runs the request again on another engine, starting after the last event
