--- a/components/entry/src/http/mod.rs
+++ b/components/entry/src/http/mod.rs
@@ -14,6 +14,7 @@
 mod upstreams;
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use actix_web::body::MessageBody;
@@ -46,6 +47,7 @@
             .app_data(web::Data::new(EngineClient::new(connect_timeout)))
             .app_data(web::Data::new(PlainClient::new(connect_timeout)))
             .wrap(from_fn(add_missing_verdict))
+            .wrap(from_fn(withhold_after_kill))
             .route("/v1/chat/completions", web::post().to(chat::complete))
             .route("/v1/models", web::get().to(models::list))
             .route("/v1/entries", web::get().to(entries::list))
@@ -81,6 +83,20 @@
     Ok(response)
 }
 
+/// Withholds responses once the entry is killed. Parts of it stop one after another, so
+/// that requests fail for reasons that callers of a killed process never see.
+async fn withhold_after_kill(
+    request: ServiceRequest,
+    next: Next<impl MessageBody + 'static>,
+) -> Result<ServiceResponse<impl MessageBody>, actix_web::Error> {
+    let shared = request.app_data::<web::Data<Shared>>().cloned();
+    let response = next.call(request).await;
+    if shared.is_some_and(|shared| shared.killed.load(Ordering::SeqCst)) {
+        std::future::pending::<()>().await;
+    }
+    response
+}
+
 fn verdict_value(verdict: Verdict) -> HeaderValue {
     match verdict {
         Verdict::NotRun => HeaderValue::from_static("not-run"),
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use actix::{Actor as _, Addr};
@@ -71,6 +72,7 @@
             metrics: metrics.clone(),
             spans: spans.clone(),
             in_flight: Default::default(),
+            killed: Default::default(),
         };
         let (server, http_address) = http::serve(config.http_address, shared.clone())
             .map_err(listen_error(config.http_address))?;
@@ -121,8 +123,10 @@
         self.kill().await;
     }
 
-    /// Shuts down immediately and cuts off open requests.
+    /// Shuts down immediately and cuts off open requests: none of them is answered,
+    /// as if the process had been killed.
     pub async fn kill(&self) {
+        self.shared.killed.store(true, Ordering::SeqCst);
         self.http.stop(false).await;
         self.endpoint.close();
         self.membership.do_send(Stop);
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -1,7 +1,7 @@
 //! State shared by all parts of an entry.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use actix::Addr;
 use settings::EntryConfig;
@@ -24,6 +24,8 @@
     pub(crate) control: ControlClient,
     pub(crate) metrics: Metrics,
     pub(crate) spans: Spans,
+    /// Set by [`crate::Entry::kill`]: no response may be written any more.
+    pub(crate) killed: Arc<AtomicBool>,
     pub(crate) in_flight: InFlight,
 }
 
