--- a/components/balance/src/arbiter.rs
+++ b/components/balance/src/arbiter.rs
@@ -70,7 +70,7 @@
     /// Time at which this wait for capacity ends; the entry may ask again.
     pub deadline_ms: u64,
     /// Time at which the entry stops asking.
-    pub patience_until_ms: u64,
+    pub queue_until_ms: u64,
 }
 
 /// Result of a [`ReservationRequest`].
@@ -81,7 +81,7 @@
     /// No capacity became free by the deadline.
     TimedOut,
     /// No capacity is expected as long as the entry would ask.
-    Hopeless,
+    Shed,
 }
 
 impl ReservationRequest {
@@ -190,8 +190,8 @@
     /// first; then rank, due time and start of the wait decide.
     ///
     /// Returns the `reply` of each finished request with its outcome. A request that
-    /// has more requests of its service before it than are granted in its patience is
-    /// hopeless and finished at once. Requests for which `is_wanted` returns false are
+    /// has more requests of its service before it than are granted in its queue time is
+    /// shed: finished at once. Requests for which `is_wanted` returns false are
     /// dropped.
     pub fn grant_waiting(
         &mut self,
@@ -227,8 +227,8 @@
                 }
                 None => {
                     let ahead = ahead.entry(request.service.clone()).or_default();
-                    if self.is_hopeless(&request, *ahead, now_ms) {
-                        finished.push((reply, ReservationOutcome::Hopeless));
+                    if self.should_shed(&request, *ahead, now_ms) {
+                        finished.push((reply, ReservationOutcome::Shed));
                         continue;
                     }
                     *ahead += 1;
@@ -243,10 +243,10 @@
         finished
     }
 
-    fn is_hopeless(&mut self, request: &ReservationRequest, ahead: usize, now_ms: u64) -> bool {
-        let patience_ms = request.patience_until_ms.saturating_sub(now_ms);
+    fn should_shed(&mut self, request: &ReservationRequest, ahead: usize, now_ms: u64) -> bool {
+        let queue_timeout_ms = request.queue_until_ms.saturating_sub(now_ms);
         let history = self.grants.get_mut(&request.service);
-        history.is_some_and(|history| history.is_hopeless(ahead, patience_ms, now_ms))
+        history.is_some_and(|history| history.should_shed(ahead, queue_timeout_ms, now_ms))
     }
 
     fn grant(&mut self, request: &ReservationRequest, id: CompactString, now_ms: u64) {
--- a/components/balance/src/backlog.rs
+++ b/components/balance/src/backlog.rs
@@ -6,9 +6,9 @@
 const WINDOW_MS: u64 = 2_000;
 /// Grants in the window that make a rate; fewer say nothing about the next one.
 const MIN_GRANTS: usize = 10;
-/// A request is hopeless if its expected wait exceeds the rest of its patience by this
+/// A request is shed if its expected wait exceeds the rest of its queue time by this
 /// factor: capacity frees in irregular steps.
-const HOPELESS_FACTOR: f64 = 1.5;
+const SHED_FACTOR: f64 = 1.5;
 
 /// Recent grants of slots at the upstreams of one service.
 #[derive(Clone, Debug, Default)]
@@ -24,23 +24,23 @@
     }
 
     /// Returns whether a request behind `ahead` others will not be granted a slot
-    /// within `patience_ms`, as far as the recent rate tells.
+    /// within `queue_timeout_ms`, as far as the recent rate tells.
     ///
     /// ```
     /// let mut history = balance::GrantHistory::default();
     /// (0..20).for_each(|number| history.record(number * 100));
     /// // Ten grants a second: a request behind 30 others expects to wait for 3 s.
-    /// assert!(history.is_hopeless(30, 700, 2_000));
-    /// assert!(!history.is_hopeless(5, 700, 2_000));
-    /// assert!(!balance::GrantHistory::default().is_hopeless(30, 700, 2_000));
+    /// assert!(history.should_shed(30, 700, 2_000));
+    /// assert!(!history.should_shed(5, 700, 2_000));
+    /// assert!(!balance::GrantHistory::default().should_shed(30, 700, 2_000));
     /// ```
-    pub fn is_hopeless(&mut self, ahead: usize, patience_ms: u64, now_ms: u64) -> bool {
+    pub fn should_shed(&mut self, ahead: usize, queue_timeout_ms: u64, now_ms: u64) -> bool {
         self.expire(now_ms);
         if self.granted_ms.len() < MIN_GRANTS {
             return false;
         }
         let wait_ms = (ahead + 1) as f64 * WINDOW_MS as f64 / self.granted_ms.len() as f64;
-        wait_ms > patience_ms as f64 * HOPELESS_FACTOR
+        wait_ms > queue_timeout_ms as f64 * SHED_FACTOR
     }
 
     fn expire(&mut self, now_ms: u64) {
--- a/components/balance/tests/arbiter.rs
+++ b/components/balance/tests/arbiter.rs
@@ -27,7 +27,7 @@
         candidates: vec![candidate("e1"), candidate("e2")],
         waiting_since_ms: 0,
         deadline_ms: 500,
-        patience_until_ms: 500,
+        queue_until_ms: 500,
     }
 }
 
@@ -38,7 +38,7 @@
     let finished = arbiter.grant_waiting(now_ms, |_| true, &mut rand::rng());
     let granted = |outcome| match outcome {
         ReservationOutcome::Granted(id) => Some(String::from(id)),
-        ReservationOutcome::TimedOut | ReservationOutcome::Hopeless => None,
+        ReservationOutcome::TimedOut | ReservationOutcome::Shed => None,
     };
     finished.into_iter().map(|(reply, outcome)| (reply, granted(outcome))).collect()
 }
--- a/components/balance/tests/explore.rs
+++ b/components/balance/tests/explore.rs
@@ -92,7 +92,7 @@
         {
             let granted = match outcome {
                 ReservationOutcome::Granted(id) => Some(id),
-                ReservationOutcome::TimedOut | ReservationOutcome::Hopeless => None,
+                ReservationOutcome::TimedOut | ReservationOutcome::Shed => None,
             };
             entries[index].replies.push_back((number, tokens, granted));
         }
@@ -142,7 +142,7 @@
         candidates: ENGINES.map(candidate).to_vec(),
         waiting_since_ms: now_ms,
         deadline_ms: now_ms + 50,
-        patience_until_ms: now_ms + 50,
+        queue_until_ms: now_ms + 50,
     }
 }
 
--- a/components/balance/tests/overload.rs
+++ b/components/balance/tests/overload.rs
@@ -13,7 +13,7 @@
 const LONG_TARGET_MS: u64 = 1_800;
 const SHORT_TARGET_MS: u64 = 1_500;
 /// How long requests of these tests wait for a slot.
-const PATIENCE_MS: u64 = 700;
+const QUEUE_TIMEOUT_MS: u64 = 700;
 
 fn engines(count: usize) -> Vec<OwnedCandidate> {
     let engine = |index| OwnedCandidate {
@@ -48,8 +48,8 @@
         target: Some(FirstEventTarget { due_ms, tokens_per_ms: TOKENS_PER_MS }),
         candidates,
         waiting_since_ms: now_ms,
-        deadline_ms: now_ms + PATIENCE_MS,
-        patience_until_ms: now_ms + PATIENCE_MS,
+        deadline_ms: now_ms + QUEUE_TIMEOUT_MS,
+        queue_until_ms: now_ms + QUEUE_TIMEOUT_MS,
     }
 }
 
@@ -136,7 +136,7 @@
     }
 
     let (granted, refused_at_once) = grant_round(&mut arbiter, 0);
-    let (_, refused) = grant_round(&mut arbiter, PATIENCE_MS);
+    let (_, refused) = grant_round(&mut arbiter, QUEUE_TIMEOUT_MS);
 
     // 32 grants in two seconds: 16 expect a slot within one and a half times 700 ms.
     assert_eq!((granted.len(), refused_at_once.len()), (8 * 4, 200 - 8 * 4 - 16));
@@ -144,7 +144,7 @@
 }
 
 /// Engines are full, and free capacity for ten requests a second: who comes behind
-/// more than are served within the patience is told at once.
+/// more than are served within its queue time is told at once.
 #[test]
 fn request_behind_a_long_queue_is_rejected_at_once() {
     let mut arbiter = Arbiter::default();
@@ -166,7 +166,7 @@
     }
     let (granted, rejected) = grant_round(&mut arbiter, 2_000);
 
-    // 700 ms of patience, half as much again: the eleventh may still hope.
+    // 700 ms to queue, half as much again: ten may wait.
     assert_eq!((granted.len(), rejected), (0, (10..20).collect::<Vec<_>>()));
 }
 
--- a/components/control/src/replica/places.rs
+++ b/components/control/src/replica/places.rs
@@ -59,9 +59,9 @@
 
 fn to_place_reply(outcome: ReservationOutcome) -> PlaceReply {
     match outcome {
-        ReservationOutcome::Granted(id) => PlaceReply { id: id.into(), hopeless: false },
+        ReservationOutcome::Granted(id) => PlaceReply { id: id.into(), shed: false },
         ReservationOutcome::TimedOut => PlaceReply::default(),
-        ReservationOutcome::Hopeless => PlaceReply { hopeless: true, ..PlaceReply::default() },
+        ReservationOutcome::Shed => PlaceReply { shed: true, ..PlaceReply::default() },
     }
 }
 
@@ -93,6 +93,6 @@
         candidates: candidates.collect(),
         waiting_since_ms: now_ms.saturating_sub(request.waited_ms),
         deadline_ms: now_ms + u64::from(request.wait_ms.min(MAX_CAPACITY_WAIT_MS)),
-        patience_until_ms: now_ms + request.patience_ms,
+        queue_until_ms: now_ms + request.queue_timeout_ms,
     }
 }
--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -14,8 +14,6 @@
     pub prompt_tokens: u64,
     /// Maximum number of output tokens.
     pub max_output_tokens: u64,
-    /// Output tokens as estimated by the caller; often inaccurate.
-    pub expected_output_tokens: Option<u64>,
 }
 
 /// Fields of a caller's request head that the gateway uses.
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -127,7 +127,7 @@
 fn refuse_unplaced(call: &Call, reason: ReserveError) -> Refusal {
     match reason {
         ReserveError::NoUpstream => Refusal::unavailable("no upstream", RETRY_AFTER_NO_UPSTREAM),
-        ReserveError::Full | ReserveError::Hopeless => {
+        ReserveError::Full | ReserveError::Shed => {
             Refusal::unavailable("upstreams full", call.retry_after_full())
         }
     }
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -35,7 +35,7 @@
 const MOVE_RANKS: (u32, u32) = (0, 0);
 /// Time for which a moved generation asks for capacity: its copy is repeated until
 /// its engine is gone.
-const MOVE_PATIENCE: Duration = Duration::from_secs(2);
+const MOVE_QUEUE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Extra cost of an upstream that is still warming up, as a share of the cost
 /// of a fully loaded one.
 const WARM_UP_COST: f64 = 0.3;
@@ -173,7 +173,7 @@
     /// All upstreams are at capacity.
     Full,
     /// The upstreams will not have capacity in time, or never enough for this request.
-    Hopeless,
+    Shed,
 }
 
 /// Parameters of the selection for one request.
@@ -191,7 +191,7 @@
     /// When the first event is due; `None` for generations that already run.
     first_event_due: Option<Instant>,
     /// Until when capacity is asked for.
-    patient_until: Instant,
+    queue_until: Instant,
     span: &'a Span,
 }
 
@@ -226,18 +226,18 @@
         cache_tokens: requirements.cache_tokens(0),
         prefill_tokens: requirements.cache.prompt_tokens,
         first_event_due: requirements.engine.is_some().then_some(call.first_event_due),
-        patient_until: until,
+        queue_until: until,
         span: &span,
     };
     if requirements.exceeds_engine() {
-        return Err(ReserveError::Hopeless);
+        return Err(ReserveError::Shed);
     }
     let since = Instant::now();
     loop {
         let wait = until.saturating_duration_since(Instant::now()).min(ARBITER_MAX_WAIT);
         match try_reserve(shared, requirements, excluded, &params, since, wait).await {
             Ok(reservation) => return Ok(reservation),
-            Err(ReserveError::Hopeless) => return Err(ReserveError::Hopeless),
+            Err(ReserveError::Shed) => return Err(ReserveError::Shed),
             Err(reason) if Instant::now() >= until => return Err(reason),
             // The request has already queued at the arbiter: retry without delay.
             Err(ReserveError::Full)
@@ -272,7 +272,7 @@
         cache_tokens: requirements.cache_tokens(events),
         prefill_tokens: 0,
         first_event_due: None,
-        patient_until: Instant::now() + MOVE_PATIENCE,
+        queue_until: Instant::now() + MOVE_QUEUE_TIMEOUT,
         span: &span,
     };
     try_reserve(shared, requirements, excluded, &params, Instant::now(), Duration::ZERO).await
@@ -308,8 +308,8 @@
         let body = request::Body::Place(place);
         let request = Request { traceparent: params.span.traceparent(), body: Some(body) };
         match arbiter.call(request, wait + ARBITER_REPLY_TIMEOUT).await {
-            Ok(reply::Body::Place(place)) if place.hopeless => {
-                return Err(ReserveError::Hopeless);
+            Ok(reply::Body::Place(place)) if place.shed => {
+                return Err(ReserveError::Shed);
             }
             Ok(reply::Body::Place(place)) if place.id.is_empty() => {
                 return Err(ReserveError::Full);
@@ -407,7 +407,7 @@
         extra_cost: upstream.extra_cost,
     });
     let target = params.target(shared);
-    let patience = params.patient_until.saturating_duration_since(Instant::now());
+    let queue_timeout = params.queue_until.saturating_duration_since(Instant::now());
     PlaceRequest {
         first_event_due_ms: target.map_or(0, |target| target.due_ms),
         prefill_tokens_per_ms: target.map_or(0.0, |target| target.tokens_per_ms),
@@ -422,7 +422,7 @@
         candidates: candidates.collect(),
         waited_ms: elapsed_ms(since),
         service: service.to_string(),
-        patience_ms: u64::try_from(patience.as_millis()).unwrap_or(u64::MAX),
+        queue_timeout_ms: u64::try_from(queue_timeout.as_millis()).unwrap_or(u64::MAX),
     }
 }
 
