--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -18,7 +18,7 @@
 use crate::answer::{Refusal, strip_hop_by_hop};
 use crate::dialect::{ForwardContext, RequestHead, Resume};
 use crate::exchange::Target;
-use crate::place::Requirements;
+use crate::reservation::Requirements;
 use crate::shared::{BufferReservation, Shared};
 
 /// W3C trace context of the caller, which is forwarded unchanged.
--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -1,6 +1,10 @@
-//! Splits a stream into server-sent events without changing its bytes.
+//! Splits a stream into server-sent events without changing its bytes, and follows
+//! its progress.
+
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use tokio::time::Instant;
 
 /// Splits received bytes into events; buffers those of an incomplete event.
 #[derive(Debug, Default)]
@@ -50,8 +54,62 @@
     }
 }
 
+/// What an event means for the progress of its stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum EventKind {
+    /// The next event, this long after the one before it.
+    New(Duration),
+    /// A comment or a blank event.
+    WithoutData,
+    /// The caller already has the event.
+    Repeated,
+}
+
+/// Progress of a stream, over all engines that it comes from.
+#[derive(Debug)]
+pub(crate) struct StreamProgress {
+    pub(crate) last_event_id: Option<u64>,
+    /// New events so far.
+    pub(crate) relayed: u64,
+    /// Bytes of comments, blank and repeated events since the last new event.
+    pub(crate) bytes_without_event: usize,
+    pub(crate) last_event_at: Instant,
+    pub(crate) longest_pause: Duration,
+}
+
+impl StreamProgress {
+    pub(crate) fn new(last_event_id: Option<u64>) -> Self {
+        StreamProgress {
+            last_event_id,
+            relayed: 0,
+            bytes_without_event: 0,
+            last_event_at: Instant::now(),
+            longest_pause: Duration::ZERO,
+        }
+    }
+
+    /// Records an event with its id, if it has one.
+    pub(crate) fn accept(&mut self, id: Option<u64>, event: &[u8]) -> EventKind {
+        if id.is_some() && id <= self.last_event_id {
+            self.bytes_without_event += event.len();
+            return EventKind::Repeated;
+        }
+        if id.is_none() && !has_data(event) {
+            self.bytes_without_event += event.len();
+            return EventKind::WithoutData;
+        }
+        let gap = self.last_event_at.elapsed();
+        self.last_event_id = id.or(self.last_event_id);
+        self.relayed += 1;
+        self.bytes_without_event = 0;
+        self.longest_pause = self.longest_pause.max(gap);
+        self.last_event_at = Instant::now();
+        EventKind::New(gap)
+    }
+}
+
 /// Returns whether an event has data; comments and blank events have none.
-pub(crate) fn has_data(event: &[u8]) -> bool {
+fn has_data(event: &[u8]) -> bool {
     event.split(|byte| *byte == b'\n').any(|line| line.starts_with(b"data"))
 }
 
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -16,8 +16,9 @@
 use crate::answer::{Body, Refusal, full_body, strip_hop_by_hop};
 use crate::dialect::{ResponseHead, Resume};
 use crate::exchange::{ExchangeError, Target, UpstreamResponse, exchange};
-use crate::place::{Excluded, Reservation, ReserveError, wait_for_slot};
+use crate::place::{Excluded, ReserveError, wait_for_slot};
 use crate::relay;
+use crate::reservation::Reservation;
 use crate::shared::{InFlightGuard, Shared};
 
 /// Share of a route's target latency for which a request may queue for a slot,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod pool;
 mod process;
 mod relay;
+mod reservation;
 mod server;
 mod shared;
 mod status;
--- a/components/gateway/src/moves.rs
+++ b/components/gateway/src/moves.rs
@@ -17,7 +17,8 @@
 use crate::accept::Call;
 use crate::dialect::{KvCacheRef, MoveCommand, MoveResult};
 use crate::exchange::{Target, send_command};
-use crate::place::{Excluded, Reservation, reserve_for_move};
+use crate::place::{Excluded, reserve_for_move};
+use crate::reservation::Reservation;
 use crate::shared::Shared;
 
 /// Largest response to a move or free command.
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -7,20 +7,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use balance::{CacheDemand, FirstEventTarget, OwnedCandidate, PlacementDemand, sample_size};
+use balance::{FirstEventTarget, OwnedCandidate, PlacementDemand, sample_size};
 use compact_str::CompactString;
-use schema::{
-    EngineCapacity, PlaceCandidate, PlaceRequest, Request, UpstreamPhase, reply, request,
-};
+use schema::{PlaceCandidate, PlaceRequest, Request, UpstreamPhase, reply, request};
 use smallvec::SmallVec;
 use telemetry::Span;
 use tokio::time::{Instant, sleep};
 use wire::CallError;
 
 use crate::accept::Call;
-use crate::dialect::TokenCounts;
 use crate::exchange::Target;
 use crate::forward::elapsed_ms;
+use crate::reservation::{Requirements, Reservation};
 use crate::shared::Shared;
 
 /// Interval at which a queued request checks for free capacity without the
@@ -39,9 +37,7 @@
 /// Extra cost of an upstream that is still warming up, as a share of the cost
 /// of a fully loaded one.
 const WARM_UP_COST: f64 = 0.3;
-/// Share of an engine's slots and KV cache that new requests may commit. The KV
-/// cache is counted at the expected final length of the generations, which are at
-/// different stages, so part of the committed cache is still free.
+/// Share of an engine's slots and KV cache that new requests may commit.
 const ENGINE_LOAD_LIMIT: f64 = 1.0;
 /// Share of an engine's slots and KV cache that moved generations may commit:
 /// they cannot wait.
@@ -73,98 +69,6 @@
 /// Upstreams that are not to be selected, such as those already tried.
 pub(crate) type Excluded = SmallVec<[CompactString; 4]>;
 
-/// Service and capacity that a request requires of an upstream.
-#[derive(Clone, Debug)]
-pub(crate) struct Requirements {
-    pub(crate) service: CompactString,
-    pub(crate) engine: Option<EngineCapacity>,
-    pub(crate) cache: CacheDemand,
-}
-
-impl Requirements {
-    pub(crate) fn new(
-        service: &str,
-        engine: Option<EngineCapacity>,
-        token_counts: Option<TokenCounts>,
-    ) -> Self {
-        let token_counts = token_counts.filter(|_| engine.is_some()).unwrap_or_default();
-        Requirements {
-            service: service.into(),
-            engine,
-            cache: CacheDemand {
-                prompt_tokens: token_counts.prompt_tokens,
-                max_output_tokens: token_counts.max_output_tokens,
-            },
-        }
-    }
-
-    /// Returns whether the prompt does not fit into the KV cache of an engine.
-    fn exceeds_engine(&self) -> bool {
-        let engine = self.engine.as_ref();
-        engine.is_some_and(|engine| self.cache.prompt_tokens >= engine.cache_tokens)
-    }
-
-    /// Returns the output tokens in `events` events of a stream, at most.
-    fn output_tokens(&self, events: u64) -> u64 {
-        let per_event = self.engine.as_ref().map_or(0, |engine| engine.tokens_per_event.max(1));
-        events * u64::from(per_event)
-    }
-
-    /// Returns the KV cache tokens to commit for a generation that has produced
-    /// `events` events.
-    fn cache_tokens(&self, events: u64) -> u64 {
-        self.cache.committed_tokens(self.output_tokens(events))
-    }
-}
-
-/// Slot reserved at an upstream; its load is counted until this is dropped.
-#[derive(Debug)]
-pub(crate) struct Reservation {
-    shared: Rc<Shared>,
-    pub(crate) target: Target,
-    cache_tokens: u64,
-    prefill_tokens: u64,
-    /// Prompt tokens that awaited prefill at the upstream, with its own.
-    prefill_backlog_tokens: u64,
-    reserved_at: Instant,
-}
-
-impl Reservation {
-    /// Records the first event of the generation, whose prefill is complete.
-    pub(crate) fn record_first_event(&mut self) {
-        if self.prefill_tokens > 0 {
-            let mut rate = self.shared.prefill_rate.get();
-            rate.record(self.prefill_backlog_tokens, elapsed_ms(self.reserved_at));
-            self.shared.prefill_rate.set(rate);
-        }
-        self.release_prefill();
-    }
-
-    /// Commits the KV cache of a generation that has produced `events` events.
-    pub(crate) fn record_progress(&mut self, requirements: &Requirements, events: u64) {
-        let cache_tokens = requirements.cache_tokens(events).max(self.cache_tokens);
-        let added = cache_tokens - self.cache_tokens;
-        self.shared.loads.borrow_mut().grow_request(&self.target.id, added);
-        self.cache_tokens = cache_tokens;
-    }
-
-    pub(crate) fn cache_tokens(&self) -> u64 {
-        self.cache_tokens
-    }
-
-    fn release_prefill(&mut self) {
-        let prefill_tokens = std::mem::take(&mut self.prefill_tokens);
-        self.shared.loads.borrow_mut().finish_prefill(&self.target.id, prefill_tokens);
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        self.release_prefill();
-        self.shared.loads.borrow_mut().end_request(&self.target.id, self.cache_tokens);
-    }
-}
-
 /// Why no slot can be reserved for a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ReserveError {
@@ -442,18 +346,7 @@
         address: upstream.address,
         born_ms: upstream.record.born_ms,
     };
-    let prefill_tokens = params.prefill_tokens;
-    let cache_tokens = params.cache_tokens;
-    shared.loads.borrow_mut().start_request(id, cache_tokens, prefill_tokens);
-    let load = shared.loads.borrow().total(id);
-    Some(Reservation {
-        shared: shared.clone(),
-        target,
-        cache_tokens,
-        prefill_tokens,
-        prefill_backlog_tokens: load.pending_prefill_tokens,
-        reserved_at: Instant::now(),
-    })
+    Some(Reservation::new(shared, target, params.cache_tokens, params.prefill_tokens))
 }
 
 /// Returns whether this incarnation is known to be draining or gone.
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -17,12 +17,13 @@
 use crate::accept::Call;
 use crate::answer::{Body, ResponseTruncated, strip_hop_by_hop};
 use crate::dialect::{KvCacheRef, Resume};
-use crate::events::{EventSplitter, has_data};
+use crate::events::{EventKind, EventSplitter, StreamProgress};
 use crate::exchange::{UpstreamResponse, exchange};
 use crate::forward::{elapsed_ms, record_failure, record_unreachable};
 use crate::moves::{self, CacheCopy, MoveEvent, MoveState, StopResult};
-use crate::place::{Excluded, Reservation, is_draining_or_gone, wait_for_slot};
+use crate::place::{Excluded, is_draining_or_gone, wait_for_slot};
 use crate::pool::Connection;
+use crate::reservation::Reservation;
 use crate::shared::{InFlightGuard, Shared};
 
 /// Time without an event after which the engine is probed for reachability:
@@ -34,7 +35,7 @@
 
 /// Bytes that an engine may send without a new event, in an incomplete event,
 /// comments, blank or repeated events, before its stream counts as lost.
-const MAX_BYTES_WITHOUT_PROGRESS: usize = 256 << 10;
+const MAX_BYTES_WITHOUT_EVENT: usize = 256 << 10;
 
 /// Engine that the stream currently comes from.
 #[derive(Debug)]
@@ -49,12 +50,7 @@
     call: Rc<Call>,
     source: Option<Source>,
     events: EventSplitter,
-    last_event_id: Option<u64>,
-    relayed: u64,
-    /// Bytes of comments, blank and repeated events since the last new event.
-    bytes_without_progress: usize,
-    last_event_at: Instant,
-    longest_pause: Duration,
+    progress: StreamProgress,
     /// When the engine of a stalled stream is probed next.
     probe_at: Instant,
     /// The stream was resumed on another engine, whose first event is pending.
@@ -102,11 +98,7 @@
         call: call.clone(),
         source: Some(Source { body, connection, reservation }),
         events: EventSplitter::default(),
-        last_event_id: call.head.last_event_id,
-        relayed: 0,
-        bytes_without_progress: 0,
-        last_event_at: Instant::now(),
-        longest_pause: Duration::ZERO,
+        progress: StreamProgress::new(call.head.last_event_id),
         probe_at: Instant::now() + PROBE_AFTER,
         resumed: false,
         runs: 1,
@@ -210,42 +202,30 @@
 
     /// Returns the event unless the caller already has it.
     fn accept_event(&mut self, event: Bytes) -> Option<Bytes> {
-        let id = self.shared.dialect.event_id(&event);
-        if id.is_some() && id <= self.last_event_id {
-            self.bytes_without_progress += event.len();
-            return None;
-        }
-        if id.is_none() && !has_data(&event) {
-            self.bytes_without_progress += event.len();
-            return Some(event);
+        match self.progress.accept(self.shared.dialect.event_id(&event), &event) {
+            EventKind::New(gap) => self.record_event(gap),
+            EventKind::WithoutData => {}
+            EventKind::Repeated => return None,
         }
-        self.last_event_id = id.or(self.last_event_id);
-        self.record_progress();
         Some(event)
     }
 
-    fn record_progress(&mut self) {
-        self.bytes_without_progress = 0;
-        self.relayed += 1;
-        if let Some(source) = &mut self.source {
-            source.reservation.record_progress(&self.call.requirements, self.relayed);
-        }
+    /// Records a new event, `gap` after the one before it.
+    fn record_event(&mut self, gap: Duration) {
         if std::mem::take(&mut self.resumed) {
-            log::info!(request = self.call.head.id.as_str(), last_event_id = self.last_event_id, pause_ms = elapsed_ms(self.last_event_at); "stream resumed");
+            log::info!(request = self.call.head.id.as_str(), last_event_id = self.progress.last_event_id, pause_ms = gap.as_millis(); "stream resumed");
         }
-        let gap = self.last_event_at.elapsed();
-        self.longest_pause = self.longest_pause.max(gap);
-        if let Some(source) = &self.source {
+        if let Some(source) = &mut self.source {
+            source.reservation.record_progress(&self.call.requirements, self.progress.relayed);
             self.shared.record_event_gap(&source.reservation.target.id, gap);
         }
-        self.last_event_at = Instant::now();
-        self.probe_at = self.last_event_at + PROBE_AFTER;
+        self.probe_at = Instant::now() + PROBE_AFTER;
     }
 
     /// Returns whether the engine has sent too much since its last new event.
     fn is_flooded(&self) -> bool {
-        let pending = self.bytes_without_progress + self.events.buffered_bytes();
-        pending > MAX_BYTES_WITHOUT_PROGRESS
+        let pending = self.progress.bytes_without_event + self.events.buffered_bytes();
+        pending > MAX_BYTES_WITHOUT_EVENT
     }
 
     /// Counts a failure of the engine, unless it is known to leave.
@@ -267,7 +247,7 @@
     async fn is_reachable(&self) -> bool {
         let Some(source) = &self.source else { return false };
         let target = &source.reservation.target;
-        let since_event_ms = elapsed_ms(self.last_event_at);
+        let since_event_ms = elapsed_ms(self.progress.last_event_at);
         match Connection::open(target.address, PROBE_TIMEOUT).await {
             Ok(connection) => {
                 self.shared.return_connection(target, connection);
@@ -293,7 +273,7 @@
     /// Drops what the last engine sent without a complete event.
     fn discard_unfinished_event(&mut self) {
         self.events.take_remainder();
-        self.bytes_without_progress = 0;
+        self.progress.bytes_without_event = 0;
     }
 
     fn start_move(&mut self) {
@@ -306,8 +286,9 @@
         if !idle || !movable || !is_draining_or_gone(&self.shared, target) {
             return;
         }
-        log::info!(request = self.call.head.id.as_str(), upstream = target.id.as_str(), events = self.relayed; "engine is draining; copying the generation to another engine");
-        self.move_state = moves::start_copy(&self.shared, &self.call, target, self.relayed);
+        log::info!(request = self.call.head.id.as_str(), upstream = target.id.as_str(), events = self.progress.relayed; "engine is draining; copying the generation to another engine");
+        self.move_state =
+            moves::start_copy(&self.shared, &self.call, target, self.progress.relayed);
     }
 
     fn advance_move(&mut self, event: MoveEvent) {
@@ -319,7 +300,7 @@
                 MoveState::Copied(copy, plan)
             }
             (MoveState::Copied(copy, _), MoveEvent::StopDue) => {
-                log::info!(request = self.call.head.id.as_str(), from = target.id.as_str(), to = copy.reservation.target.id.as_str(), since_event_ms = elapsed_ms(self.last_event_at); "stopping the generation on its source engine");
+                log::info!(request = self.call.head.id.as_str(), from = target.id.as_str(), to = copy.reservation.target.id.as_str(), since_event_ms = elapsed_ms(self.progress.last_event_at); "stopping the generation on its source engine");
                 moves::start_stop(&self.shared, &self.call, target, copy)
             }
             (MoveState::Stopping(mut copy, _), MoveEvent::Stopped(StopResult::Copied(handle))) => {
@@ -328,7 +309,7 @@
             }
             // The generation may still run or be queued at the source: copy it again.
             (MoveState::Stopping(..), MoveEvent::Stopped(_)) => {
-                moves::start_copy(&self.shared, &self.call, target, self.relayed)
+                moves::start_copy(&self.shared, &self.call, target, self.progress.relayed)
             }
             (_, _) => MoveState::Idle,
         };
@@ -380,13 +361,13 @@
         self.discard_unfinished_event();
         let CacheCopy { reservation, cache } = copy;
         let from = source.as_ref().map_or("", |source| source.id.as_str());
-        log::info!(request = self.call.head.id.as_str(), from, to = reservation.target.id.as_str(), events = self.relayed; "moving generation");
+        log::info!(request = self.call.head.id.as_str(), from, to = reservation.target.id.as_str(), events = self.progress.relayed; "moving generation");
         let resumed = self.resume(reservation, Some(cache.clone())).await;
         let outcome = if resumed.is_ok() { "moved" } else { "failed" };
         self.shared.metrics.moves.with_label_values(&[outcome]).inc();
         match (&resumed, source) {
             (Ok(()), _) => {
-                log::info!(request = self.call.head.id.as_str(), events = self.relayed; "generation moved");
+                log::info!(request = self.call.head.id.as_str(), events = self.progress.relayed; "generation moved");
             }
             (Err(_), Some(source)) => {
                 moves::free_later(&self.shared, &self.call, &source, cache.handle);
@@ -416,7 +397,7 @@
         mut reservation: Reservation,
         kv_cache: Option<KvCacheRef>,
     ) -> Result<(), ResponseTruncated> {
-        let resume = Resume { last_event_id: self.last_event_id, kv_cache };
+        let resume = Resume { last_event_id: self.progress.last_event_id, kv_cache };
         let target = &reservation.target;
         let request = self.call.to_request(&self.shared, target, Some(&resume));
         let response =
@@ -435,7 +416,7 @@
         }
         self.resumed = true;
         reservation.record_first_event();
-        reservation.record_progress(&self.call.requirements, self.relayed);
+        reservation.record_progress(&self.call.requirements, self.progress.relayed);
         let UpstreamResponse { body, connection, .. } = response;
         self.source = Some(Source { body, connection, reservation });
         self.start_move();
@@ -445,6 +426,6 @@
     fn log_end(&self, outcome: &str) {
         let source = self.source.as_ref();
         let upstream = source.map_or("", |source| source.reservation.target.id.as_str());
-        log::info!(request = self.call.head.id.as_str(), upstream, outcome, events = self.relayed, longest_pause_ms = self.longest_pause.as_millis(), ran_ms = elapsed_ms(self.call.arrived); "stream ended");
+        log::info!(request = self.call.head.id.as_str(), upstream, outcome, events = self.progress.relayed, longest_pause_ms = self.progress.longest_pause.as_millis(), ran_ms = elapsed_ms(self.call.arrived); "stream ended");
     }
 }
--- /dev/null
+++ b/components/gateway/src/reservation.rs
@@ -0,0 +1,125 @@
+//! Capacity that a request requires, and the slot that is reserved for it.
+
+use std::rc::Rc;
+
+use balance::CacheDemand;
+use compact_str::CompactString;
+use schema::EngineCapacity;
+use tokio::time::Instant;
+
+use crate::dialect::TokenCounts;
+use crate::exchange::Target;
+use crate::forward::elapsed_ms;
+use crate::shared::Shared;
+
+/// Service and capacity that a request requires of an upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Requirements {
+    pub(crate) service: CompactString,
+    pub(crate) engine: Option<EngineCapacity>,
+    pub(crate) cache: CacheDemand,
+}
+
+impl Requirements {
+    pub(crate) fn new(
+        service: &str,
+        engine: Option<EngineCapacity>,
+        token_counts: Option<TokenCounts>,
+    ) -> Self {
+        let token_counts = token_counts.filter(|_| engine.is_some()).unwrap_or_default();
+        Requirements {
+            service: service.into(),
+            engine,
+            cache: CacheDemand {
+                prompt_tokens: token_counts.prompt_tokens,
+                max_output_tokens: token_counts.max_output_tokens,
+            },
+        }
+    }
+
+    /// Returns whether the prompt does not fit into the KV cache of an engine.
+    pub(crate) fn exceeds_engine(&self) -> bool {
+        let engine = self.engine.as_ref();
+        engine.is_some_and(|engine| self.cache.prompt_tokens >= engine.cache_tokens)
+    }
+
+    /// Returns the output tokens in `events` events of a stream, at most.
+    fn output_tokens(&self, events: u64) -> u64 {
+        let per_event = self.engine.as_ref().map_or(0, |engine| engine.tokens_per_event.max(1));
+        events * u64::from(per_event)
+    }
+
+    /// Returns the KV cache tokens to commit for a generation that has produced
+    /// `events` events.
+    pub(crate) fn cache_tokens(&self, events: u64) -> u64 {
+        self.cache.committed_tokens(self.output_tokens(events))
+    }
+}
+
+/// Slot reserved at an upstream; its load is counted until this is dropped.
+#[derive(Debug)]
+pub(crate) struct Reservation {
+    shared: Rc<Shared>,
+    pub(crate) target: Target,
+    cache_tokens: u64,
+    prefill_tokens: u64,
+    /// Prompt tokens that awaited prefill at the upstream, with its own.
+    prefill_backlog_tokens: u64,
+    reserved_at: Instant,
+}
+
+impl Reservation {
+    /// Counts the load of a request at the upstream.
+    pub(crate) fn new(
+        shared: &Rc<Shared>,
+        target: Target,
+        cache_tokens: u64,
+        prefill_tokens: u64,
+    ) -> Self {
+        let mut loads = shared.loads.borrow_mut();
+        loads.start_request(&target.id, cache_tokens, prefill_tokens);
+        Reservation {
+            prefill_backlog_tokens: loads.total(&target.id).pending_prefill_tokens,
+            shared: shared.clone(),
+            target,
+            cache_tokens,
+            prefill_tokens,
+            reserved_at: Instant::now(),
+        }
+    }
+
+    /// Records the first event of the generation, whose prefill is complete.
+    pub(crate) fn record_first_event(&mut self) {
+        if self.prefill_tokens > 0 {
+            let mut rate = self.shared.prefill_rate.get();
+            rate.record(self.prefill_backlog_tokens, elapsed_ms(self.reserved_at));
+            self.shared.prefill_rate.set(rate);
+        }
+        self.release_prefill();
+    }
+
+    /// Commits the KV cache of a generation that has produced `events` events.
+    pub(crate) fn record_progress(&mut self, requirements: &Requirements, events: u64) {
+        let cache_tokens = requirements.cache_tokens(events).max(self.cache_tokens);
+        let added = cache_tokens - self.cache_tokens;
+        self.shared.loads.borrow_mut().grow_request(&self.target.id, added);
+        self.cache_tokens = cache_tokens;
+    }
+
+    /// Returns the KV cache tokens that are committed at present.
+    pub(crate) fn cache_tokens(&self) -> u64 {
+        self.cache_tokens
+    }
+
+    fn release_prefill(&mut self) {
+        let prefill_tokens = std::mem::take(&mut self.prefill_tokens);
+        self.shared.loads.borrow_mut().finish_prefill(&self.target.id, prefill_tokens);
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.release_prefill();
+        self.shared.loads.borrow_mut().end_request(&self.target.id, self.cache_tokens);
+    }
+}
