--- a/components/balance/src/cache.rs
+++ b/components/balance/src/cache.rs
@@ -29,7 +29,7 @@
     /// assert_eq!(demand.committed_tokens(990), 4_000);
     /// ```
     pub fn committed_tokens(&self, output_tokens: u64) -> u64 {
-        let output = (output_tokens + GROWTH_RESERVE_TOKENS).min(self.max_output_tokens);
-        self.prompt_tokens + output
+        let grown = output_tokens.saturating_add(GROWTH_RESERVE_TOKENS);
+        self.prompt_tokens.saturating_add(grown.min(self.max_output_tokens))
     }
 }
--- a/components/balance/tests/overload.rs
+++ b/components/balance/tests/overload.rs
@@ -242,15 +242,15 @@
 #[test]
 fn shorter_deadlines_of_all_callers_are_learned() {
     let mut history = DeadlineHistory::default();
-    history.time_spent_ms("plans", 40_000);
+    history.time_spent_ms("plans", 40_000, 40_000);
 
-    let at_first = history.time_spent_ms("plans", 20_000);
+    let at_first = history.time_spent_ms("plans", 40_000, 20_000);
     (0..300).for_each(|_| {
-        history.time_spent_ms("plans", 20_000);
+        history.time_spent_ms("plans", 40_000, 20_000);
     });
 
     assert!(at_first > 10_000);
-    assert_eq!(history.time_spent_ms("plans", 20_000), 0);
+    assert_eq!(history.time_spent_ms("plans", 40_000, 20_000), 0);
 }
 
 /// Engines of two generations of hardware: long answers go to the faster ones until
@@ -279,3 +279,13 @@
     let on_slow = outcomes.iter().filter(|(_, outcome)| is_slow(outcome)).count();
     assert!((3..=9).contains(&on_slow), "{on_slow}");
 }
+
+/// One caller states an absurd deadline: those who come after it are not late.
+#[test]
+fn absurd_deadline_of_one_caller_makes_no_other_late() {
+    let mut history = DeadlineHistory::default();
+
+    history.time_spent_ms("plans", 40_000, u64::MAX);
+
+    assert_eq!(history.time_spent_ms("plans", 40_000, 36_000), 0);
+}
--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -153,9 +153,9 @@
     let timeout = Duration::from_millis(routed.route.timeout_ms);
     let deadline = request_head.deadline_ms.map_or(timeout, Duration::from_millis);
     let until = arrived + timeout.min(deadline);
-    let spent = request_head.deadline_ms.map_or(Duration::ZERO, |deadline_ms| {
-        shared.time_spent_earlier(&routed.route.name, deadline_ms)
-    });
+    let spent = request_head
+        .deadline_ms
+        .map_or(Duration::ZERO, |deadline_ms| shared.time_spent_earlier(routed.route, deadline_ms));
     let target = Duration::from_millis(routed.route.target_latency_ms);
     let expected = body.size_hint().upper().unwrap_or(UNKNOWN_LENGTH_BODY_BYTES).min(limit);
     let body_memory = shared
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -205,6 +205,10 @@
     }
 }
 
+fn timeouts_by_route(set: &RouteSet) -> HashMap<String, u64> {
+    set.routes.iter().map(|route| (route.name.clone(), route.timeout_ms)).collect()
+}
+
 /// Puts a set of routes in force if its number is greater than the current one.
 fn activate_set(shared: &Shared, set: RouteSet, address: SocketAddr) {
     let number = set.number;
@@ -212,8 +216,10 @@
         return;
     }
     log::info!(number, routes = set.routes.len(), control = address.to_string().as_str(); "set of routes activated");
-    let names: BTreeSet<&str> = set.routes.iter().map(|route| route.name.as_str()).collect();
-    shared.deadlines.borrow_mut().retain_routes(|route| names.contains(route));
+    let timeouts_ms = timeouts_by_route(&set);
+    let previous_ms = timeouts_by_route(shared.table().set());
+    let is_unchanged = |route: &str| timeouts_ms.get(route) == previous_ms.get(route);
+    shared.deadlines.borrow_mut().retain_routes(is_unchanged);
     *shared.table.borrow_mut() = Rc::new(RouteTable::new(set));
     shared.metrics.set_number.set(i64::try_from(number).unwrap_or(i64::MAX));
     shared.phase.send_if_modified(|phase| {
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -13,7 +13,7 @@
 use compact_str::CompactString;
 use registry::{MergedRegistry, UpstreamChange};
 use routing::RouteTable;
-use schema::EntryPhase;
+use schema::{EntryPhase, RouteRule};
 use settings::GatewayConfig;
 use telemetry::Spans;
 use tokio::sync::watch;
@@ -207,9 +207,9 @@
     }
 
     /// Returns how long the caller of a request has waited in earlier attempts.
-    pub(crate) fn time_spent_earlier(&self, route: &str, deadline_ms: u64) -> Duration {
+    pub(crate) fn time_spent_earlier(&self, route: &RouteRule, deadline_ms: u64) -> Duration {
         let mut deadlines = self.deadlines.borrow_mut();
-        Duration::from_millis(deadlines.time_spent_ms(route, deadline_ms))
+        Duration::from_millis(deadlines.time_spent_ms(&route.name, route.timeout_ms, deadline_ms))
     }
 
     /// Returns the control process that grants slots, unless it is suspended.
