--- a/components/balance/src/arbiter.rs
+++ b/components/balance/src/arbiter.rs
@@ -85,25 +85,24 @@
 }
 
 impl ReservationRequest {
+    /// Returns how many prompt tokens may await prefill at the upstream if the first
+    /// event is to be in time; `None` if it will be late, or is due at no certain time.
+    fn max_prefill_tokens(&self, now_ms: u64) -> Option<u64> {
+        self.target?.max_prefill_tokens(self.demand.prefill_tokens, now_ms)
+    }
+
     /// Returns the demand at `now_ms`: a request that can still be in time is not
     /// placed behind prompts that would make it late.
     fn demand_at(&self, now_ms: u64) -> PlacementDemand {
-        let prefill_tokens = self.demand.prefill_tokens;
-        let max = self.target.and_then(|t| t.max_prefill_tokens(prefill_tokens, now_ms));
-        PlacementDemand { max_prefill_tokens: max, ..self.demand }
-    }
-
-    /// Returns whether the first event will be late at any upstream.
-    fn is_late(&self, now_ms: u64) -> bool {
-        let prefill_tokens = self.demand.prefill_tokens;
-        self.target.is_some_and(|t| t.max_prefill_tokens(prefill_tokens, now_ms).is_none())
+        PlacementDemand { max_prefill_tokens: self.max_prefill_tokens(now_ms), ..self.demand }
     }
 
     /// Returns the key by which waiting requests are sorted: a request that is late
     /// already yields to those that can still be in time.
     fn order(&self, now_ms: u64) -> impl Ord + use<> {
+        let is_late = self.target.is_some() && self.max_prefill_tokens(now_ms).is_none();
         let due_ms = self.target.map_or(0, |target| target.due_ms);
-        (self.is_late(now_ms), self.rank, due_ms, self.route_rank, self.waiting_since_ms)
+        (is_late, self.rank, due_ms, self.route_rank, self.waiting_since_ms)
     }
 }
 
@@ -209,7 +208,7 @@
         let mut ahead: HashMap<CompactString, usize> = HashMap::new();
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.retain(|(_, reply)| is_wanted(reply));
-        waiting.sort_by_key(|(request, _)| request.order(now_ms));
+        waiting.sort_by_cached_key(|(request, _)| request.order(now_ms));
         for (request, reply) in waiting {
             let paces = &self.paces;
             let candidates = request.candidates.iter().map(|candidate| {
--- a/components/balance/src/pace.rs
+++ b/components/balance/src/pace.rs
@@ -4,6 +4,8 @@
 
 use compact_str::CompactString;
 
+use crate::recent::RecentWork;
+
 /// Events over which an engine's pace is averaged: some seconds of its work, so that
 /// the prompts that it prefills meanwhile even out.
 const MEMORY_EVENTS: f64 = 1_000.0;
@@ -16,8 +18,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct EnginePace {
-    events: f64,
-    elapsed_ms: f64,
+    events: RecentWork,
     reported_ms: u64,
 }
 
@@ -34,14 +35,10 @@
         if events == 0 {
             return;
         }
-        let new = EnginePace { events: 0.0, elapsed_ms: 0.0, reported_ms: now_ms };
+        let new = EnginePace { events: RecentWork::default(), reported_ms: now_ms };
         let pace = self.engines.entry(id.into()).or_insert(new);
-        pace.events += f64::from(events);
-        pace.elapsed_ms += f64::from(elapsed_ms);
+        pace.events.record(f64::from(events), f64::from(elapsed_ms), MEMORY_EVENTS);
         pace.reported_ms = now_ms;
-        let kept = (MEMORY_EVENTS / pace.events).min(1.0);
-        pace.events *= kept;
-        pace.elapsed_ms *= kept;
     }
 
     /// Forgets engines that sent no events lately.
@@ -51,9 +48,11 @@
 
     /// Returns the mean time between events, in milliseconds; 0 if none is known.
     pub fn mean_gap_ms(&self) -> f64 {
-        let known = || self.engines.values().filter(|pace| pace.events >= MIN_EVENTS);
-        let events: f64 = known().map(|pace| pace.events).sum();
-        let elapsed_ms: f64 = known().map(|pace| pace.elapsed_ms).sum();
+        let events = self.engines.values().map(|pace| pace.events);
+        let known = events.filter(|events| events.units >= MIN_EVENTS);
+        let (events, elapsed_ms) = known.fold((0.0, 0.0), |(events, elapsed_ms), known| {
+            (events + known.units, elapsed_ms + known.elapsed_ms)
+        });
         if events > 0.0 { elapsed_ms / events } else { 0.0 }
     }
 
@@ -70,8 +69,8 @@
     /// ```
     pub fn relative(&self, id: &str, mean_gap_ms: f64) -> f64 {
         match self.engines.get(id) {
-            Some(pace) if pace.events >= MIN_EVENTS && mean_gap_ms > 0.0 => {
-                let relative = pace.elapsed_ms / pace.events / mean_gap_ms;
+            Some(EnginePace { events, .. }) if events.units >= MIN_EVENTS && mean_gap_ms > 0.0 => {
+                let relative = events.elapsed_ms / events.units / mean_gap_ms;
                 relative.clamp(*PACE_RANGE.start(), *PACE_RANGE.end())
             }
             _ => 1.0,
--- a/components/balance/src/prefill.rs
+++ b/components/balance/src/prefill.rs
@@ -1,22 +1,24 @@
 //! Prefill backlog: how long a prompt waits for those before it at an engine.
 
+use crate::recent::RecentWork;
+
 /// Rate that is assumed before any prompt was observed.
 const INITIAL_TOKENS_PER_MS: f64 = 7.0;
 /// Prompt tokens for which the initial rate counts, and of which observations are
 /// remembered: some ten prompts.
 const MEMORY_TOKENS: f64 = 30_000.0;
 
-/// Rate at which the engines of a service prefill prompts, learned from the time
-/// between a reservation and the first event.
+/// Rate at which engines prefill prompts, learned from the time between a reservation
+/// and the first event.
 #[derive(Clone, Copy, Debug)]
-pub struct PrefillRate {
-    tokens: f64,
-    elapsed_ms: f64,
-}
+pub struct PrefillRate(RecentWork);
 
 impl Default for PrefillRate {
     fn default() -> Self {
-        PrefillRate { tokens: MEMORY_TOKENS, elapsed_ms: MEMORY_TOKENS / INITIAL_TOKENS_PER_MS }
+        PrefillRate(RecentWork {
+            units: MEMORY_TOKENS,
+            elapsed_ms: MEMORY_TOKENS / INITIAL_TOKENS_PER_MS,
+        })
     }
 }
 
@@ -24,14 +26,12 @@
     /// Records that a first event came `elapsed_ms` after a reservation that left
     /// `tokens` prompt tokens awaiting prefill at the engine, its own included.
     pub fn record(&mut self, tokens: u64, elapsed_ms: u64) {
-        let kept = MEMORY_TOKENS / (MEMORY_TOKENS + tokens as f64);
-        self.tokens = (self.tokens + tokens as f64) * kept;
-        self.elapsed_ms = (self.elapsed_ms + elapsed_ms as f64) * kept;
+        self.0.record(tokens as f64, elapsed_ms as f64, MEMORY_TOKENS);
     }
 
     /// Returns the rate in prompt tokens per millisecond.
     pub fn tokens_per_ms(&self) -> f64 {
-        self.tokens / self.elapsed_ms.max(1.0)
+        self.0.units / self.0.elapsed_ms.max(1.0)
     }
 }
 
--- a/components/balance/tests/overload.rs
+++ b/components/balance/tests/overload.rs
@@ -2,8 +2,9 @@
 //! pattern.
 
 use balance::{
-    Arbiter, CacheDemand, DeadlineHistory, FirstEventTarget, GROWTH_RESERVE_TOKENS, Loads,
-    OwnedCandidate, PlacementDemand, PrefillRate, ReservationOutcome, ReservationRequest,
+    Arbiter, DeadlineHistory, FirstEventTarget, GROWTH_RESERVE_TOKENS, Loads, OwnedCandidate,
+    PlacementDemand, PrefillRate, ReservationOutcome, ReservationRequest, TokenCounts,
+    UpstreamLoad,
 };
 
 const CACHE_TOKENS: u64 = 21_000;
@@ -57,6 +58,24 @@
     request(LONG_PROMPT_TOKENS, now_ms + LONG_TARGET_MS, now_ms, candidates)
 }
 
+/// Arbiter at which `count` long requests wait for the same engines.
+fn arbiter_with_long_requests(count: usize, engine_count: usize) -> Arbiter<usize> {
+    let mut arbiter = Arbiter::default();
+    for number in 0..count {
+        arbiter.enqueue(long_request(0, engines(engine_count)), number);
+    }
+    arbiter
+}
+
+/// Load of an engine that has room for one more long request.
+fn load_with_room_for_one() -> UpstreamLoad {
+    UpstreamLoad {
+        running: 6,
+        committed_cache_tokens: CACHE_TOKENS - LONG_PROMPT_TOKENS - GROWTH_RESERVE_TOKENS,
+        pending_prefill_tokens: 0,
+    }
+}
+
 /// Runs one round and returns the granted and the refused requests.
 fn grant_round(arbiter: &mut Arbiter<usize>, now_ms: u64) -> (Vec<usize>, Vec<usize>) {
     let finished = arbiter.grant_waiting(now_ms, |_| true, &mut rand::rng());
@@ -71,10 +90,7 @@
 /// A new engine has room for all that wait, but prefills one prompt after another.
 #[test]
 fn new_engine_gets_only_the_prompts_that_it_prefills_in_time() {
-    let mut arbiter = Arbiter::default();
-    for number in 0..6 {
-        arbiter.enqueue(long_request(0, engines(1)), number);
-    }
+    let mut arbiter = arbiter_with_long_requests(6, 1);
 
     let (granted, refused) = grant_round(&mut arbiter, 0);
 
@@ -85,12 +101,9 @@
 /// As the new engine prefills, it gets the others, step by step.
 #[test]
 fn new_engine_fills_in_steps() {
-    let mut arbiter = Arbiter::default();
-    for number in 0..6 {
-        arbiter.enqueue(long_request(0, engines(1)), number);
-    }
+    let mut arbiter = arbiter_with_long_requests(6, 1);
     grant_round(&mut arbiter, 0);
-    let after_two_prompts = balance::UpstreamLoad {
+    let after_two_prompts = UpstreamLoad {
         running: 4,
         committed_cache_tokens: 4 * (LONG_PROMPT_TOKENS + GROWTH_RESERVE_TOKENS),
         pending_prefill_tokens: 2 * LONG_PROMPT_TOKENS,
@@ -107,20 +120,11 @@
 /// them: the gap that opens goes to what is due first.
 #[test]
 fn short_prompt_behind_long_ones_gets_the_gap_that_is_due_first() {
-    let mut arbiter = Arbiter::default();
-    let target = FirstEventTarget { due_ms: SHORT_TARGET_MS, tokens_per_ms: TOKENS_PER_MS };
-    for number in 0..3 {
-        arbiter.enqueue(long_request(0, engines(1)), number);
-    }
-    let short = request(SHORT_PROMPT_TOKENS, target.due_ms, 0, engines(1));
-    arbiter.enqueue(short, 3);
-    let full = balance::UpstreamLoad {
-        running: 6,
-        committed_cache_tokens: CACHE_TOKENS - LONG_PROMPT_TOKENS - GROWTH_RESERVE_TOKENS,
-        pending_prefill_tokens: 0,
-    };
+    let mut arbiter = arbiter_with_long_requests(3, 1);
+    arbiter.enqueue(request(SHORT_PROMPT_TOKENS, SHORT_TARGET_MS, 0, engines(1)), 3);
+    let load = load_with_room_for_one();
 
-    arbiter.report_load("gateway", vec![("engine-0".into(), full)], 0);
+    arbiter.report_load("gateway", vec![("engine-0".into(), load)], 0);
     let (granted, _) = grant_round(&mut arbiter, 0);
 
     assert_eq!(granted, vec![3]);
@@ -130,10 +134,7 @@
 /// in time; of the others those that may still hope wait, and the rest are told at once.
 #[test]
 fn returning_callers_overload_no_engine() {
-    let mut arbiter = Arbiter::default();
-    for number in 0..200 {
-        arbiter.enqueue(long_request(0, engines(8)), number);
-    }
+    let mut arbiter = arbiter_with_long_requests(200, 8);
 
     let (granted, refused_at_once) = grant_round(&mut arbiter, 0);
     let (_, refused) = grant_round(&mut arbiter, QUEUE_TIMEOUT_MS);
@@ -153,7 +154,7 @@
         arbiter.enqueue(request(500, now_ms + SHORT_TARGET_MS, now_ms, engines(20)), 0);
         assert_eq!(grant_round(&mut arbiter, now_ms).0.len(), 1);
     }
-    let full = balance::UpstreamLoad {
+    let full = UpstreamLoad {
         running: 6,
         committed_cache_tokens: CACHE_TOKENS,
         pending_prefill_tokens: 0,
@@ -177,15 +178,11 @@
     let mut arbiter = Arbiter::default();
     arbiter.enqueue(request(LONG_PROMPT_TOKENS, 0, 0, engines(1)), 0);
     arbiter.enqueue(long_request(0, engines(1)), 1);
-    let room_for_one = balance::UpstreamLoad {
-        running: 6,
-        committed_cache_tokens: CACHE_TOKENS - LONG_PROMPT_TOKENS - GROWTH_RESERVE_TOKENS,
-        pending_prefill_tokens: 0,
-    };
+    let load = load_with_room_for_one();
 
-    arbiter.report_load("gateway", vec![("engine-0".into(), room_for_one)], 0);
+    arbiter.report_load("gateway", vec![("engine-0".into(), load)], 0);
     let (first, _) = grant_round(&mut arbiter, 0);
-    arbiter.report_load("gateway", vec![("engine-0".into(), room_for_one)], 9);
+    arbiter.report_load("gateway", vec![("engine-0".into(), load)], 9);
     let (second, _) = grant_round(&mut arbiter, 10);
 
     assert_eq!((first, second), (vec![1], vec![0]));
@@ -195,7 +192,7 @@
 /// hold in the end, so that the engine takes another request while it grows.
 #[test]
 fn long_answer_commits_what_it_holds_and_room_to_grow() {
-    let demand = CacheDemand { prompt_tokens: 3_000, max_output_tokens: 1_700 };
+    let demand = TokenCounts { prompt_tokens: 3_000, max_output_tokens: 1_700 };
     let mut loads = Loads::default();
     for _ in 0..6 {
         loads.start_request("engine-0", demand.committed_tokens(0), 0);
--- a/components/consensus/src/node/election.rs
+++ b/components/consensus/src/node/election.rs
@@ -12,9 +12,9 @@
 use crate::votes::Votes;
 
 impl Node {
-    /// Draws the next election timeout. A replica that starts has lost no leader: it
-    /// waits for a heartbeat only, before it asks for pre-votes, which disturb no
-    /// leader.
+    /// Draws the next election timeout. A replica that has just started has not lost a
+    /// leader, so it waits for one to two heartbeat intervals only; the pre-votes that
+    /// it then requests do not disturb a live leader.
     pub(super) fn reset_election_deadline(&mut self) {
         let Options { heartbeat_ms, election_ms, .. } = self.options;
         let minimum_ms = if self.is_starting { heartbeat_ms.min(election_ms) } else { election_ms };
--- a/components/consensus/src/options.rs
+++ b/components/consensus/src/options.rs
@@ -3,9 +3,10 @@
 /// Timing and size limits of one replica.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
-    /// Interval between the leader's heartbeats.
+    /// Interval between the leader's heartbeats. Also the minimum election timeout of a
+    /// replica that has just started.
     pub heartbeat_ms: u64,
-    /// Minimum election timeout. Each timeout is drawn at random between this
+    /// Minimum election timeout of a running replica. Each timeout is drawn at random between this
     /// and twice this value. The leader also uses it as the interval of quorum
     /// checks and as the timeout of leadership transfers and sent snapshots.
     pub election_ms: u64,
--- a/components/control/src/main.rs
+++ b/components/control/src/main.rs
@@ -30,9 +30,8 @@
     let mut signals = Signals::listen().map_err(|error| {
         log::error!(error = error.to_string().as_str(); "cannot listen for signals");
     })?;
-    let started = tokio::select! {
-        started = Control::start(config) => started,
-        () = signals.stop_requested() => return Ok(()),
+    let Some(started) = signals.unless_stopped(Control::start(config)).await else {
+        return Ok(());
     };
     let mut control = started.map_err(|error| {
         log::error!(error = error.to_string().as_str(); "cannot start");
--- a/components/daemon/src/signals.rs
+++ b/components/daemon/src/signals.rs
@@ -66,6 +66,15 @@
             log::warn!("settings are read only at startup; restart to apply them");
         }
     }
+
+    /// Waits for `future`, such as a start that depends on something else; `None` if
+    /// SIGTERM or SIGINT comes first.
+    pub async fn unless_stopped<T>(&mut self, future: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            result = future => Some(result),
+            () = self.stop_requested() => None,
+        }
+    }
 }
 
 /// Polled file and its version at the start or the last change.
--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -2,20 +2,12 @@
 
 use std::net::SocketAddr;
 
+use balance::TokenCounts;
 use bytes::Bytes;
 use compact_str::CompactString;
 use displaydoc::Display;
 use http::{HeaderMap, Request, StatusCode, request, response};
 
-/// Prompt length and output length that a caller states.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct TokenCounts {
-    /// Tokens of the prompt.
-    pub prompt_tokens: u64,
-    /// Maximum number of output tokens.
-    pub max_output_tokens: u64,
-}
-
 /// Fields of a caller's request head that the gateway uses.
 #[derive(Clone, Debug, Default)]
 pub struct RequestHead {
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -74,45 +74,40 @@
     let (mut runs, mut sends) = (0, 0);
     let mut failed = None;
     let mut error = RequestError::default();
+    let mut record = |refusal: Refusal| error.record(refusal.verdict, refusal);
     let queue_ms = call.route.target_latency_ms as f64 * QUEUE_TIME_SHARE;
     let queue_until = (call.arrived + Duration::from_millis(queue_ms as u64)).min(call.until);
     let responded = loop {
         let reservation = match wait_for_slot(shared, &call, &excluded, queue_until).await {
             Ok(reservation) => reservation,
             Err(reason) => {
-                let refusal = refuse_unplaced(&call, reason);
-                error.record(refusal.verdict, refusal);
+                record(refuse_unplaced(&call, reason));
                 break None;
             }
         };
         sends += 1;
         let upstream = reservation.target.id.clone();
         log_placement(shared, &call, &reservation);
-        let mut is_final = false;
-        let refusal = match attempt(shared, &call, reservation, &mut in_flight).await {
+        match attempt(shared, &call, reservation, &mut in_flight).await {
             Attempt::Responded(response) => break Some((response, upstream)),
             Attempt::Rejected(reason) => {
-                Some(Refusal::unavailable(reason, call.retry_after_full()))
+                record(Refusal::unavailable(reason, call.retry_after_full()));
             }
             Attempt::Failed(response) => {
                 runs += 1;
                 failed = Some((response, upstream.clone()));
-                None
             }
             Attempt::Lost(reason) => {
                 runs += 1;
-                Some(Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, reason))
+                record(Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, reason));
             }
             Attempt::TimedOut => {
-                is_final = true;
-                Some(Refusal::unknown_outcome(StatusCode::GATEWAY_TIMEOUT, "timed out"))
+                record(Refusal::unknown_outcome(StatusCode::GATEWAY_TIMEOUT, "timed out"));
+                break None;
             }
-        };
-        if let Some(refusal) = refusal {
-            error.record(refusal.verdict, refusal);
         }
         let may_run_again = runs == 0 || (call.may_repeat() && runs < call.route.max_attempts);
-        let may_send = !is_final && sends < MAX_SENDS && Instant::now() < call.until;
+        let may_send = sends < MAX_SENDS && Instant::now() < call.until;
         if !may_send || !may_run_again || !shared.try_retry(&call.requirements.service) {
             break None;
         }
@@ -190,8 +185,7 @@
         ResponseCheck::Valid => {}
         ResponseCheck::Rejected => {
             if head.misdirected {
-                let now_ms = shared.now_ms();
-                shared.registry.borrow_mut().mark_gone(&target.id, target.born_ms, now_ms);
+                shared.registry.borrow_mut().mark_gone(&target.id, target.born_ms);
                 shared.pool.close_all(&target.id);
             }
             log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(), status = response.head.status.as_u16(); "upstream rejected the request without running it");
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -28,9 +28,10 @@
 mod shared;
 mod status;
 
+pub use balance::TokenCounts;
 pub use dialect::{
     Dialect, ForwardContext, KvCacheRef, MalformedRequest, MoveCommand, MoveResult, RequestHead,
-    ResponseHead, Resume, TokenCounts,
+    ResponseHead, Resume,
 };
 pub use error::StartError;
 pub use process::Gateway;
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -128,7 +128,7 @@
         jitter: COST_JITTER,
         ranks: call.ranks,
         cache_tokens: requirements.cache_tokens(0),
-        prefill_tokens: requirements.cache.prompt_tokens,
+        prefill_tokens: requirements.tokens.prompt_tokens,
         first_event_due: requirements.engine.is_some().then_some(call.first_event_due),
         queue_until: until,
         span: &span,
--- a/components/gateway/src/reservation.rs
+++ b/components/gateway/src/reservation.rs
@@ -2,12 +2,11 @@
 
 use std::rc::Rc;
 
-use balance::CacheDemand;
+use balance::TokenCounts;
 use compact_str::CompactString;
 use schema::EngineCapacity;
 use tokio::time::Instant;
 
-use crate::dialect::TokenCounts;
 use crate::exchange::Target;
 use crate::forward::elapsed_ms;
 use crate::shared::Shared;
@@ -17,7 +16,8 @@
 pub(crate) struct Requirements {
     pub(crate) service: CompactString,
     pub(crate) engine: Option<EngineCapacity>,
-    pub(crate) cache: CacheDemand,
+    /// Token counts of a generation; 0 for services without engines.
+    pub(crate) tokens: TokenCounts,
 }
 
 impl Requirements {
@@ -26,21 +26,14 @@
         engine: Option<EngineCapacity>,
         token_counts: Option<TokenCounts>,
     ) -> Self {
-        let token_counts = token_counts.filter(|_| engine.is_some()).unwrap_or_default();
-        Requirements {
-            service: service.into(),
-            engine,
-            cache: CacheDemand {
-                prompt_tokens: token_counts.prompt_tokens,
-                max_output_tokens: token_counts.max_output_tokens,
-            },
-        }
+        let tokens = token_counts.filter(|_| engine.is_some()).unwrap_or_default();
+        Requirements { service: service.into(), engine, tokens }
     }
 
     /// Returns whether the prompt does not fit into the KV cache of an engine.
     pub(crate) fn exceeds_engine(&self) -> bool {
         let engine = self.engine.as_ref();
-        engine.is_some_and(|engine| self.cache.prompt_tokens >= engine.cache_tokens)
+        engine.is_some_and(|engine| self.tokens.prompt_tokens >= engine.cache_tokens)
     }
 
     /// Returns the output tokens in `events` events of a stream, at most.
@@ -52,7 +45,7 @@
     /// Returns the KV cache tokens to commit for a generation that has produced
     /// `events` events.
     pub(crate) fn cache_tokens(&self, events: u64) -> u64 {
-        self.cache.committed_tokens(self.output_tokens(events))
+        self.tokens.committed_tokens(self.output_tokens(events))
     }
 }
 
--- a/components/journal/tests/failing_disk.rs
+++ b/components/journal/tests/failing_disk.rs
@@ -2,12 +2,11 @@
 
 use std::fs::File;
 use std::io::{Error, ErrorKind, Result};
-use std::os::unix::fs::FileExt as _;
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
-use journal::{AppendBatch, Disk, Journal, JournalError, RecoveredState};
+use journal::{AppendBatch, Disk, Journal, JournalError, RecoveredState, SystemDisk};
 use schema::log_entry::Payload;
 use schema::{HardState, LogEntry, Snapshot};
 
@@ -45,40 +44,40 @@
 impl Disk for FailingDisk {
     fn create(&self, path: &Path) -> Result<File> {
         self.admit()?;
-        journal::SystemDisk.create(path)
+        SystemDisk.create(path)
     }
 
     fn write_at(&self, file: &File, bytes: &[u8], offset: u64) -> Result<()> {
         if let Err(error) = self.admit() {
-            file.write_all_at(&bytes[..bytes.len() / 2], offset)?;
+            SystemDisk.write_at(file, &bytes[..bytes.len() / 2], offset)?;
             return Err(error);
         }
-        file.write_all_at(bytes, offset)
+        SystemDisk.write_at(file, bytes, offset)
     }
 
     fn set_len(&self, file: &File, bytes: u64) -> Result<()> {
         self.admit()?;
-        file.set_len(bytes)
+        SystemDisk.set_len(file, bytes)
     }
 
     fn sync(&self, file: &File) -> Result<()> {
         self.admit()?;
-        file.sync_data()
+        SystemDisk.sync(file)
     }
 
     fn rename(&self, from: &Path, to: &Path) -> Result<()> {
         self.admit()?;
-        std::fs::rename(from, to)
+        SystemDisk.rename(from, to)
     }
 
     fn remove(&self, path: &Path) -> Result<()> {
         self.admit()?;
-        std::fs::remove_file(path)
+        SystemDisk.remove(path)
     }
 
     fn sync_folder(&self, path: &Path) -> Result<()> {
         self.admit()?;
-        journal::SystemDisk.sync_folder(path)
+        SystemDisk.sync_folder(path)
     }
 }
 
--- a/components/registry/src/fleet.rs
+++ b/components/registry/src/fleet.rs
@@ -25,8 +25,6 @@
     pub address: SocketAddr,
     /// Time until which the upstream is warming up and serves more slowly.
     pub warm_up_until_ms: u64,
-    /// Time at which the upstream became known as draining or gone.
-    pub ending_since_ms: Option<u64>,
     reports: SmallVec<[SourceReport; 3]>,
     unreported_since_ms: Option<u64>,
     unavailable_since_ms: Option<u64>,
@@ -139,7 +137,7 @@
         }
         known.set_report(source, is_silent);
         known.update_warm_up(&record, now_ms);
-        known.advance_phase(&record, now_ms).then(|| match record.phase() {
+        known.advance_phase(&record).then(|| match record.phase() {
             UpstreamPhase::Gone => UpstreamChange::Gone(id),
             _ => UpstreamChange::Draining(id),
         })
@@ -154,11 +152,10 @@
 
     /// Marks the incarnation that started at `born_ms` as gone, because another
     /// upstream or incarnation responded at its address.
-    pub fn mark_gone(&mut self, id: &str, born_ms: u64, now_ms: u64) {
+    pub fn mark_gone(&mut self, id: &str, born_ms: u64) {
         let known = self.upstreams.get_mut(id).filter(|u| u.record.born_ms == born_ms);
         if let Some(known) = known {
             known.record.set_phase(UpstreamPhase::Gone);
-            known.ending_since_ms.get_or_insert(now_ms);
         }
     }
 
@@ -206,22 +203,19 @@
 
     /// Adopts the phase of `record` if it is later than the known one; returns
     /// whether the phase changed.
-    fn advance_phase(&mut self, record: &UpstreamRecord, now_ms: u64) -> bool {
+    fn advance_phase(&mut self, record: &UpstreamRecord) -> bool {
         if phase_order(record) <= phase_order(&self.record) {
             return false;
         }
         self.record.phase = record.phase;
-        self.ending_since_ms.get_or_insert(now_ms);
         true
     }
 }
 
 fn new_upstream(record: UpstreamRecord, address: SocketAddr, now_ms: u64) -> KnownUpstream {
-    let is_ending = phase_order(&record) > 0;
     KnownUpstream {
         address,
         warm_up_until_ms: now_ms + record.warm_up_ms,
-        ending_since_ms: is_ending.then_some(now_ms),
         reports: SmallVec::new(),
         unreported_since_ms: None,
         unavailable_since_ms: None,
