Log the prompt parts of requests whose upstream broke off before an answer

The logs could not tell whether the crashes have a request in common. The gateway now parses the parts of the prompt that requests share and logs them when an upstream breaks off before an answer began. No other behaviour changes.

--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -7,6 +7,8 @@
 use compact_str::CompactString;
 use displaydoc::Display;
 use http::{HeaderMap, Request, StatusCode, request, response};
+use quarantine::PartId;
+use smallvec::SmallVec;
 
 /// Fields of a caller's request head that the gateway uses.
 #[derive(Clone, Debug, Default)]
@@ -24,8 +26,13 @@
     pub token_counts: Option<TokenCounts>,
     /// Last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Parts of the prompt that other requests may share.
+    pub prompt_parts: PromptParts,
 }
 
+/// Parts of the prompt of one request.
+pub type PromptParts = SmallVec<[PartId; 4]>;
+
 /// the request's head is malformed: {0}
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 pub struct MalformedRequest(pub String);
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -8,6 +8,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
+use quarantine::PartId;
 use schema::EntryPhase;
 use tokio::time::{Instant, timeout_at};
 use verdict::RequestError;
@@ -279,6 +280,7 @@
             Attempt::Rejected("upstream unreachable")
         }
         ExchangeError::ConnectionLost(_) => {
+            log_break_off(call, target);
             record_failure(shared, target, "connection lost");
             Attempt::Lost("upstream connection lost")
         }
@@ -289,6 +291,12 @@
     }
 }
 
+/// Logs the prompt parts of a request whose upstream broke off before its answer began.
+pub(crate) fn log_break_off(call: &Call, target: &Target) {
+    let parts: Vec<String> = call.head.prompt_parts.iter().map(PartId::to_string).collect();
+    log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(), born_ms = target.born_ms, parts = parts.join(",").as_str(); "upstream broke off before an answer began");
+}
+
 pub(crate) fn record_unreachable(shared: &Shared, target: &Target) {
     let now_ms = shared.now_ms();
     let ejected_ms = shared.outlier_detector.borrow_mut().record_unreachable(&target.id, now_ms);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -30,8 +30,8 @@
 
 pub use balance::TokenCounts;
 pub use dialect::{
-    Dialect, ForwardContext, KvCacheRef, MalformedRequest, MoveCommand, MoveResult, RequestHead,
-    ResponseHead, Resume,
+    Dialect, ForwardContext, KvCacheRef, MalformedRequest, MoveCommand, MoveResult, PromptParts,
+    RequestHead, ResponseHead, Resume,
 };
 pub use error::StartError;
 pub use process::Gateway;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -19,7 +19,7 @@
 use crate::dialect::{KvCacheRef, Resume};
 use crate::events::{EventKind, EventSplitter, StreamProgress};
 use crate::exchange::{UpstreamResponse, exchange};
-use crate::forward::{elapsed_ms, record_failure, record_unreachable};
+use crate::forward::{elapsed_ms, log_break_off, record_failure, record_unreachable};
 use crate::moves::{self, CacheCopy, MoveEvent, MoveState, StopResult};
 use crate::place::{Excluded, is_draining_or_gone, wait_for_slot};
 use crate::pool::Connection;
@@ -160,6 +160,7 @@
                     None => return self.complete().map(Ok),
                 },
                 Step::Interrupted(error) => {
+                    self.log_break_off();
                     self.record_engine_failure("stream broken off");
                     if let Err(truncated) = self.recover(&error).await {
                         return Some(Err(truncated));
@@ -228,6 +229,12 @@
         pending > MAX_BYTES_WITHOUT_EVENT
     }
 
+    fn log_break_off(&self) {
+        if let Some(source) = self.source.as_ref().filter(|_| self.progress.relayed == 0) {
+            log_break_off(&self.call, &source.reservation.target);
+        }
+    }
+
     /// Counts a failure of the engine, unless it is known to leave.
     fn record_engine_failure(&self, reason: &str) {
         let Some(source) = &self.source else { return };
