--- a/components/control/src/metrics.rs
+++ b/components/control/src/metrics.rs
@@ -18,6 +18,8 @@
     pub(crate) members: IntGauge,
     pub(crate) requests: IntCounterVec,
     pub(crate) leader_changes: IntCounter,
+    pub(crate) crashes: IntCounter,
+    pub(crate) quarantined: IntGauge,
     pub(crate) commit_seconds: Histogram,
     pub(crate) sync_seconds: Histogram,
     pub(crate) sync_entries: Histogram,
@@ -47,6 +49,11 @@
             "Times that this process became leader.",
         )?;
         registry.register(Box::new(leader_changes.clone()))?;
+        let crashes = IntCounter::new(
+            "shallottray_control_crash_reports_total",
+            "Requests that had no answer when their upstream crashed.",
+        )?;
+        registry.register(Box::new(crashes.clone()))?;
         let latency = LATENCY_BUCKETS_SECONDS.to_vec();
         let disk_available = gauge("disk_available", "1 while the disk accepts writes.")?;
         disk_available.set(1);
@@ -63,6 +70,8 @@
             members: gauge("members", "Entries that hold a lease.")?,
             requests,
             leader_changes,
+            crashes,
+            quarantined: gauge("quarantined_parts", "Prompt parts under quarantine.")?,
             commit_seconds: histogram(
                 "commit_seconds",
                 "Time from proposal to commit.",
--- a/components/control/src/replica/drive.rs
+++ b/components/control/src/replica/drive.rs
@@ -128,7 +128,14 @@
                 return;
             }
         };
+        let lifted = match &command.body {
+            Some(command::Body::LiftQuarantine(lift)) => lift.parts.clone(),
+            _ => Vec::new(),
+        };
         let applied = self.state.apply(command);
+        if !lifted.is_empty() {
+            self.forget_conviction(&lifted);
+        }
         let elapsed_ms = self.proposals.complete(at, applied.outcome, self.clock.now_ms());
         if let Some(elapsed_ms) = elapsed_ms {
             self.metrics.commit_seconds.observe(elapsed_ms as f64 / 1_000.0);
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -14,6 +14,7 @@
 mod local;
 mod places;
 mod proposals;
+mod quarantine;
 mod reads;
 mod reconcile;
 mod requests;
@@ -48,6 +49,7 @@
 use join::JoinState;
 use leases::Leases;
 use proposals::Proposals;
+use quarantine::QuarantineState;
 use reads::Reads;
 use reconcile::JoinCandidates;
 use sync::GatewaySyncs;
@@ -86,6 +88,7 @@
     set_deltas: RefCell<SetDeltaCache>,
     join_state: JoinState,
     gateway_syncs: GatewaySyncs,
+    quarantine: QuarantineState,
     was_leader: bool,
     next_record_expiry_ms: u64,
     /// Set after an unrecoverable error and on shutdown; `tick` and `drive` then do
@@ -139,6 +142,7 @@
             set_deltas: RefCell::default(),
             join_state: JoinState::default(),
             gateway_syncs: GatewaySyncs::default(),
+            quarantine: QuarantineState::default(),
             was_leader: false,
             next_record_expiry_ms: 0,
             failed: false,
@@ -168,6 +172,9 @@
         self.bootstrap_at_first_start(now_ms);
         self.join_if_not_member(now_ms);
         self.expire_upstreams(now_ms);
+        self.convict(now_ms);
+        self.refresh_quarantine(now_ms);
+        self.commit_convictions(now_ms);
         if self.node.is_leader() {
             self.expire_leases(now_ms);
             self.expire_records(now_ms);
--- /dev/null
+++ b/components/control/src/replica/quarantine.rs
@@ -0,0 +1,271 @@
+//! Quarantine of prompt parts under which upstreams crash.
+//!
+//! The arbiter collects the evidence of all gateways in memory. A set of parts that it
+//! convicts is in force at once through the syncs of this process, and is then committed
+//! to the replicated state, from which every control process hands it to the gateways.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
+
+use actix::ResponseFuture;
+use credentials::{Identity, Role};
+use quarantine::{Crash, Evidence, PartId, PartSet};
+use schema::{
+    CrashReply, CrashReport, ErrorCode, LiftQuarantine, QuarantineParts, QuarantineReply,
+    QuarantinedParts, Reply, command, reply, request,
+};
+use wire::error_reply;
+
+use super::Replica;
+use super::local::LocalRequest;
+use super::requests::ready;
+
+/// Time for which an answer may still clear a part with enough crashes: gateways report
+/// answers with their syncs, several times as often.
+const CONFIRMATION_MS: u64 = 150;
+/// Interval at which a conviction that is not committed yet is proposed again.
+const COMMIT_RETRY_MS: u64 = 500;
+/// Time after which a conviction that could not be committed ends.
+const UNCOMMITTED_MS: u64 = 120_000;
+/// Convictions that wait to be committed.
+const MAX_UNCOMMITTED: usize = 256;
+
+/// Conviction that is not part of the replicated state yet.
+#[derive(Debug)]
+struct Uncommitted {
+    since_ms: u64,
+    next_attempt_ms: u64,
+}
+
+/// Evidence and convictions at this control process, and the list for the gateways.
+#[derive(Debug)]
+pub(crate) struct QuarantineState {
+    evidence: Evidence,
+    uncommitted: BTreeMap<PartSet, Uncommitted>,
+    /// Sets that gateways have to reject.
+    active: BTreeSet<PartSet>,
+    /// Sets whose requests gateways hold back until they are convicted or cleared.
+    accused: BTreeSet<PartSet>,
+    digest: u64,
+}
+
+impl Default for QuarantineState {
+    fn default() -> Self {
+        QuarantineState {
+            evidence: Evidence::new(CONFIRMATION_MS),
+            uncommitted: BTreeMap::new(),
+            active: BTreeSet::new(),
+            accused: BTreeSet::new(),
+            digest: 0,
+        }
+    }
+}
+
+impl QuarantineState {
+    /// Returns a digest of the quarantined sets; 0 if there are none.
+    pub(super) fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    pub(super) fn to_message(&self) -> Vec<schema::PartSet> {
+        let active = self.active.iter().map(|set| (set, false));
+        let accused = self.accused.iter().map(|set| (set, true));
+        let sets = active.chain(accused);
+        sets.map(|(set, accused)| schema::PartSet { parts: to_ids(set), accused }).collect()
+    }
+}
+
+impl Replica {
+    /// Records a crash; convicts the parts under which upstreams crash.
+    pub(super) fn report_crash(
+        &mut self,
+        peer: &Identity,
+        report: CrashReport,
+    ) -> ResponseFuture<Reply> {
+        if report.vm != peer.name.as_str() {
+            return ready(error_reply(ErrorCode::Forbidden, "a gateway reports for itself only"));
+        }
+        let now_ms = self.clock.now_ms();
+        let set = to_set(&report.parts);
+        let parts: Vec<PartId> = set.iter().collect();
+        let crash = Crash {
+            upstream: report.upstream.as_str().into(),
+            born_ms: report.born_ms,
+            sent_ms: now_ms.saturating_sub(report.sent_age_ms),
+            at_ms: now_ms.saturating_sub(report.age_ms),
+        };
+        log::info!(vm = report.vm.as_str(), upstream = report.upstream.as_str(), born_ms = report.born_ms, age_ms = report.age_ms, parts = set.to_string().as_str(); "upstream crashed before an answer began");
+        self.metrics.crashes.inc();
+        self.record_answers(&report.answered_parts, now_ms);
+        self.quarantine.evidence.record_crash(crash, &parts, now_ms);
+        self.renew_quarantine(&parts, now_ms);
+        self.convict(now_ms);
+        self.refresh_quarantine(now_ms);
+        let may_repeat = self.quarantine.evidence.may_repeat(&parts, now_ms);
+        self.serve_gateways();
+        ready(Reply { body: Some(reply::Body::Crash(CrashReply { may_repeat })) })
+    }
+
+    /// Records the parts on which answers began at a gateway. A convicted set with such a
+    /// part is reduced to the others, or lifted.
+    pub(super) fn record_answers(&mut self, parts: &[u64], now_ms: u64) {
+        for part in parts.iter().map(|part| PartId(*part)) {
+            self.quarantine.evidence.record_answer(part, now_ms);
+            let active = self.quarantine.active.iter();
+            let cleared = active.filter(|set| set.contains(part) && !self.is_ordered(set));
+            for set in cleared.cloned().collect::<Vec<_>>() {
+                let rest = set.without(part);
+                if rest.is_empty() {
+                    self.lift_convicted(&set);
+                } else {
+                    self.quarantine_convicted(rest, now_ms);
+                }
+            }
+        }
+    }
+
+    /// Returns whether an operator put the set under quarantine.
+    fn is_ordered(&self, set: &PartSet) -> bool {
+        let committed = self.state.quarantine().get(&to_ids(set));
+        committed.is_some_and(|quarantined| !quarantined.operator.is_empty())
+    }
+
+    /// Quarantines the parts that are convicted by now.
+    pub(super) fn convict(&mut self, now_ms: u64) {
+        for set in self.quarantine.evidence.convict(now_ms) {
+            self.quarantine_convicted(set, now_ms);
+        }
+    }
+
+    /// Renews the quarantine of sets under which an upstream crashed once more after its
+    /// end, unless an answer began on them since.
+    fn renew_quarantine(&mut self, parts: &[PartId], now_ms: u64) {
+        let ended = self.state.quarantine().ended(now_ms).map(|set| to_set(&set.parts));
+        let evidence = &self.quarantine.evidence;
+        let is_suspect = |set: &PartSet| {
+            set.is_subset_of(parts) && !set.iter().any(|part| evidence.has_answered(part, now_ms))
+        };
+        for set in ended.filter(is_suspect).collect::<Vec<_>>() {
+            self.quarantine_convicted(set, now_ms);
+        }
+    }
+
+    fn quarantine_convicted(&mut self, set: PartSet, now_ms: u64) {
+        if self.state.quarantine().rejects(&to_ids(&set), now_ms)
+            || self.quarantine.uncommitted.contains_key(&set)
+            || self.quarantine.uncommitted.len() >= MAX_UNCOMMITTED
+        {
+            return;
+        }
+        log::warn!(parts = set.to_string().as_str(); "prompt parts quarantined: upstreams crash under them");
+        let uncommitted = Uncommitted { since_ms: now_ms, next_attempt_ms: now_ms };
+        self.quarantine.uncommitted.insert(set, uncommitted);
+        self.refresh_quarantine(now_ms);
+        self.commit_convictions(now_ms);
+    }
+
+    /// Lifts the quarantine of a set on which an answer began.
+    fn lift_convicted(&mut self, set: &PartSet) {
+        log::warn!(parts = set.to_string().as_str(); "answer began on quarantined prompt parts; lifting the quarantine");
+        self.quarantine.uncommitted.remove(set);
+        let lift = LiftQuarantine { parts: to_ids(set) };
+        self.send_to_leader(request::Body::LiftQuarantine(lift));
+    }
+
+    /// Sends convictions that are not committed yet to the leader.
+    pub(super) fn commit_convictions(&mut self, now_ms: u64) {
+        let uncommitted = &mut self.quarantine.uncommitted;
+        uncommitted.retain(|_, conviction| now_ms < conviction.since_ms + UNCOMMITTED_MS);
+        let due = uncommitted.iter_mut().filter(|(_, c)| now_ms >= c.next_attempt_ms);
+        let commands: Vec<QuarantineParts> = due
+            .map(|(set, conviction)| {
+                conviction.next_attempt_ms = now_ms + COMMIT_RETRY_MS;
+                QuarantineParts { parts: to_ids(set), operator: String::new() }
+            })
+            .collect();
+        for command in commands {
+            self.send_to_leader(request::Body::QuarantineParts(command));
+        }
+    }
+
+    /// Sends a command whose reply is not needed: once committed, it arrives by the log.
+    fn send_to_leader(&self, body: request::Body) {
+        if let Some(address) = &self.actor_address {
+            address.do_send(LocalRequest(body));
+        }
+    }
+
+    /// Applies the replicated state to the list for the gateways, which get it with
+    /// their next sync.
+    pub(super) fn refresh_quarantine(&mut self, now_ms: u64) {
+        let committed = self.state.quarantine();
+        let uncommitted = &mut self.quarantine.uncommitted;
+        uncommitted.retain(|set, _| !committed.rejects(&to_ids(set), now_ms));
+        let sets = committed.active(now_ms).map(|set| to_set(&set.parts));
+        let active: BTreeSet<PartSet> = sets.chain(uncommitted.keys().cloned()).collect();
+        let accused: BTreeSet<PartSet> = self.quarantine.evidence.accused().collect();
+        if active != self.quarantine.active || accused != self.quarantine.accused {
+            self.quarantine.digest = digest(&active, &accused);
+            self.metrics.quarantined.set(i64::try_from(active.len()).unwrap_or(i64::MAX));
+            self.quarantine.active = active;
+            self.quarantine.accused = accused;
+        }
+    }
+
+    /// Drops what this process holds against a set whose quarantine was lifted.
+    pub(super) fn forget_conviction(&mut self, parts: &[u64]) {
+        let set = to_set(parts);
+        log::info!(parts = set.to_string().as_str(); "quarantine of prompt parts lifted");
+        self.quarantine.uncommitted.remove(&set);
+        for part in set.iter() {
+            self.quarantine.evidence.clear(part);
+        }
+    }
+
+    /// Commits the quarantine of a set, in the name of the operator if one asks for it.
+    pub(super) fn quarantine_parts(
+        &mut self,
+        peer: &Identity,
+        command: QuarantineParts,
+    ) -> ResponseFuture<Reply> {
+        if command.parts.is_empty() {
+            return ready(error_reply(ErrorCode::Invalid, "no prompt parts are named"));
+        }
+        let operator = match peer.role {
+            Role::Operator => peer.name.to_string(),
+            Role::Control | Role::Entry => String::new(),
+        };
+        self.commit(command::Body::QuarantineParts(QuarantineParts { operator, ..command }))
+    }
+
+    /// Commits the end of the quarantine of a set.
+    pub(super) fn lift_quarantine(&mut self, command: LiftQuarantine) -> ResponseFuture<Reply> {
+        self.commit(command::Body::LiftQuarantine(command))
+    }
+
+    pub(super) fn get_quarantine(&mut self) -> ResponseFuture<Reply> {
+        self.linearizable_read(|replica| {
+            let sets: Vec<QuarantinedParts> = replica.state.quarantine().iter().cloned().collect();
+            let now_ms = replica.clock.now_ms();
+            Reply { body: Some(reply::Body::Quarantine(QuarantineReply { sets, now_ms })) }
+        })
+    }
+}
+
+/// Returns a digest of the sets that is 0 only if there are none.
+fn digest(active: &BTreeSet<PartSet>, accused: &BTreeSet<PartSet>) -> u64 {
+    if active.is_empty() && accused.is_empty() {
+        return 0;
+    }
+    let mut hasher = DefaultHasher::new();
+    (active, accused).hash(&mut hasher);
+    hasher.finish().max(1)
+}
+
+fn to_set(parts: &[u64]) -> PartSet {
+    PartSet::new(parts.iter().map(|part| PartId(*part)))
+}
+
+fn to_ids(set: &PartSet) -> Vec<u64> {
+    set.iter().map(|part| part.0).collect()
+}
--- a/components/control/src/replica/requests.rs
+++ b/components/control/src/replica/requests.rs
@@ -49,6 +49,7 @@
             Body::Bootstrap(_) => self.bootstrap(),
             Body::Sync(sync) => self.sync(peer, sync),
             Body::Place(place) => self.reserve_slot(peer, place),
+            Body::Crash(report) => self.report_crash(peer, report),
             _ if !self.node.is_leader() => ready(self.not_leader()),
             Body::Join(join) => ready(self.join(peer, join)),
             Body::Replace(replace) => ready(self.remove_replica(&replace)),
@@ -56,6 +57,9 @@
             Body::PublishRoutes(publish) => self.publish_routes(publish),
             Body::GetRoutes(_) => self.get_routes(),
             Body::GetSet(get) => self.get_set(get),
+            Body::QuarantineParts(command) => self.quarantine_parts(peer, command),
+            Body::LiftQuarantine(command) => self.lift_quarantine(command),
+            Body::GetQuarantine(_) => self.get_quarantine(),
             Body::Heartbeat(heartbeat) => self.heartbeat(peer, heartbeat),
             Body::Leave(leave) => self.leave(peer, leave),
             Body::BeginRecord(begin) if begin.vm != peer.name.as_str() => {
@@ -237,7 +241,12 @@
     use request::Body;
     match body {
         Body::Status(_) => true,
-        Body::Publish(_) | Body::Bootstrap(_) | Body::Replace(_) => role == Role::Operator,
+        Body::Publish(_) | Body::Bootstrap(_) | Body::Replace(_) | Body::GetQuarantine(_) => {
+            role == Role::Operator
+        }
+        Body::QuarantineParts(_) | Body::LiftQuarantine(_) => {
+            matches!(role, Role::Control | Role::Operator)
+        }
         Body::GetSet(_) => matches!(role, Role::Operator | Role::Entry),
         Body::Join(_) | Body::Consensus(_) => role == Role::Control,
         Body::PublishRoutes(_) | Body::GetRoutes(_) => {
@@ -257,6 +266,7 @@
         | Body::Locate(_)
         | Body::Sync(_)
         | Body::Place(_)
+        | Body::Crash(_)
         | Body::Confirm(_) => role == Role::Entry,
     }
 }
@@ -286,6 +296,10 @@
         Body::Locate(_) => "locate",
         Body::Sync(_) => "sync",
         Body::Place(_) => "place",
+        Body::Crash(_) => "crash",
+        Body::QuarantineParts(_) => "quarantine_parts",
+        Body::LiftQuarantine(_) => "lift_quarantine",
+        Body::GetQuarantine(_) => "get_quarantine",
         Body::PublishRoutes(_) => "publish_routes",
         Body::GetRoutes(_) => "get_routes",
     }
--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -183,6 +183,7 @@
         };
         let now_ms = self.clock.now_ms();
         self.gateway_syncs.record_sync(&request, address, now_ms);
+        self.record_answers(&request.answered_parts, now_ms);
         let deadline_ms = now_ms + u64::from(request.wait_ms.min(MAX_HOLD_MS));
         let (result, receiver) = oneshot::channel();
         self.gateway_syncs.open_syncs.push(OpenSync { request, deadline_ms, result });
@@ -200,12 +201,14 @@
         syncs.expire(now_ms);
         let (version, epoch) = (syncs.registry.version(), syncs.registry_epoch);
         let number = self.state.routes().current().number;
+        let quarantine_digest = self.quarantine.digest();
         let is_due = |sync: &OpenSync| {
             let request = &sync.request;
             now_ms >= sync.deadline_ms
                 || request.registry_epoch != epoch
                 || request.registry_version != version
                 || request.set_number < number
+                || request.quarantine_digest != quarantine_digest
         };
         let (due, open) = std::mem::take(&mut syncs.open_syncs).into_iter().partition(is_due);
         syncs.open_syncs = open;
@@ -229,6 +232,8 @@
         let set = Some(self.state.routes().current()).filter(|set| set.number > request.set_number);
         let others =
             if request.wants_use { syncs.load_of_other_gateways(&request.vm) } else { Vec::new() };
+        let quarantine = &self.quarantine;
+        let parts_changed = request.quarantine_digest != quarantine.digest();
         let members = self.node.configuration().replicas.iter();
         SyncReply {
             registry_epoch: syncs.registry_epoch,
@@ -237,6 +242,8 @@
             set: set.cloned(),
             r#use: others,
             entries: u32::try_from(syncs.gateways.len()).unwrap_or(u32::MAX),
+            quarantine_digest: quarantine.digest(),
+            quarantine: if parts_changed { quarantine.to_message() } else { Vec::new() },
             control_addresses: members.map(|replica| replica.peer_address.clone()).collect(),
         }
     }
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -89,6 +89,7 @@
             if !keep {
                 log::info!(control = address.to_string().as_str(); "control process left the group");
                 self.shared.registry.borrow_mut().remove_source(*address);
+                self.shared.quarantine.borrow_mut().remove_source(*address);
                 self.set_connected(*address, None);
                 task.abort();
             }
@@ -112,8 +113,7 @@
     let mut connected = false;
     loop {
         let started = Instant::now();
-        let body =
-            request::Body::Sync(sync_request(&shared, cursor, links.aggregates_load(address)));
+        let body = request::Body::Sync(sync_request(&links, address, cursor));
         let request = Request { traceparent: String::new(), body: Some(body) };
         // A phase change cancels the pending request, so that the next one
         // reports it immediately.
@@ -138,6 +138,7 @@
                     connected = false;
                     links.set_connected(address, None);
                     shared.registry.borrow_mut().remove_source(address);
+                    shared.quarantine.borrow_mut().disconnect(address);
                     cursor = RegistryCursor::default();
                 }
                 sleep(RETRY_DELAY).await;
@@ -147,7 +148,10 @@
     }
 }
 
-fn sync_request(shared: &Shared, cursor: RegistryCursor, aggregates_load: bool) -> SyncRequest {
+fn sync_request(links: &ControlLinks, address: SocketAddr, cursor: RegistryCursor) -> SyncRequest {
+    let shared = &links.shared;
+    let aggregates_load = links.aggregates_load(address);
+    let mut quarantine = shared.quarantine.borrow_mut();
     let loads = shared.loads.borrow();
     let mut gaps = if aggregates_load { shared.take_event_gaps() } else { HashMap::new() };
     let own = loads.own().filter(|_| aggregates_load).map(|(id, load)| {
@@ -169,6 +173,8 @@
         wait_ms: if aggregates_load { LOAD_SYNC_WAIT_MS } else { SYNC_WAIT_MS },
         wants_use: aggregates_load,
         placed_through: shared.placed_through(),
+        answered_parts: if aggregates_load { quarantine.take_answered() } else { Vec::new() },
+        quarantine_digest: quarantine.digest(address),
     }
 }
 
@@ -184,6 +190,7 @@
     let changes =
         shared.registry.borrow_mut().apply(address, full_registry, reply.upstreams, now_ms);
     shared.apply_changes(&changes);
+    shared.quarantine.borrow_mut().apply(address, reply.quarantine_digest, &reply.quarantine);
     if let Some(set) = reply.set {
         activate_set(shared, set, address);
     }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -8,7 +8,6 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
-use quarantine::PartId;
 use schema::EntryPhase;
 use tokio::time::{Instant, timeout_at};
 use verdict::RequestError;
@@ -18,6 +17,7 @@
 use crate::dialect::{ResponseHead, Resume};
 use crate::exchange::{ExchangeError, Target, UpstreamResponse, exchange};
 use crate::place::{Excluded, ReserveError, wait_for_slot};
+use crate::quarantine;
 use crate::relay;
 use crate::reservation::Reservation;
 use crate::shared::{InFlightGuard, Shared};
@@ -79,6 +79,10 @@
     let queue_ms = call.route.target_latency_ms as f64 * QUEUE_TIME_SHARE;
     let queue_until = (call.arrived + Duration::from_millis(queue_ms as u64)).min(call.until);
     let responded = loop {
+        if let Err(refusal) = quarantine::admit(shared, &call).await {
+            record(refusal);
+            break None;
+        }
         let reservation = match wait_for_slot(shared, &call, &excluded, queue_until).await {
             Ok(reservation) => reservation,
             Err(reason) => {
@@ -86,8 +90,14 @@
                 break None;
             }
         };
+        // Its parts may have been accused or convicted while the request waited.
+        if let Err(refusal) = quarantine::admit(shared, &call).await {
+            record(refusal);
+            break None;
+        }
         sends += 1;
-        let upstream = reservation.target.id.clone();
+        let (target, sent) = (reservation.target.clone(), reservation.reserved_at());
+        let upstream = target.id.clone();
         log_placement(shared, &call, &reservation);
         match attempt(shared, &call, reservation, &mut in_flight).await {
             Attempt::Responded(response) => break Some((response, upstream)),
@@ -101,6 +111,9 @@
             Attempt::Lost(reason) => {
                 runs += 1;
                 record(Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, reason));
+                if !quarantine::handle_break_off(shared, &call, &target, sent).await {
+                    break None;
+                }
             }
             Attempt::TimedOut => {
                 record(Refusal::unknown_outcome(StatusCode::GATEWAY_TIMEOUT, "timed out"));
@@ -241,6 +254,7 @@
         return Attempt::Failed(response);
     }
     shared.outlier_detector.borrow_mut().record_success(&target.id);
+    quarantine::record_answer(shared, &call.head.prompt_parts);
     Attempt::Responded(response)
 }
 
@@ -280,7 +294,6 @@
             Attempt::Rejected("upstream unreachable")
         }
         ExchangeError::ConnectionLost(_) => {
-            log_break_off(call, target);
             record_failure(shared, target, "connection lost");
             Attempt::Lost("upstream connection lost")
         }
@@ -291,12 +304,6 @@
     }
 }
 
-/// Logs the prompt parts of a request whose upstream broke off before its answer began.
-pub(crate) fn log_break_off(call: &Call, target: &Target) {
-    let parts: Vec<String> = call.head.prompt_parts.iter().map(PartId::to_string).collect();
-    log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(), born_ms = target.born_ms, parts = parts.join(",").as_str(); "upstream broke off before an answer began");
-}
-
 pub(crate) fn record_unreachable(shared: &Shared, target: &Target) {
     let now_ms = shared.now_ms();
     let ejected_ms = shared.outlier_detector.borrow_mut().record_unreachable(&target.id, now_ms);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod place;
 mod pool;
 mod process;
+mod quarantine;
 mod relay;
 mod reservation;
 mod server;
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of a gateway.
 
-use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
 use telemetry::LATENCY_BUCKETS_SECONDS;
 
 #[derive(Clone, Debug)]
@@ -14,6 +16,8 @@
     pub(crate) connections_opened: IntCounterVec,
     /// Moves of generations to other engines, by outcome.
     pub(crate) moves: IntCounterVec,
+    /// Requests rejected for a quarantined part of their prompt.
+    pub(crate) quarantine_rejections: IntCounter,
     /// Requests in progress.
     pub(crate) in_flight: IntGauge,
     /// Upstreams that accept requests.
@@ -36,6 +40,11 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
+        let quarantine_rejections = IntCounter::new(
+            "shallottray_gateway_quarantine_rejections_total",
+            "Requests rejected for a quarantined part of their prompt.",
+        )?;
+        registry.register(Box::new(quarantine_rejections.clone()))?;
         let latency = HistogramOpts::new(
             "shallottray_gateway_seconds",
             "Time from a request to the head of its answer.",
@@ -51,6 +60,7 @@
             upstreams: gauge("upstreams", "Upstreams that take work.")?,
             set_number: gauge("set_number", "Number of the set of routes in force.")?,
             latency,
+            quarantine_rejections,
             registry,
         })
     }
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -96,6 +96,7 @@
         sleep(MAINTENANCE_INTERVAL).await;
         shared.pool.close_expired();
         shared.registry.borrow_mut().expire(shared.now_ms());
+        shared.quarantine.borrow_mut().expire();
     }
 }
 
--- /dev/null
+++ b/components/gateway/src/quarantine.rs
@@ -0,0 +1,250 @@
+//! Prompt parts that this gateway rejects, and its evidence on them.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ::quarantine::{Crash, Evidence, PartId, PartSet};
+use schema::{CrashReport, Request, reply, request};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+use wire::CallError;
+
+use crate::accept::Call;
+use crate::answer::Refusal;
+use crate::exchange::Target;
+use crate::forward::elapsed_ms;
+use crate::shared::Shared;
+
+/// Timeout of the connection that tells a crash from a fault of one request.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeout of a crash report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for which the list of a control process that is not connected stays in force,
+/// and a set that this gateway convicted by itself.
+const STALE_LIST_PERIOD: Duration = Duration::from_secs(120);
+/// `Retry-After` of requests with a quarantined part.
+const RETRY_AFTER_QUARANTINED: Duration = Duration::from_secs(120);
+/// Longest time for which a request waits for an accused set to be convicted or cleared;
+/// several times what that takes.
+const MAX_HOLD: Duration = Duration::from_millis(400);
+/// Interval at which a request that waits looks at the quarantine again.
+const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Answered parts that wait for the next sync; more are dropped.
+const MAX_ANSWERED: usize = 4_096;
+
+/// Quarantined sets of prompt parts, by their first part.
+#[derive(Debug, Default)]
+struct SetIndex(HashMap<PartId, Vec<PartSet>>);
+
+impl SetIndex {
+    fn insert(&mut self, set: PartSet) {
+        let first = set.iter().next();
+        if let Some(first) = first {
+            self.0.entry(first).or_default().push(set);
+        }
+    }
+
+    /// Returns a set all of whose parts are among `parts`.
+    fn find(&self, parts: &[PartId]) -> Option<&PartSet> {
+        let sets = parts.iter().filter_map(|part| self.0.get(part)).flatten();
+        sets.into_iter().find(|set| set.is_subset_of(parts))
+    }
+}
+
+/// Quarantine according to one control process.
+#[derive(Debug, Default)]
+struct SourceList {
+    digest: u64,
+    convicted: SetIndex,
+    accused: SetIndex,
+    disconnected_at: Option<Instant>,
+}
+
+/// Quarantine from all control processes, and evidence of this gateway.
+#[derive(Debug, Default)]
+pub(crate) struct Quarantine {
+    by_source: BTreeMap<SocketAddr, SourceList>,
+    /// Parts on which an answer began since the last sync with the arbiter.
+    answered: BTreeSet<PartId>,
+    /// Evidence of this gateway alone, used while no arbiter replies.
+    evidence: Evidence,
+    convicted: Vec<(PartSet, Instant)>,
+}
+
+impl Quarantine {
+    /// Returns a quarantined set of which a request has all parts.
+    fn find(&self, parts: &[PartId]) -> Option<&PartSet> {
+        let listed = self.by_source.values().find_map(|list| list.convicted.find(parts));
+        let own = || self.convicted.iter().map(|(set, _)| set);
+        listed.or_else(|| own().find(|set| set.is_subset_of(parts)))
+    }
+
+    fn is_accused(&self, parts: &[PartId]) -> bool {
+        self.by_source.values().any(|list| list.accused.find(parts).is_some())
+    }
+
+    /// Returns the digest of the list that was last received from a control process.
+    pub(crate) fn digest(&self, source: SocketAddr) -> u64 {
+        self.by_source.get(&source).map_or(0, |list| list.digest)
+    }
+
+    /// Applies the quarantine in a sync reply of a control process.
+    pub(crate) fn apply(&mut self, source: SocketAddr, digest: u64, sets: &[schema::PartSet]) {
+        let list = self.by_source.entry(source).or_default();
+        list.disconnected_at = None;
+        if list.digest == digest {
+            return;
+        }
+        list.digest = digest;
+        list.convicted = SetIndex::default();
+        list.accused = SetIndex::default();
+        for set in sets {
+            let index = if set.accused { &mut list.accused } else { &mut list.convicted };
+            index.insert(PartSet::new(set.parts.iter().map(|part| PartId(*part))));
+        }
+        log::info!(control = source.to_string().as_str(), sets = sets.len(); "quarantine of prompt parts changed");
+    }
+
+    /// Marks a control process as disconnected; its list stays in force for a while.
+    pub(crate) fn disconnect(&mut self, source: SocketAddr) {
+        if let Some(list) = self.by_source.get_mut(&source) {
+            list.disconnected_at.get_or_insert_with(Instant::now);
+            list.accused = SetIndex::default();
+        }
+    }
+
+    /// Drops the list of a control process that is no longer a member.
+    pub(crate) fn remove_source(&mut self, source: SocketAddr) {
+        self.by_source.remove(&source);
+    }
+
+    /// Drops what is too old.
+    pub(crate) fn expire(&mut self) {
+        self.by_source.retain(|_, list| {
+            list.disconnected_at.is_none_or(|since| since.elapsed() < STALE_LIST_PERIOD)
+        });
+        self.convicted.retain(|(_, since)| since.elapsed() < STALE_LIST_PERIOD);
+    }
+
+    /// Takes the parts on which an answer began since the last call.
+    pub(crate) fn take_answered(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.answered).into_iter().map(|part| part.0).collect()
+    }
+}
+
+/// Records that the answer to a request began.
+pub(crate) fn record_answer(shared: &Shared, parts: &[PartId]) {
+    let now_ms = shared.now_ms();
+    let mut quarantine = shared.quarantine.borrow_mut();
+    for part in parts {
+        quarantine.evidence.record_answer(*part, now_ms);
+        if quarantine.answered.len() < MAX_ANSWERED {
+            quarantine.answered.insert(*part);
+        }
+    }
+}
+
+/// Waits while the parts of a request are accused, and rejects it once they are
+/// quarantined.
+pub(crate) async fn admit(shared: &Shared, call: &Call) -> Result<(), Refusal> {
+    let parts = &call.head.prompt_parts;
+    let until = (Instant::now() + MAX_HOLD).min(call.until);
+    while shared.quarantine.borrow().is_accused(parts) && Instant::now() < until {
+        sleep(HOLD_POLL_INTERVAL).await;
+    }
+    check(shared, call)
+}
+
+/// Rejects a request that has all parts of a quarantined set.
+fn check(shared: &Shared, call: &Call) -> Result<(), Refusal> {
+    let quarantine = shared.quarantine.borrow();
+    let Some(set) = quarantine.find(&call.head.prompt_parts) else { return Ok(()) };
+    log::info!(request = call.head.id.as_str(), parts = set.to_string().as_str(); "request rejected: upstreams crash under parts of its prompt");
+    shared.metrics.quarantine_rejections.inc();
+    Err(Refusal::unavailable("prompt part quarantined", RETRY_AFTER_QUARANTINED))
+}
+
+/// Handles the loss of an upstream before it began the answer to a request. Returns
+/// whether the request may be sent to another upstream.
+pub(crate) async fn handle_break_off(
+    shared: &Rc<Shared>,
+    call: &Call,
+    target: &Target,
+    sent: Instant,
+) -> bool {
+    let parts = &call.head.prompt_parts;
+    if parts.is_empty() {
+        return true;
+    }
+    let noticed = Instant::now();
+    let crashed = refuses_connections(target.address).await;
+    let names: Vec<String> = parts.iter().map(PartId::to_string).collect();
+    log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(), born_ms = target.born_ms, parts = names.join(",").as_str(), crashed; "upstream broke off before an answer began");
+    if !crashed {
+        return true;
+    }
+    let may_repeat = report_crash(shared, call, target, (sent, noticed)).await;
+    may_repeat && shared.quarantine.borrow().find(parts).is_none()
+}
+
+/// Returns whether nothing listens at the address any more.
+async fn refuses_connections(address: SocketAddr) -> bool {
+    let connecting = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connecting, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
+async fn report_crash(
+    shared: &Rc<Shared>,
+    call: &Call,
+    target: &Target,
+    (sent, noticed): (Instant, Instant),
+) -> bool {
+    let parts = &call.head.prompt_parts;
+    record_crash(shared, parts, target, sent);
+    let report = CrashReport {
+        vm: shared.config.vm.to_string(),
+        upstream: target.id.to_string(),
+        born_ms: target.born_ms,
+        parts: parts.iter().map(|part| part.0).collect(),
+        age_ms: elapsed_ms(noticed),
+        sent_age_ms: elapsed_ms(sent),
+        answered_parts: shared.quarantine.borrow_mut().take_answered(),
+    };
+    let body = Some(request::Body::Crash(report));
+    let request = Request { traceparent: call.span.traceparent(), body };
+    let Some(arbiter) = shared.arbiter() else { return judge_alone(shared, parts) };
+    match arbiter.call(request, REPORT_TIMEOUT).await {
+        Ok(reply::Body::Crash(reply)) => reply.may_repeat,
+        failed => {
+            let error = failed.err().unwrap_or(CallError::UnexpectedReply).to_string();
+            log::warn!(upstream = target.id.as_str(), error = error.as_str(); "crash report lost");
+            judge_alone(shared, parts)
+        }
+    }
+}
+
+/// Records a crash in the evidence of this gateway.
+fn record_crash(shared: &Shared, parts: &[PartId], target: &Target, sent: Instant) {
+    let now_ms = shared.now_ms();
+    let crash = Crash {
+        upstream: target.id.clone(),
+        born_ms: target.born_ms,
+        sent_ms: now_ms.saturating_sub(elapsed_ms(sent)),
+        at_ms: now_ms,
+    };
+    shared.quarantine.borrow_mut().evidence.record_crash(crash, parts, now_ms);
+}
+
+/// Convicts parts by the evidence of this gateway alone; returns whether a request with
+/// these parts may be repeated.
+fn judge_alone(shared: &Shared, parts: &[PartId]) -> bool {
+    let now_ms = shared.now_ms();
+    let mut quarantine = shared.quarantine.borrow_mut();
+    for set in quarantine.evidence.convict(now_ms) {
+        log::warn!(parts = set.to_string().as_str(); "prompt parts quarantined at this gateway: upstreams crash under them");
+        quarantine.convicted.push((set, Instant::now()));
+    }
+    quarantine.evidence.may_repeat(parts, now_ms)
+}
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -19,10 +19,11 @@
 use crate::dialect::{KvCacheRef, Resume};
 use crate::events::{EventKind, EventSplitter, StreamProgress};
 use crate::exchange::{UpstreamResponse, exchange};
-use crate::forward::{elapsed_ms, log_break_off, record_failure, record_unreachable};
+use crate::forward::{elapsed_ms, record_failure, record_unreachable};
 use crate::moves::{self, CacheCopy, MoveEvent, MoveState, StopResult};
 use crate::place::{Excluded, is_draining_or_gone, wait_for_slot};
 use crate::pool::Connection;
+use crate::quarantine;
 use crate::reservation::Reservation;
 use crate::shared::{InFlightGuard, Shared};
 
@@ -56,6 +57,8 @@
     /// The stream was resumed on another engine, whose first event is pending.
     resumed: bool,
     runs: u32,
+    /// New events from the current engine.
+    events_of_run: u64,
     departures: watch::Receiver<u64>,
     move_state: MoveState,
     _in_flight: Option<InFlightGuard>,
@@ -102,6 +105,7 @@
         probe_at: Instant::now() + PROBE_AFTER,
         resumed: false,
         runs: 1,
+        events_of_run: 0,
         departures,
         move_state: MoveState::Idle,
         _in_flight: in_flight,
@@ -160,8 +164,13 @@
                     None => return self.complete().map(Ok),
                 },
                 Step::Interrupted(error) => {
-                    self.log_break_off();
                     self.record_engine_failure("stream broken off");
+                    if !self.may_run_again().await {
+                        self.log_end("engine crashed");
+                        self.discard_move();
+                        self.source = None;
+                        return Some(Err(ResponseTruncated));
+                    }
                     if let Err(truncated) = self.recover(&error).await {
                         return Some(Err(truncated));
                     }
@@ -216,6 +225,10 @@
         if std::mem::take(&mut self.resumed) {
             log::info!(request = self.call.head.id.as_str(), last_event_id = self.progress.last_event_id, pause_ms = gap.as_millis(); "stream resumed");
         }
+        if self.events_of_run == 0 {
+            quarantine::record_answer(&self.shared, &self.call.head.prompt_parts);
+        }
+        self.events_of_run += 1;
         if let Some(source) = &mut self.source {
             source.reservation.record_progress(&self.call.requirements, self.progress.relayed);
             self.shared.record_event_gap(&source.reservation.target.id, gap);
@@ -229,9 +242,16 @@
         pending > MAX_BYTES_WITHOUT_EVENT
     }
 
-    fn log_break_off(&self) {
-        if let Some(source) = self.source.as_ref().filter(|_| self.progress.relayed == 0) {
-            log_break_off(&self.call, &source.reservation.target);
+    /// Returns whether an interrupted stream may go on at another engine: not if the
+    /// engine may have crashed because of it.
+    async fn may_run_again(&self) -> bool {
+        match &self.source {
+            Some(source) if self.events_of_run == 0 => {
+                let target = &source.reservation.target;
+                let sent = source.reservation.reserved_at();
+                quarantine::handle_break_off(&self.shared, &self.call, target, sent).await
+            }
+            _ => true,
         }
     }
 
@@ -390,6 +410,10 @@
         let failed = self.source.take().map(|source| source.reservation.target.id.clone());
         self.discard_unfinished_event();
         let excluded: Excluded = failed.into_iter().collect();
+        if quarantine::admit(&self.shared, &self.call).await.is_err() {
+            self.log_end("prompt part quarantined");
+            return Err(ResponseTruncated);
+        }
         match wait_for_slot(&self.shared, &self.call, &excluded, self.call.until).await {
             Ok(reservation) => self.resume(reservation, None).await,
             Err(_) => {
@@ -422,6 +446,7 @@
             return Err(ResponseTruncated);
         }
         self.resumed = true;
+        self.events_of_run = 0;
         reservation.record_first_event();
         reservation.record_progress(&self.call.requirements, self.progress.relayed);
         let UpstreamResponse { body, connection, .. } = response;
--- a/components/gateway/src/reservation.rs
+++ b/components/gateway/src/reservation.rs
@@ -104,6 +104,11 @@
         self.cache_tokens
     }
 
+    /// Returns when the slot was reserved; the request is sent right after it.
+    pub(crate) fn reserved_at(&self) -> Instant {
+        self.reserved_at
+    }
+
     fn release_prefill(&mut self) {
         let prefill_tokens = std::mem::take(&mut self.prefill_tokens);
         self.shared.loads.borrow_mut().finish_prefill(&self.target.id, prefill_tokens);
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -25,6 +25,7 @@
 use crate::metrics::Metrics;
 use crate::place::max_in_flight;
 use crate::pool::{Connection, Pool};
+use crate::quarantine::Quarantine;
 
 /// Time for which the arbiter is not used after a failed request to it.
 const ARBITER_BACKOFF: Duration = Duration::from_secs(1);
@@ -62,6 +63,7 @@
     placements: RefCell<PlacementNumbers>,
     budgets: RefCell<HashMap<CompactString, RetryBudget>>,
     pub(crate) deadlines: RefCell<DeadlineHistory>,
+    pub(crate) quarantine: RefCell<Quarantine>,
     in_flight: Cell<u32>,
     buffered_bytes: Cell<u64>,
 }
@@ -95,6 +97,7 @@
             placements: RefCell::default(),
             budgets: RefCell::default(),
             deadlines: RefCell::default(),
+            quarantine: RefCell::default(),
             in_flight: Cell::new(0),
             buffered_bytes: Cell::new(0),
             config,
--- /dev/null
+++ b/components/quarantine/tests/evidence.rs
@@ -0,0 +1,269 @@
+//! Evidence against prompt parts, for patterns of crashes and requests.
+
+use quarantine::{Crash, Evidence, PartId, PartSet};
+use rand::rngs::SmallRng;
+use rand::{RngExt as _, SeedableRng as _};
+
+const CLASS: PartId = PartId(0xc1a55);
+const CALLER: PartId = PartId(0xca11);
+const DEADLY: PartId = PartId(0xdead);
+const OTHER_DEADLY: PartId = PartId(0xdead2);
+
+fn crash(upstream: &str, at_ms: u64) -> Crash {
+    Crash { upstream: upstream.into(), born_ms: 0, sent_ms: at_ms.saturating_sub(300), at_ms }
+}
+
+fn set<const N: usize>(parts: [PartId; N]) -> PartSet {
+    PartSet::new(parts)
+}
+
+/// Records a crash of each upstream in turn under the same parts, a second apart.
+fn record_crashes(evidence: &mut Evidence, count: u64, parts: &[PartId]) -> u64 {
+    for number in 1..=count {
+        let at_ms = number * 1_000;
+        evidence.record_crash(crash(&format!("e{number}"), at_ms), parts, at_ms);
+    }
+    count * 1_000
+}
+
+#[test]
+fn third_crash_in_a_row_convicts_the_part() {
+    let mut evidence = Evidence::default();
+
+    let now_ms = record_crashes(&mut evidence, 2, &[DEADLY]);
+    let after_two = evidence.convict(now_ms);
+    evidence.record_crash(crash("e3", 3_000), &[DEADLY], 3_000);
+
+    assert_eq!(after_two, []);
+    assert_eq!(evidence.convict(3_000), [set([DEADLY])]);
+}
+
+#[test]
+fn crash_counts_once_however_many_gateways_report_it() {
+    let mut evidence = Evidence::default();
+
+    for gateway in 0..20 {
+        let mut report = crash("e1", 1_000 + gateway);
+        report.sent_ms = 900 + gateway;
+        evidence.record_crash(report, &[DEADLY], 1_100);
+    }
+
+    assert_eq!(evidence.convict(1_100), []);
+}
+
+#[test]
+fn sound_parts_that_came_with_a_deadly_one_are_cleared_by_answers() {
+    let mut evidence = Evidence::default();
+
+    for number in 1..=3 {
+        let at_ms = number * 1_000;
+        evidence.record_answer(CLASS, at_ms - 100);
+        evidence.record_answer(CALLER, at_ms - 50);
+        let parts = [CLASS, CALLER, DEADLY];
+        evidence.record_crash(crash(&format!("e{number}"), at_ms), &parts, at_ms);
+    }
+
+    assert_eq!(evidence.convict(3_000), [set([DEADLY])]);
+}
+
+#[test]
+fn parts_without_answers_are_convicted_only_together() {
+    let mut evidence = Evidence::default();
+
+    let now_ms = record_crashes(&mut evidence, 3, &[CALLER, DEADLY]);
+
+    assert_eq!(evidence.convict(now_ms), [set([CALLER, DEADLY])]);
+}
+
+#[test]
+fn deadly_part_that_later_comes_with_another_one_is_convicted_by_two_more_crashes() {
+    let mut evidence = Evidence::default();
+    let now_ms = record_crashes(&mut evidence, 3, &[CALLER, DEADLY]);
+    evidence.convict(now_ms);
+
+    for (number, caller) in [(4, PartId(0xa)), (5, PartId(0xb))] {
+        let at_ms = number * 1_000;
+        evidence.record_crash(crash(&format!("e{number}"), at_ms), &[caller, DEADLY], at_ms);
+    }
+
+    assert_eq!(evidence.convict(5_000), [set([DEADLY])]);
+}
+
+#[test]
+fn two_deadly_parts_at_once_are_both_convicted() {
+    let mut evidence = Evidence::default();
+
+    for number in 1..=3 {
+        let at_ms = number * 2_000;
+        evidence.record_answer(CALLER, at_ms - 10);
+        let name = format!("a{number}");
+        evidence.record_crash(crash(&name, at_ms), &[CALLER, DEADLY], at_ms);
+        evidence.record_answer(CALLER, at_ms + 500);
+        let name = format!("b{number}");
+        evidence.record_crash(crash(&name, at_ms + 1_000), &[CALLER, OTHER_DEADLY], at_ms + 1_000);
+    }
+
+    let mut convicted = evidence.convict(7_000);
+    convicted.sort();
+    assert_eq!(convicted, [set([DEADLY]), set([OTHER_DEADLY])]);
+}
+
+#[test]
+fn request_with_many_parts_does_not_hide_the_deadly_one() {
+    let mut evidence = Evidence::default();
+
+    for number in 1..=3 {
+        let at_ms = number * 1_000;
+        let fresh = (0..1_000).map(|index| PartId(number * 10_000 + index));
+        let parts: Vec<PartId> = fresh.chain([DEADLY]).collect();
+        evidence.record_crash(crash(&format!("e{number}"), at_ms), &parts, at_ms);
+    }
+
+    assert_eq!(evidence.convict(3_000), [set([DEADLY])]);
+}
+
+#[test]
+fn invented_parts_do_not_push_out_a_true_one_and_memory_is_bounded() {
+    let mut evidence = Evidence::default();
+    record_crashes(&mut evidence, 2, &[DEADLY]);
+
+    for number in 0..20 {
+        let at_ms = 10_000 + number * 1_000;
+        let invented: Vec<PartId> =
+            (0..1_000).map(|index| PartId(0x1000_0000 + number * 10_000 + index)).collect();
+        evidence.record_crash(crash(&format!("x{number}"), at_ms), &invented, at_ms);
+        for part in invented {
+            evidence.record_answer(PartId(part.0 << 32), at_ms);
+        }
+    }
+    evidence.record_crash(crash("e3", 40_000), &[DEADLY], 40_000);
+
+    assert!(evidence.suspects() <= 4_096);
+    assert!(evidence.answered() <= 2 * 65_536);
+    assert_eq!(evidence.convict(40_000), [set([DEADLY])]);
+}
+
+#[test]
+fn wave_of_crashes_at_one_moment_convicts_no_part() {
+    let mut evidence = Evidence::default();
+
+    for number in 0..18 {
+        let at_ms = 1_000 + number * 10;
+        let mut report = crash(&format!("e{number}"), at_ms);
+        report.sent_ms = 900;
+        evidence.record_crash(report, &[CLASS, CALLER], at_ms);
+    }
+
+    assert_eq!(evidence.convict(10_000), []);
+}
+
+#[test]
+fn late_reports_of_a_crash_with_a_known_cause_accuse_no_other_part() {
+    let mut evidence = Evidence::default();
+    let now_ms = record_crashes(&mut evidence, 3, &[DEADLY]);
+    evidence.convict(now_ms);
+
+    record_crashes(&mut evidence, 3, &[CALLER]);
+
+    assert_eq!(evidence.convict(10_000), []);
+}
+
+#[test]
+fn answer_during_the_confirmation_clears_the_part() {
+    let mut evidence = Evidence::new(150);
+    let now_ms = record_crashes(&mut evidence, 3, &[CLASS, DEADLY]);
+    let at_once = evidence.convict(now_ms);
+
+    evidence.record_answer(CLASS, now_ms + 80);
+
+    assert_eq!(at_once, []);
+    assert_eq!(evidence.accused().collect::<Vec<_>>(), [set([DEADLY])]);
+    assert_eq!(evidence.convict(now_ms + 150), [set([DEADLY])]);
+}
+
+#[test]
+fn part_that_turns_deadly_after_answers_is_convicted() {
+    let mut evidence = Evidence::default();
+    evidence.record_answer(DEADLY, 900);
+
+    let now_ms = record_crashes(&mut evidence, 3, &[DEADLY]);
+
+    assert_eq!(evidence.convict(now_ms), [set([DEADLY])]);
+}
+
+#[test]
+fn request_is_repeated_after_a_crash_only_if_its_parts_were_answered_lately() {
+    let mut evidence = Evidence::default();
+    evidence.record_answer(CLASS, 500);
+    evidence.record_crash(crash("e1", 1_000), &[CLASS, DEADLY], 1_000);
+
+    assert!(evidence.may_repeat(&[CLASS], 1_000));
+    assert!(!evidence.may_repeat(&[CLASS, DEADLY], 1_000));
+    evidence.record_crash(crash("e2", 2_000), &[CLASS], 2_000);
+    assert!(!evidence.may_repeat(&[CLASS], 2_000));
+}
+
+const ENGINES: u64 = 18;
+const PREFILL_MS: u64 = 400;
+/// Parts that a third of the requests have, and parts that one in 300 has.
+const COMMON_PARTS: u64 = 3;
+const RARE_PARTS: u64 = 300;
+
+/// Simulated requests on engines that crash in waves, in turn and alone, all for other
+/// reasons than the requests; `crashes_per_minute` is the rate. Returns convictions.
+fn convictions_of_sound_parts(seed: u64, crashes_per_minute: u64) -> usize {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut evidence = Evidence::new(150);
+    // Engine, time of sending and parts of requests whose answer has not begun.
+    let mut waiting: Vec<(u64, u64, Vec<PartId>)> = Vec::new();
+    let mut answers: Vec<(u64, PartId)> = Vec::new();
+    let mut convicted = 0;
+    for now_ms in (0..60_000).step_by(20) {
+        if rng.random_bool(0.4) {
+            let parts = vec![
+                PartId(1 + rng.random_range(0..COMMON_PARTS)),
+                PartId(100 + rng.random_range(0..RARE_PARTS)),
+            ];
+            waiting.push((rng.random_range(0..ENGINES), now_ms, parts));
+        }
+        let crashing = match rng.random_range(0..60_000 / 20) {
+            roll if roll < crashes_per_minute / 2 => vec![rng.random_range(0..ENGINES)],
+            roll if roll < crashes_per_minute * 5 / 8 => {
+                (0..ENGINES).filter(|_| rng.random_bool(0.2)).collect()
+            }
+            _ => Vec::new(),
+        };
+        for engine in crashing {
+            let lost = waiting.extract_if(.., |(at, ..)| *at == engine).collect::<Vec<_>>();
+            for (_, sent_ms, parts) in lost {
+                let name = format!("e{engine}");
+                let crash =
+                    Crash { upstream: name.into(), born_ms: now_ms, sent_ms, at_ms: now_ms };
+                evidence.record_crash(crash, &parts, now_ms);
+            }
+        }
+        let begun = waiting.extract_if(.., |(_, sent_ms, _)| now_ms >= *sent_ms + PREFILL_MS);
+        // Reports of answers arrive with the next sync.
+        let reported_ms = now_ms + rng.random_range(10..100);
+        answers.extend(begun.flat_map(|(.., parts)| parts).map(|part| (reported_ms, part)));
+        for (_, part) in answers.extract_if(.., |(at_ms, _)| now_ms >= *at_ms) {
+            evidence.record_answer(part, now_ms);
+        }
+        convicted += evidence.convict(now_ms).len();
+    }
+    convicted
+}
+
+#[test]
+fn crashes_for_other_reasons_convict_no_sound_part() {
+    for seed in 0..40 {
+        assert_eq!(convictions_of_sound_parts(seed, 8), 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn ten_times_as_many_crashes_for_other_reasons_convict_no_sound_part() {
+    for seed in 0..40 {
+        assert_eq!(convictions_of_sound_parts(seed, 80), 0, "seed {seed}");
+    }
+}
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod members;
 mod publications;
+mod quarantine;
 mod records;
 mod routes;
 
@@ -16,6 +17,7 @@
 
 pub use members::Members;
 pub use publications::Publications;
+pub use quarantine::Quarantine;
 pub use records::Records;
 pub use routes::Routes;
 
@@ -72,6 +74,7 @@
     records: Records,
     members: Members,
     routes: Routes,
+    quarantine: Quarantine,
 }
 
 impl State {
@@ -117,6 +120,14 @@
             Some(Body::PublishRoutes(publish)) => {
                 Applied::new(Outcome::RoutesPublished(self.routes.publish(publish)))
             }
+            Some(Body::QuarantineParts(command)) => {
+                self.quarantine.add(command, now_ms);
+                Applied::new(Outcome::Done)
+            }
+            Some(Body::LiftQuarantine(command)) => {
+                self.quarantine.lift(&command);
+                Applied::new(Outcome::Done)
+            }
             None => Applied::new(Outcome::Done),
         }
     }
@@ -141,6 +152,11 @@
         &self.routes
     }
 
+    /// Returns the sets of prompt parts under quarantine.
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
     /// Returns the current revision and its object set.
     pub fn current(&self) -> (u64, Option<&ObjectSet>) {
         self.publications.current()
@@ -156,6 +172,7 @@
             now_ms: self.now_ms,
             released: self.records.released_to_image(),
             routes: self.routes.to_image(),
+            quarantine: self.quarantine.to_image(),
         };
         image.encode_to_vec()
     }
@@ -170,6 +187,7 @@
             records: Records::from_image(image.records, image.released),
             members: Members::from_image(image.members, image.members_version),
             routes: Routes::from_image(image.routes),
+            quarantine: Quarantine::from_image(image.quarantine),
         })
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -6,6 +6,7 @@
 use bench::{MixName, Policy};
 use bpaf::Bpaf;
 use credentials::Role;
+use quarantine::PartId;
 use units::{Millis, VmName};
 
 /// Operate a shallottray deployment
@@ -87,6 +88,14 @@
         #[bpaf(positional("REPLICA"))]
         replica_id: u64,
     },
+    /// Prompt parts under which upstreams crash; requests with them are rejected
+    #[bpaf(command)]
+    Quarantine {
+        #[bpaf(external)]
+        operator: Operator,
+        #[bpaf(external)]
+        quarantine: Quarantine,
+    },
     /// Create keys, certificates and tokens
     #[bpaf(command)]
     Keys {
@@ -121,6 +130,28 @@
     pub settings: PathBuf,
 }
 
+/// Quarantine of prompt parts.
+#[derive(Bpaf, Clone, Debug)]
+pub enum Quarantine {
+    /// List the sets of parts that are, or were lately, under quarantine
+    #[bpaf(command)]
+    List,
+    /// Reject requests with all of these parts
+    #[bpaf(command)]
+    Add {
+        /// Hexadecimal ids of the parts
+        #[bpaf(positional("PART"), some("name one part or more"))]
+        parts: Vec<PartId>,
+    },
+    /// Accept requests with all of these parts again
+    #[bpaf(command)]
+    Lift {
+        /// Hexadecimal ids of the parts, as `list` shows them
+        #[bpaf(positional("PART"), some("name one part or more"))]
+        parts: Vec<PartId>,
+    },
+}
+
 /// Keys, certificates and tokens.
 #[derive(Bpaf, Clone, Debug)]
 pub enum Keys {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod get;
 mod keys;
 mod publish;
+mod quarantine;
 mod replace;
 mod schema;
 mod status;
@@ -32,6 +33,9 @@
         Command::Status { operator, json } => status::run(&operator, json).await,
         Command::Bootstrap { operator, address } => bootstrap::run(&operator, address).await,
         Command::Replace { operator, replica_id } => replace::run(&operator, replica_id).await,
+        Command::Quarantine { operator, quarantine } => {
+            quarantine::run(&operator, quarantine).await
+        }
         Command::Bench { bench } => bench::run(bench).await,
         Command::Keys { keys } => keys::run(keys),
         Command::Schema { name } => schema::run(&name),
--- a/tests/support/deployment.rs
+++ b/tests/support/deployment.rs
@@ -320,6 +320,20 @@
         self.client.call(body, String::new(), REQUEST_TIMEOUT).await.ok()
     }
 
+    /// Sends a request to one control process in the name of an entry, which needs not
+    /// run.
+    pub async fn call_as_entry(
+        &self,
+        entry: usize,
+        control: usize,
+        body: request::Body,
+    ) -> Result<reply::Body, wire::CallError> {
+        let tls = load_tls(&self.folder.path().join("keys"), &format!("entry-{}", entry_vm(entry)));
+        let endpoint = Endpoint::bind(socket_address(self.address, 0), &tls).expect("a free port");
+        let link = endpoint.link(self.control_relays[control].address(), Role::Control);
+        link.call(Request { traceparent: String::new(), body: Some(body) }, REQUEST_TIMEOUT).await
+    }
+
     /// Waits until the leader lists as many entries with the revision or a newer one
     /// as entries are running. An entry that was killed is listed until its lease
     /// expires.
