Treat streams that end inside an event as broken off

What callers saw: an engine that broke off a stream inside an event, and closed it properly (chunks) or with its connection (no length), had its half event delivered and the stream closed as complete; a stream that may be resumed was not resumed.

Cause: the relay took the end of the body for the end of the stream, whatever was left of an event. Class: an answer that broke off reaches the caller as a complete success.

Change: bytes of an event that remain at the end make the stream broken off: counted against the engine, resumed elsewhere where that is allowed, otherwise the caller's connection is closed before the end. Blank lines after the last event are no event. Plain responses without a length were delivered as they should already; the tests keep that (also HTTP/1.0, Connection: close, resets).

--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -24,6 +24,11 @@
         self.buffer.len()
     }
 
+    /// Returns whether an event was received in part; blank lines after an event are none.
+    pub(crate) fn has_partial_event(&self) -> bool {
+        !self.buffer.trim_ascii().is_empty()
+    }
+
     /// Returns the next complete event including the blank line that ends it.
     pub(crate) fn next(&mut self) -> Option<Bytes> {
         let end = self.find_event_end()?;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -161,17 +161,15 @@
                             return Some(Err(truncated));
                         }
                     }
+                    None if self.events.has_partial_event() => {
+                        if let Err(truncated) = self.interrupt("ended inside an event").await {
+                            return Some(Err(truncated));
+                        }
+                    }
                     None => return self.complete().map(Ok),
                 },
                 Step::Interrupted(error) => {
-                    self.record_engine_failure("stream broken off");
-                    if !self.may_run_again().await {
-                        self.log_end("engine crashed");
-                        self.discard_move();
-                        self.source = None;
-                        return Some(Err(ResponseTruncated));
-                    }
-                    if let Err(truncated) = self.recover(&error).await {
+                    if let Err(truncated) = self.interrupt(&error).await {
                         return Some(Err(truncated));
                     }
                 }
@@ -242,6 +240,18 @@
         pending > MAX_BYTES_WITHOUT_EVENT
     }
 
+    /// Goes on with a stream whose engine broke it off, if that is possible.
+    async fn interrupt(&mut self, error: &str) -> Result<(), ResponseTruncated> {
+        self.record_engine_failure("stream broken off");
+        if !self.may_run_again().await {
+            self.log_end("engine crashed");
+            self.discard_move();
+            self.source = None;
+            return Err(ResponseTruncated);
+        }
+        self.recover(error).await
+    }
+
     /// Returns whether an interrupted stream may go on at another engine: not if the
     /// engine may have crashed because of it.
     async fn may_run_again(&self) -> bool {
