Keep HTTP/1.0 on its own connection, and reset what breaks off there

What callers saw: the stream of an upstream that speaks HTTP/1.0 came to a caller of HTTP/1.1 with the version and framing of HTTP/1.0, so that the caller could not tell a complete stream from one that broke off. A caller of HTTP/1.0 got a normal close when its stream broke off.

Cause: the relay passed on the head with the upstream's protocol version, and the response body's error closes the connection, which for HTTP/1.0 is the end of a response.

Change: responses have the version of the caller's connection; the connection of a caller of HTTP/1.0 is reset on an error.

--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use futures::stream::unfold;
-use http::Response;
 use http::header::CONTENT_LENGTH;
+use http::{Response, Version};
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Frame, Incoming};
 use schema::RepeatKind;
@@ -93,6 +93,8 @@
     let UpstreamResponse { mut head, body, connection } = response;
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
+    // The protocol version belongs to the connection to the upstream.
+    head.version = Version::HTTP_11;
     let mut departures = shared.departures.subscribe();
     // The engine may have started to drain before the head arrived.
     departures.mark_changed();
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -1,11 +1,14 @@
 //! HTTP connections from callers.
 
+use std::cell::Cell;
 use std::convert::Infallible;
-use std::pin::pin;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::{Request, Version};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -63,31 +66,36 @@
         return;
     }
     let (idle_timeout, buffer_bytes) = connection_limits(&shared);
-    let service = service_fn(move |request| {
+    let ends_with_connection = Cell::new(false);
+    let service = service_fn(|request: Request<Incoming>| {
+        ends_with_connection.set(request.version() == Version::HTTP_10);
         let shared = shared.clone();
         async move { Ok::<_, Infallible>(forward::serve(shared, request).await) }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
         .max_buf_size(buffer_bytes)
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
     let mut open = true;
-    loop {
+    let result = loop {
         tokio::select! {
-            result = connection.as_mut() => {
-                if let Err(error) = result {
-                    log::debug!(error = error.to_string().as_str(); "caller connection failed");
-                }
-                return;
-            }
+            result = &mut connection => break result,
             _ = closing.wait_for(|closing| *closing), if open => {
                 open = false;
-                connection.as_mut().graceful_shutdown();
+                Pin::new(&mut connection).graceful_shutdown();
             }
         }
+    };
+    let Err(error) = result else { return };
+    log::debug!(error = error.to_string().as_str(); "caller connection failed");
+    if ends_with_connection.get() {
+        // A close would look like the end of the response.
+        let stream = connection.into_parts().io.into_inner();
+        if let Err(error) = stream.set_zero_linger() {
+            log::debug!(error = error.to_string().as_str(); "cannot reset a caller connection");
+        }
     }
 }
 
