--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -84,7 +83,7 @@
             result = &mut connection => break result,
             _ = closing.wait_for(|closing| *closing), if open => {
                 open = false;
-                Pin::new(&mut connection).graceful_shutdown();
+                std::pin::Pin::new(&mut connection).graceful_shutdown();
             }
         }
     };
