Count crashes as one incident only within a wave of small gaps

Now only crashes that follow each other within 50 ms belong together. Ruled out: late reports (all arrived within 3 ms).

Test of the pattern: requests_with_a_deadly_part_that_are_sent_at_once_convict_it_by_three_crashes.

--- a/components/quarantine/src/evidence.rs
+++ b/components/quarantine/src/evidence.rs
@@ -15,9 +15,9 @@
 
 /// Incidents in a row, without an answer between them, that convict a part.
 const CONVICTING_INCIDENTS: usize = 3;
-/// Longest time between crashes of one incident. Upstreams that are stopped together all
-/// have requests with the parts that are in frequent use.
-const INCIDENT_MS: u64 = 200;
+/// Longest time from one crash of a wave to the next. Upstreams that are stopped together
+/// all have requests with the parts that are in frequent use.
+const WAVE_GAP_MS: u64 = 50;
 /// Later reports of a crash of the same incarnation mean that it started again and
 /// crashed before it announced itself.
 const SAME_CRASH_MS: u64 = 1_000;
@@ -50,12 +50,15 @@
 struct NumberedCrash {
     crash: Crash,
     number: CrashNumber,
+    /// Number of the first reported crash of the wave that it belongs to.
+    wave: CrashNumber,
 }
 
 /// Crash under one part.
 #[derive(Clone, Copy, Debug)]
 struct CrashUnderPart {
     number: CrashNumber,
+    wave: CrashNumber,
     sent_ms: u64,
     at_ms: u64,
 }
@@ -86,18 +89,17 @@
     }
 
     /// Returns the number of incidents that the crashes form. A crash belongs to an
-    /// earlier incident if it follows shortly and its request was sent before.
+    /// earlier incident if it is of the same wave and its request was sent before.
     fn incidents(&self) -> usize {
         let mut crashes = self.crashes.clone();
         crashes.sort_unstable_by_key(|crash| crash.at_ms);
-        let mut began_ms = None;
+        let mut last: Option<CrashUnderPart> = None;
         let mut incidents = 0;
         for crash in crashes {
-            let is_new = began_ms.is_none_or(|began_ms| {
-                crash.sent_ms > began_ms || crash.at_ms > began_ms + INCIDENT_MS
-            });
+            let is_new =
+                last.is_none_or(|last| crash.wave != last.wave || crash.sent_ms > last.at_ms);
             if is_new {
-                began_ms = Some(crash.at_ms);
+                last = Some(crash);
                 incidents += 1;
             }
         }
@@ -161,7 +163,7 @@
     /// it.
     pub fn record_crash(&mut self, crash: Crash, parts: &[PartId], now_ms: u64) {
         let (sent_ms, at_ms) = (crash.sent_ms, crash.at_ms);
-        let number = self.number_of(crash);
+        let (number, wave) = self.number_of(crash);
         if self.explained.contains(&number) {
             return;
         }
@@ -169,7 +171,7 @@
         for part in set.iter() {
             let suspect = self.suspects.entry(part).or_default();
             suspect.crashes.retain(|crash| now_ms < crash.at_ms + SUSPICION_MS);
-            suspect.record(CrashUnderPart { number, sent_ms, at_ms }, &set);
+            suspect.record(CrashUnderPart { number, wave, sent_ms, at_ms }, &set);
             if suspect.is_convictable() {
                 self.accused.entry(part).or_insert(now_ms + self.confirmation_ms);
             }
@@ -243,23 +245,28 @@
         self.answered.len()
     }
 
-    fn number_of(&mut self, crash: Crash) -> CrashNumber {
+    /// Returns the number of a crash and of its wave.
+    fn number_of(&mut self, crash: Crash) -> (CrashNumber, CrashNumber) {
         let is_same = |known: &&NumberedCrash| {
             known.crash.upstream == crash.upstream
                 && known.crash.born_ms == crash.born_ms
                 && known.crash.at_ms.abs_diff(crash.at_ms) <= SAME_CRASH_MS
         };
         if let Some(known) = self.crashes.iter().find(is_same) {
-            return known.number;
+            return (known.number, known.wave);
         }
         self.last_number += 1;
-        self.crashes.push_back(NumberedCrash { crash, number: self.last_number });
+        let number = self.last_number;
+        let is_same_wave =
+            |known: &&NumberedCrash| known.crash.at_ms.abs_diff(crash.at_ms) <= WAVE_GAP_MS;
+        let wave = self.crashes.iter().find(is_same_wave).map_or(number, |known| known.wave);
+        self.crashes.push_back(NumberedCrash { crash, number, wave });
         if self.crashes.len() > MAX_CRASHES
             && let Some(oldest) = self.crashes.pop_front()
         {
             self.explained.remove(&oldest.number);
         }
-        self.last_number
+        (number, wave)
     }
 
     /// Attributes the crashes under a convicted set to it alone. Parts of a set of
--- a/components/quarantine/tests/evidence.rs
+++ b/components/quarantine/tests/evidence.rs
@@ -157,6 +157,33 @@
     assert_eq!(evidence.convict(10_000), []);
 }
 
+#[test]
+fn requests_with_a_deadly_part_that_are_sent_at_once_convict_it_by_three_crashes() {
+    let mut evidence = Evidence::default();
+
+    for (number, at_ms) in [(1, 4_924), (2, 5_039), (3, 5_176)] {
+        let mut report = crash(&format!("e{number}"), at_ms);
+        report.sent_ms = 4_500;
+        evidence.record_crash(report, &[DEADLY], at_ms);
+    }
+
+    assert_eq!(evidence.convict(5_176), [set([DEADLY])]);
+}
+
+#[test]
+fn flood_of_requests_with_a_deadly_part_convicts_it() {
+    let mut evidence = Evidence::default();
+
+    for number in 0..10 {
+        let at_ms = 1_000 + number * 20;
+        let mut report = crash(&format!("e{number}"), at_ms);
+        report.sent_ms = at_ms - 30;
+        evidence.record_crash(report, &[DEADLY], at_ms);
+    }
+
+    assert_eq!(evidence.convict(1_200), [set([DEADLY])]);
+}
+
 #[test]
 fn late_reports_of_a_crash_with_a_known_cause_accuse_no_other_part() {
     let mut evidence = Evidence::default();
