Withdraw requests under way once their prompt part is quarantined

Gateways now close the connection of such a request; its caller gets 502, may-have-run. Ruled out: holding them back, since they are at the engine already.

Test: request_under_way_is_withdrawn_once_its_part_is_convicted.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -13,6 +13,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use wire::{CallError, Endpoint, Link};
 
+use crate::quarantine;
 use crate::shared::Shared;
 
 /// Longest time for which the control process that aggregates upstream load
@@ -190,7 +191,7 @@
     let changes =
         shared.registry.borrow_mut().apply(address, full_registry, reply.upstreams, now_ms);
     shared.apply_changes(&changes);
-    shared.quarantine.borrow_mut().apply(address, reply.quarantine_digest, &reply.quarantine);
+    quarantine::apply(shared, address, reply.quarantine_digest, &reply.quarantine);
     if let Some(set) = reply.set {
         activate_set(shared, set, address);
     }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -65,6 +65,8 @@
     Failed(Response<Body>),
     /// The response was lost; the request may have run.
     Lost(&'static str),
+    /// The parts of its prompt were quarantined; the request may have run.
+    Withdrawn,
     TimedOut,
 }
 
@@ -115,6 +117,12 @@
                     break None;
                 }
             }
+            Attempt::Withdrawn => {
+                log::info!(request = call.head.id.as_str(), upstream = upstream.as_str(); "request withdrawn: upstreams crash under parts of its prompt");
+                let reason = "prompt part quarantined";
+                record(Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, reason));
+                break None;
+            }
             Attempt::TimedOut => {
                 record(Refusal::unknown_outcome(StatusCode::GATEWAY_TIMEOUT, "timed out"));
                 break None;
@@ -190,7 +198,12 @@
     let resume =
         call.head.last_event_id.map(|id| Resume { last_event_id: Some(id), kv_cache: None });
     let request = call.to_request(shared, &target, resume.as_ref());
-    let response = match exchange(shared, &call.span, &target, request, call.until).await {
+    let exchanged = tokio::select! {
+        exchanged = exchange(shared, &call.span, &target, request, call.until) => exchanged,
+        // Engines drop a request whose connection closes before they begin its answer.
+        () = quarantine::wait_for_conviction(shared, call) => return Attempt::Withdrawn,
+    };
+    let response = match exchanged {
         Ok(response) => response,
         Err(error) => return handle_exchange_error(shared, call, &target, &error),
     };
--- a/components/gateway/src/quarantine.rs
+++ b/components/gateway/src/quarantine.rs
@@ -90,12 +90,12 @@
         self.by_source.get(&source).map_or(0, |list| list.digest)
     }
 
-    /// Applies the quarantine in a sync reply of a control process.
-    pub(crate) fn apply(&mut self, source: SocketAddr, digest: u64, sets: &[schema::PartSet]) {
+    /// Returns whether the list of the control process changed.
+    fn apply(&mut self, source: SocketAddr, digest: u64, sets: &[schema::PartSet]) -> bool {
         let list = self.by_source.entry(source).or_default();
         list.disconnected_at = None;
         if list.digest == digest {
-            return;
+            return false;
         }
         list.digest = digest;
         list.convicted = SetIndex::default();
@@ -105,6 +105,7 @@
             index.insert(PartSet::new(set.parts.iter().map(|part| PartId(*part))));
         }
         log::info!(control = source.to_string().as_str(), sets = sets.len(); "quarantine of prompt parts changed");
+        true
     }
 
     /// Marks a control process as disconnected; its list stays in force for a while.
@@ -157,6 +158,24 @@
     check(shared, call)
 }
 
+/// Waits until the parts of a request that was sent are quarantined.
+pub(crate) async fn wait_for_conviction(shared: &Shared, call: &Call) {
+    let mut changes = shared.quarantine_changes.subscribe();
+    while shared.quarantine.borrow().find(&call.head.prompt_parts).is_none() {
+        // Fails only once `shared` is gone.
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Applies the quarantine in a sync reply of a control process.
+pub(crate) fn apply(shared: &Shared, source: SocketAddr, digest: u64, sets: &[schema::PartSet]) {
+    if shared.quarantine.borrow_mut().apply(source, digest, sets) {
+        shared.quarantine_changes.send_modify(|changes| *changes += 1);
+    }
+}
+
 /// Rejects a request that has all parts of a quarantined set.
 fn check(shared: &Shared, call: &Call) -> Result<(), Refusal> {
     let quarantine = shared.quarantine.borrow();
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -64,6 +64,8 @@
     budgets: RefCell<HashMap<CompactString, RetryBudget>>,
     pub(crate) deadlines: RefCell<DeadlineHistory>,
     pub(crate) quarantine: RefCell<Quarantine>,
+    /// Incremented when the quarantine changes.
+    pub(crate) quarantine_changes: watch::Sender<u64>,
     in_flight: Cell<u32>,
     buffered_bytes: Cell<u64>,
 }
@@ -98,6 +100,7 @@
             budgets: RefCell::default(),
             deadlines: RefCell::default(),
             quarantine: RefCell::default(),
+            quarantine_changes: watch::Sender::new(0),
             in_flight: Cell::new(0),
             buffered_bytes: Cell::new(0),
             config,
