Log the request limits that upstreams name

Nothing logged the limit. The adapter now parses Server-Limit (the lowest valid value; others get a line), and gateways log changes. No other behaviour changes.

--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -12,6 +12,7 @@
 mod load;
 mod pace;
 mod prefill;
+mod rate;
 mod recent;
 mod tokens;
 
@@ -24,4 +25,5 @@
 pub use load::{Candidate, Loads, PlacementDemand, UpstreamLoad, sample_size};
 pub use pace::Paces;
 pub use prefill::{FirstEventTarget, PrefillRate};
+pub use rate::{InvalidRate, RequestRate};
 pub use tokens::{GROWTH_RESERVE_TOKENS, TokenCounts};
--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use balance::TokenCounts;
+use balance::{RequestRate, TokenCounts};
 use bytes::Bytes;
 use compact_str::CompactString;
 use displaydoc::Display;
@@ -74,7 +74,7 @@
 }
 
 /// Fields of an upstream's response head that the gateway uses.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
     /// The upstream states that it did not run the request.
     pub not_run: bool,
@@ -84,6 +84,8 @@
     pub signed: bool,
     /// Id of the request that the response is for, if it states one.
     pub request_id: Option<CompactString>,
+    /// Requests that the upstream takes from all gateways together, if it names a limit.
+    pub request_limit: Option<RequestRate>,
 }
 
 /// Command to copy the KV cache of a running generation to another engine.
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -16,6 +16,7 @@
 use crate::answer::{Body, Refusal, full_body, strip_hop_by_hop};
 use crate::dialect::{ResponseHead, Resume};
 use crate::exchange::{ExchangeError, Target, UpstreamResponse, exchange};
+use crate::limits::record_limit;
 use crate::place::{Excluded, ReserveError, wait_for_slot};
 use crate::quarantine;
 use crate::relay;
@@ -209,9 +210,11 @@
     };
     let head = shared.dialect.parse_response(&response.head);
     match check_response(&call.head.id, &head, response.head.status) {
-        ResponseCheck::Valid => {}
+        ResponseCheck::Valid => record_limit(shared, &target, head.request_limit),
         ResponseCheck::Rejected => {
-            if head.misdirected {
+            if !head.misdirected {
+                record_limit(shared, &target, head.request_limit);
+            } else {
                 shared.registry.borrow_mut().mark_gone(&target.id, target.born_ms);
                 shared.pool.close_all(&target.id);
             }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod events;
 mod exchange;
 mod forward;
+mod limits;
 mod metrics;
 mod moves;
 mod place;
@@ -29,7 +30,7 @@
 mod shared;
 mod status;
 
-pub use balance::TokenCounts;
+pub use balance::{RequestRate, TokenCounts};
 pub use dialect::{
     Dialect, ForwardContext, KvCacheRef, MalformedRequest, MoveCommand, MoveResult, PromptParts,
     RequestHead, ResponseHead, Resume,
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -22,6 +22,7 @@
 
 use crate::dialect::Dialect;
 use crate::exchange::Target;
+use crate::limits::ObservedLimits;
 use crate::metrics::Metrics;
 use crate::place::max_in_flight;
 use crate::pool::{Connection, Pool};
@@ -63,6 +64,7 @@
     placements: RefCell<PlacementNumbers>,
     budgets: RefCell<HashMap<CompactString, RetryBudget>>,
     pub(crate) deadlines: RefCell<DeadlineHistory>,
+    pub(crate) limits: RefCell<ObservedLimits>,
     pub(crate) quarantine: RefCell<Quarantine>,
     /// Incremented when the quarantine changes.
     pub(crate) quarantine_changes: watch::Sender<u64>,
@@ -99,6 +101,7 @@
             placements: RefCell::default(),
             budgets: RefCell::default(),
             deadlines: RefCell::default(),
+            limits: RefCell::default(),
             quarantine: RefCell::default(),
             quarantine_changes: watch::Sender::new(0),
             in_flight: Cell::new(0),
