Keep the limits that upstreams name over all gateways together

Cause: no part read the limit, and plain requests are placed by each gateway alone.

Change: the arbiter has a token bucket for each limited upstream, placement of requests to a service with a limit goes through it, also of plain ones; a candidate without a token is no candidate. What no limit allows is refused at once with a Retry-After at the rate of the limits. Reports of a sync that is cancelled are sent again.

Tried on the way: marking reports as sent when the request is built (the second limit's urgent sync cancelled the first one's; a limit never reached the arbiter).

--- a/components/balance/src/arbiter.rs
+++ b/components/balance/src/arbiter.rs
@@ -12,6 +12,7 @@
 use rand::Rng;
 
 use crate::backlog::GrantHistory;
+use crate::limits::UpstreamLimits;
 use crate::load::{Candidate, Loads, PlacementDemand, UpstreamLoad};
 use crate::pace::Paces;
 use crate::prefill::FirstEventTarget;
@@ -82,6 +83,8 @@
     TimedOut,
     /// No capacity is expected as long as the entry would ask.
     Shed,
+    /// All upstreams name limits, which allow the request in this many milliseconds.
+    Limited(u64),
 }
 
 impl ReservationRequest {
@@ -131,6 +134,9 @@
     /// Recent grants by service.
     grants: HashMap<CompactString, GrantHistory>,
     paces: Paces,
+    limits: UpstreamLimits,
+    /// Part of all entries that this arbiter serves.
+    limit_share: f64,
 }
 
 impl<T> Default for Arbiter<T> {
@@ -140,6 +146,8 @@
             waiting: Vec::new(),
             grants: HashMap::new(),
             paces: Paces::default(),
+            limits: UpstreamLimits::default(),
+            limit_share: 1.0,
         }
     }
 }
@@ -163,6 +171,22 @@
         self.paces.record(id, events, elapsed_ms, now_ms);
     }
 
+    /// Sets the part of all entries that this arbiter serves; the others may be connected
+    /// to another one, which grants their part of each limit.
+    pub fn set_limit_share(&mut self, share: f64) {
+        self.limit_share = share;
+    }
+
+    /// Returns the limits that upstreams name.
+    pub fn limits(&self) -> &UpstreamLimits {
+        &self.limits
+    }
+
+    /// Returns the limits that upstreams name, to be changed.
+    pub fn limits_mut(&mut self) -> &mut UpstreamLimits {
+        &mut self.limits
+    }
+
     /// Removes an entry that disconnected, with its reservations and waiting
     /// requests.
     pub fn remove_entry(&mut self, entry: &str) {
@@ -190,7 +214,8 @@
     ///
     /// Returns the `reply` of each finished request with its outcome. A request that
     /// has more requests of its service before it than are granted in its queue time is
-    /// shed: finished at once. Requests for which `is_wanted` returns false are
+    /// shed: finished at once; so is one that the limits of its upstreams do not allow in
+    /// that time. Requests for which `is_wanted` returns false are
     /// dropped.
     pub fn grant_waiting(
         &mut self,
@@ -201,6 +226,7 @@
         if self.waiting.is_empty() {
             return Vec::new();
         }
+        self.limits.refill(now_ms, self.limit_share);
         let mut loads = self.loads();
         let mut finished = Vec::new();
         self.paces.expire(now_ms);
@@ -211,7 +237,9 @@
         waiting.sort_by_cached_key(|(request, _)| request.order(now_ms));
         for (request, reply) in waiting {
             let paces = &self.paces;
-            let candidates = request.candidates.iter().map(|candidate| {
+            let limits = &self.limits;
+            let allowed = request.candidates.iter().filter(|c| limits.has_token(&c.id));
+            let candidates = allowed.map(|candidate| {
                 let slowness = paces.relative(&candidate.id, mean_gap_ms) - 1.0;
                 let extra_cost = candidate.extra_cost + PACE_COST * slowness;
                 Candidate { extra_cost, ..candidate.as_candidate() }
@@ -221,11 +249,16 @@
             match granted {
                 Some(id) => {
                     loads.start_request(&id, demand.cache_tokens, demand.prefill_tokens);
+                    self.limits.take(&id);
                     self.grant(&request, id.clone(), now_ms);
                     finished.push((reply, ReservationOutcome::Granted(id)));
                 }
                 None => {
                     let ahead = ahead.entry(request.service.clone()).or_default();
+                    if let Some(retry_after_ms) = self.refuse_limited(&request, *ahead, now_ms) {
+                        finished.push((reply, ReservationOutcome::Limited(retry_after_ms)));
+                        continue;
+                    }
                     if self.should_shed(&request, *ahead, now_ms) {
                         finished.push((reply, ReservationOutcome::Shed));
                         continue;
@@ -242,6 +275,21 @@
         finished
     }
 
+    /// Refuses a request all of whose upstreams are limited and will not have a token in
+    /// its queue time; returns when its caller may come back.
+    fn refuse_limited(
+        &mut self,
+        request: &ReservationRequest,
+        ahead: usize,
+        now_ms: u64,
+    ) -> Option<u64> {
+        let ids = || request.candidates.iter().map(|candidate| candidate.id.as_str());
+        let wait_ms = self.limits.expected_wait_ms(ids(), ahead)?;
+        let queue_timeout_ms = request.queue_until_ms.saturating_sub(now_ms);
+        (wait_ms > queue_timeout_ms as f64)
+            .then(|| self.limits.refuse(&request.service, ids(), now_ms))
+    }
+
     fn should_shed(&mut self, request: &ReservationRequest, ahead: usize, now_ms: u64) -> bool {
         let queue_timeout_ms = request.queue_until_ms.saturating_sub(now_ms);
         let history = self.grants.get_mut(&request.service);
--- a/components/balance/tests/arbiter.rs
+++ b/components/balance/tests/arbiter.rs
@@ -38,7 +38,9 @@
     let finished = arbiter.grant_waiting(now_ms, |_| true, &mut rand::rng());
     let granted = |outcome| match outcome {
         ReservationOutcome::Granted(id) => Some(String::from(id)),
-        ReservationOutcome::TimedOut | ReservationOutcome::Shed => None,
+        ReservationOutcome::TimedOut
+        | ReservationOutcome::Shed
+        | ReservationOutcome::Limited(_) => None,
     };
     finished.into_iter().map(|(reply, outcome)| (reply, granted(outcome))).collect()
 }
--- a/components/balance/tests/explore.rs
+++ b/components/balance/tests/explore.rs
@@ -92,7 +92,9 @@
         {
             let granted = match outcome {
                 ReservationOutcome::Granted(id) => Some(id),
-                ReservationOutcome::TimedOut | ReservationOutcome::Shed => None,
+                ReservationOutcome::TimedOut
+                | ReservationOutcome::Shed
+                | ReservationOutcome::Limited(_) => None,
             };
             entries[index].replies.push_back((number, tokens, granted));
         }
--- a/components/control/src/metrics.rs
+++ b/components/control/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of a control process.
 
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{
+    GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
 use telemetry::LATENCY_BUCKETS_SECONDS;
 
 /// Metrics of a control process.
@@ -20,6 +22,7 @@
     pub(crate) leader_changes: IntCounter,
     pub(crate) crashes: IntCounter,
     pub(crate) quarantined: IntGauge,
+    pub(crate) limits: GaugeVec,
     pub(crate) commit_seconds: Histogram,
     pub(crate) sync_seconds: Histogram,
     pub(crate) sync_entries: Histogram,
@@ -54,6 +57,14 @@
             "Requests that had no answer when their upstream crashed.",
         )?;
         registry.register(Box::new(crashes.clone()))?;
+        let limits = GaugeVec::new(
+            Opts::new(
+                "shallottray_control_upstream_limits",
+                "Limits that upstreams name, and requests granted and refused under them.",
+            ),
+            &["upstream", "value"],
+        )?;
+        registry.register(Box::new(limits.clone()))?;
         let latency = LATENCY_BUCKETS_SECONDS.to_vec();
         let disk_available = gauge("disk_available", "1 while the disk accepts writes.")?;
         disk_available.set(1);
@@ -71,6 +82,7 @@
             requests,
             leader_changes,
             crashes,
+            limits,
             quarantined: gauge("quarantined_parts", "Prompt parts under quarantine.")?,
             commit_seconds: histogram(
                 "commit_seconds",
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -172,6 +172,7 @@
         self.bootstrap_at_first_start(now_ms);
         self.join_if_not_member(now_ms);
         self.expire_upstreams(now_ms);
+        self.update_limit_metrics(now_ms);
         self.convict(now_ms);
         self.refresh_quarantine(now_ms);
         self.commit_convictions(now_ms);
--- a/components/control/src/replica/places.rs
+++ b/components/control/src/replica/places.rs
@@ -17,6 +17,8 @@
 /// Interval between scheduling rounds while requests wait. A new request starts a
 /// round at once.
 const SCHEDULING_INTERVAL_MS: u64 = 10;
+/// Interval between updates of the metrics of limits.
+const LIMIT_METRICS_INTERVAL_MS: u64 = 1_000;
 /// Maximum random cost added to an engine to break ties.
 const TIE_BREAK_JITTER: f64 = 0.01;
 
@@ -57,11 +59,33 @@
     }
 }
 
+impl Replica {
+    /// Updates the metrics of the limits that upstreams name.
+    pub(super) fn update_limit_metrics(&mut self, now_ms: u64) {
+        let syncs = &mut self.gateway_syncs;
+        if now_ms < syncs.next_limit_metrics_ms {
+            return;
+        }
+        syncs.next_limit_metrics_ms = now_ms + LIMIT_METRICS_INTERVAL_MS;
+        let metrics = &self.metrics.limits;
+        metrics.reset();
+        for (upstream, _, limit) in syncs.arbiter.limits().iter() {
+            let set = |value, number| metrics.with_label_values(&[upstream, value]).set(number);
+            set("per_second", limit.per_second);
+            set("granted", limit.granted as f64);
+            set("refused", limit.refused as f64);
+        }
+    }
+}
+
 fn to_place_reply(outcome: ReservationOutcome) -> PlaceReply {
     match outcome {
-        ReservationOutcome::Granted(id) => PlaceReply { id: id.into(), shed: false },
+        ReservationOutcome::Granted(id) => PlaceReply { id: id.into(), ..PlaceReply::default() },
         ReservationOutcome::TimedOut => PlaceReply::default(),
         ReservationOutcome::Shed => PlaceReply { shed: true, ..PlaceReply::default() },
+        ReservationOutcome::Limited(retry_after_ms) => {
+            PlaceReply { limited_ms: retry_after_ms.max(1), ..PlaceReply::default() }
+        }
     }
 }
 
--- a/components/control/src/replica/status.rs
+++ b/components/control/src/replica/status.rs
@@ -1,6 +1,6 @@
 //! Status of the group and the entries, as known to this process, for operators.
 
-use schema::{EntryMember, EntryStatus, Reply, StatusReply, reply};
+use schema::{EntryMember, EntryStatus, LimitStatus, Reply, StatusReply, reply};
 
 use super::Replica;
 
@@ -31,11 +31,23 @@
             records: self.state.records().len() as u64,
             entries: self.state.members().iter().map(entry).collect(),
             disk_error: self.disk_error.clone().unwrap_or_default(),
+            limits: self.limit_statuses(),
             log_bytes: u64::try_from(self.metrics.log_bytes.get()).unwrap_or_default(),
         };
         Reply { body: Some(reply::Body::Status(status)) }
     }
 
+    fn limit_statuses(&self) -> Vec<LimitStatus> {
+        let limits = self.gateway_syncs.arbiter.limits().iter();
+        let to_message = |(id, _, status): (&str, _, balance::LimitStatus)| LimitStatus {
+            upstream: id.to_string(),
+            per_second: status.per_second,
+            granted: status.granted,
+            refused: status.refused,
+        };
+        limits.map(to_message).collect()
+    }
+
     pub(super) fn leader_address(&self) -> String {
         let leader_id = self.node.leader_id();
         let replicas = &self.node.configuration().replicas;
--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -6,14 +6,17 @@
 //! confirms it. A change of the load alone does not end the wait.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::net::SocketAddr;
 
 use actix::ResponseFuture;
-use balance::{Arbiter, UpstreamLoad};
+use balance::{Arbiter, ObservedLimit, RequestRate, UpstreamLoad};
 use compact_str::CompactString;
 use credentials::Identity;
 use registry::Registry;
-use schema::{EntryPhase, ErrorCode, Reply, SyncReply, SyncRequest, UpstreamUse, reply};
+use schema::{
+    EntryPhase, ErrorCode, Reply, SyncReply, SyncRequest, UpstreamLimit, UpstreamUse, reply,
+};
 use tokio::sync::oneshot;
 use wire::error_reply;
 
@@ -29,6 +32,10 @@
 /// upstreams retry at another control process after a second.
 const CONFIRM_TIMEOUT_MS: u64 = 600;
 
+/// Time for which a lost gateway keeps its part of the limits of upstreams: it may be
+/// connected to another arbiter.
+const LIMIT_MEMBER_MS: u64 = 30_000;
+
 /// State of one gateway as of its last sync.
 #[derive(Debug)]
 struct GatewayState {
@@ -65,6 +72,9 @@
     confirmations: Vec<PendingConfirmation>,
     pub(super) arbiter: Arbiter<oneshot::Sender<Reply>>,
     pub(super) next_scheduling_ms: u64,
+    pub(super) next_limit_metrics_ms: u64,
+    /// When each gateway was last live, for [`LIMIT_MEMBER_MS`].
+    last_live_ms: BTreeMap<CompactString, u64>,
 }
 
 impl Default for GatewaySyncs {
@@ -77,6 +87,8 @@
             confirmations: Vec::new(),
             arbiter: Arbiter::default(),
             next_scheduling_ms: 0,
+            next_limit_metrics_ms: 0,
+            last_live_ms: BTreeMap::new(),
         }
     }
 }
@@ -153,6 +165,16 @@
             self.arbiter.remove_entry(&vm);
         }
         self.arbiter.report_load(&vm, loads.collect(), request.placed_through);
+        for limit in &request.limits {
+            let rate = limit.per_second.and_then(|per_second| RequestRate::new(per_second).ok());
+            let observed_ms = now_ms.saturating_sub(limit.age_ms);
+            let observed = ObservedLimit { born_ms: limit.born_ms, rate, observed_ms };
+            if self.arbiter.limits_mut().observe(&limit.id, observed, now_ms) {
+                let per_second = limit.per_second.unwrap_or_default();
+                log::info!(upstream = limit.id.as_str(), per_second, vm = request.vm.as_str(), age_ms = limit.age_ms; "request limit of upstream changed");
+            }
+        }
+        self.last_live_ms.insert(vm.clone(), now_ms);
         self.gateways.insert(vm, gateway);
     }
 
@@ -167,6 +189,37 @@
         });
     }
 
+    /// Updates the part of the limits that this process grants, and drops ended limits.
+    fn refresh_limits(&mut self, now_ms: u64) {
+        self.last_live_ms.retain(|_, live_ms| now_ms < *live_ms + LIMIT_MEMBER_MS);
+        let share = self.gateways.len() as f64 / self.last_live_ms.len().max(1) as f64;
+        self.arbiter.set_limit_share(share);
+        self.arbiter.limits_mut().refill(now_ms, share);
+    }
+
+    /// Returns the limits in force and a digest of them that is 0 only if there are none.
+    fn limits(&self, now_ms: u64) -> (u64, Vec<UpstreamLimit>) {
+        let mut limits: Vec<UpstreamLimit> = self
+            .arbiter
+            .limits()
+            .iter()
+            .map(|(id, observed, status)| UpstreamLimit {
+                id: id.to_string(),
+                born_ms: observed.born_ms,
+                per_second: Some(status.per_second),
+                age_ms: now_ms.saturating_sub(observed.observed_ms),
+            })
+            .collect();
+        limits.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        let mut hasher = DefaultHasher::new();
+        for limit in &limits {
+            let per_second = limit.per_second.unwrap_or_default().to_bits();
+            (&limit.id, limit.born_ms, per_second).hash(&mut hasher);
+        }
+        let digest = if limits.is_empty() { 0 } else { hasher.finish().max(1) };
+        (digest, limits)
+    }
+
     fn load_of_other_gateways(&self, vm: &str) -> Vec<UpstreamUse> {
         let loads = self.arbiter.load_of_others(vm).into_iter();
         loads.map(|(id, load)| load.to_message(id)).collect()
@@ -199,6 +252,8 @@
         let now_ms = self.clock.now_ms();
         let syncs = &mut self.gateway_syncs;
         syncs.expire(now_ms);
+        syncs.refresh_limits(now_ms);
+        let (limits_digest, limits) = syncs.limits(now_ms);
         let (version, epoch) = (syncs.registry.version(), syncs.registry_epoch);
         let number = self.state.routes().current().number;
         let quarantine_digest = self.quarantine.digest();
@@ -209,12 +264,15 @@
                 || request.registry_version != version
                 || request.set_number < number
                 || request.quarantine_digest != quarantine_digest
+                || (request.wants_use && request.limits_digest != limits_digest)
         };
         let (due, open) = std::mem::take(&mut syncs.open_syncs).into_iter().partition(is_due);
         syncs.open_syncs = open;
         let due: Vec<OpenSync> = due;
         for sync in due {
-            let reply = self.sync_reply(&sync.request);
+            let changed = sync.request.limits_digest != limits_digest;
+            let limits = if changed { limits.clone() } else { Vec::new() };
+            let reply = SyncReply { limits_digest, limits, ..self.sync_reply(&sync.request) };
             // Fails if the gateway disconnected meanwhile.
             let _ = sync.result.send(Reply { body: Some(reply::Body::Sync(reply)) });
         }
@@ -245,6 +303,7 @@
             quarantine_digest: quarantine.digest(),
             quarantine: if parts_changed { quarantine.to_message() } else { Vec::new() },
             control_addresses: members.map(|replica| replica.peer_address.clone()).collect(),
+            ..SyncReply::default()
         }
     }
 
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -8,7 +8,10 @@
 
 use balance::UpstreamLoad;
 use routing::RouteTable;
-use schema::{EntryPhase, Request, RouteSet, SyncReply, SyncRequest, UpstreamUse, reply, request};
+use schema::{
+    EntryPhase, Request, RouteSet, SyncReply, SyncRequest, UpstreamLimit, UpstreamUse, reply,
+    request,
+};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until};
 use wire::{CallError, Endpoint, Link};
@@ -106,21 +109,50 @@
     registry_version: u64,
 }
 
+/// What a sync request reports and has to be sent again if no reply comes.
+#[derive(Debug, Default)]
+struct SyncReports {
+    sent_ms: u64,
+    answered_parts: Vec<u64>,
+    limits: Vec<UpstreamLimit>,
+}
+
+impl SyncReports {
+    /// Records that the control process has received the reports.
+    fn confirm(&self, shared: &Shared, address: SocketAddr) {
+        let mut limits = shared.limits.borrow_mut();
+        limits.confirm_reports(address, &self.limits, self.sent_ms);
+    }
+
+    fn of(request: &SyncRequest) -> Self {
+        SyncReports {
+            answered_parts: request.answered_parts.clone(),
+            limits: request.limits.clone(),
+            ..SyncReports::default()
+        }
+    }
+}
+
 async fn sync_loop(links: Rc<ControlLinks>, address: SocketAddr) {
     let shared = links.shared.clone();
     let link = links.endpoint.link(address, credentials::Role::Control);
     let mut phase = shared.phase.subscribe();
+    let mut urgent = shared.urgent_syncs.subscribe();
     let mut cursor = RegistryCursor::default();
     let mut connected = false;
     loop {
         let started = Instant::now();
-        let body = request::Body::Sync(sync_request(&links, address, cursor));
-        let request = Request { traceparent: String::new(), body: Some(body) };
+        let sync = sync_request(&links, address, cursor);
+        let reports = SyncReports { sent_ms: shared.now_ms(), ..SyncReports::of(&sync) };
+        let body = Some(request::Body::Sync(sync));
+        let request = Request { traceparent: String::new(), body };
         // A phase change cancels the pending request, so that the next one
-        // reports it immediately.
+        // reports it immediately; so does what the arbiter has to know at once.
+        let is_arbiter = links.aggregates_load(address);
         let replied = tokio::select! {
             replied = link.call(request, SYNC_TIMEOUT) => Some(replied),
             _ = phase.changed() => None,
+            _ = urgent.changed(), if is_arbiter => None,
         };
         match replied {
             Some(Ok(reply::Body::Sync(reply))) => {
@@ -129,6 +161,7 @@
                     connected = true;
                     links.set_connected(address, Some(link.clone()));
                 }
+                reports.confirm(&shared, address);
                 cursor = apply_reply(&links, address, cursor, reply);
                 sleep_until(started + MIN_SYNC_INTERVAL).await;
             }
@@ -142,9 +175,13 @@
                     shared.quarantine.borrow_mut().disconnect(address);
                     cursor = RegistryCursor::default();
                 }
+                shared.quarantine.borrow_mut().restore_answered(&reports.answered_parts);
                 sleep(RETRY_DELAY).await;
             }
-            None => {}
+            None => {
+                shared.quarantine.borrow_mut().restore_answered(&reports.answered_parts);
+                sleep_until(started + MIN_SYNC_INTERVAL).await;
+            }
         }
     }
 }
@@ -153,6 +190,8 @@
     let shared = &links.shared;
     let aggregates_load = links.aggregates_load(address);
     let mut quarantine = shared.quarantine.borrow_mut();
+    let limits = shared.limits.borrow();
+    let now_ms = shared.now_ms();
     let loads = shared.loads.borrow();
     let mut gaps = if aggregates_load { shared.take_event_gaps() } else { HashMap::new() };
     let own = loads.own().filter(|_| aggregates_load).map(|(id, load)| {
@@ -176,6 +215,8 @@
         placed_through: shared.placed_through(),
         answered_parts: if aggregates_load { quarantine.take_answered() } else { Vec::new() },
         quarantine_digest: quarantine.digest(address),
+        limits: if aggregates_load { limits.due_reports(address, now_ms) } else { Vec::new() },
+        limits_digest: limits.digest(),
     }
 }
 
@@ -196,6 +237,8 @@
         activate_set(shared, set, address);
     }
     if links.aggregates_load(address) {
+        let mut limits = shared.limits.borrow_mut();
+        limits.apply(reply.limits_digest, &reply.limits, now_ms);
         let others = reply.r#use.iter();
         let others = others.map(|load| (load.id.as_str().into(), UpstreamLoad::from_message(load)));
         shared.loads.borrow_mut().set_others(others);
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -149,6 +149,7 @@
         ReserveError::Full | ReserveError::Shed => {
             Refusal::unavailable("upstreams full", call.retry_after_full())
         }
+        ReserveError::Limited(after) => Refusal::unavailable("upstreams limited", after),
     }
 }
 
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -18,6 +18,7 @@
 use crate::accept::Call;
 use crate::exchange::Target;
 use crate::forward::elapsed_ms;
+use crate::limits;
 use crate::reservation::{Requirements, Reservation};
 use crate::shared::Shared;
 
@@ -78,6 +79,8 @@
     Full,
     /// The upstreams will not have capacity in time, or never enough for this request.
     Shed,
+    /// All upstreams name limits, which allow the request after this time.
+    Limited(Duration),
 }
 
 /// Parameters of the selection for one request.
@@ -141,7 +144,7 @@
         let wait = until.saturating_duration_since(Instant::now()).min(ARBITER_MAX_WAIT);
         match try_reserve(shared, requirements, excluded, &params, since, wait).await {
             Ok(reservation) => return Ok(reservation),
-            Err(ReserveError::Shed) => return Err(ReserveError::Shed),
+            Err(error @ (ReserveError::Shed | ReserveError::Limited(_))) => return Err(error),
             Err(reason) if Instant::now() >= until => return Err(reason),
             // The request has already queued at the arbiter: retry without delay.
             Err(ReserveError::Full)
@@ -194,9 +197,8 @@
     if eligible.is_empty() {
         return Err(ReserveError::NoUpstream);
     }
-    if requirements.engine.is_some()
-        && let Some(arbiter) = shared.arbiter()
-    {
+    let needs_grant = requirements.engine.is_some() || limits::any_limited(shared, &eligible);
+    if needs_grant && let Some(arbiter) = shared.arbiter() {
         // The number stays pending until the slot is part of the load that this
         // gateway reports.
         let pending = shared.start_placement();
@@ -215,6 +217,9 @@
             Ok(reply::Body::Place(place)) if place.shed => {
                 return Err(ReserveError::Shed);
             }
+            Ok(reply::Body::Place(place)) if place.limited_ms > 0 => {
+                return Err(ReserveError::Limited(Duration::from_millis(place.limited_ms)));
+            }
             Ok(reply::Body::Place(place)) if place.id.is_empty() => {
                 return Err(ReserveError::Full);
             }
@@ -290,6 +295,8 @@
         cost_jitter: params.jitter,
         sample_size: sample,
     };
+    let mut eligible = eligible.to_vec();
+    eligible.retain(|upstream| limits::try_take_fallback(shared, &upstream.id));
     let candidates = eligible.iter().map(OwnedCandidate::as_candidate);
     let selected = shared.loads.borrow().choose(candidates, demand, &mut rand::rng());
     selected.map(CompactString::from)
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -97,6 +97,7 @@
         shared.pool.close_expired();
         shared.registry.borrow_mut().expire(shared.now_ms());
         shared.quarantine.borrow_mut().expire();
+        shared.limits.borrow_mut().expire(shared.now_ms());
     }
 }
 
--- a/components/gateway/src/quarantine.rs
+++ b/components/gateway/src/quarantine.rs
@@ -129,6 +129,11 @@
         self.convicted.retain(|(_, since)| since.elapsed() < STALE_LIST_PERIOD);
     }
 
+    /// Adds parts whose report was lost.
+    pub(crate) fn restore_answered(&mut self, parts: &[u64]) {
+        self.answered.extend(parts.iter().map(|part| PartId(*part)));
+    }
+
     /// Takes the parts on which an answer began since the last call.
     pub(crate) fn take_answered(&mut self) -> Vec<u64> {
         std::mem::take(&mut self.answered).into_iter().map(|part| part.0).collect()
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -22,7 +22,7 @@
 
 use crate::dialect::Dialect;
 use crate::exchange::Target;
-use crate::limits::ObservedLimits;
+use crate::limits::KnownLimits;
 use crate::metrics::Metrics;
 use crate::place::max_in_flight;
 use crate::pool::{Connection, Pool};
@@ -64,7 +64,9 @@
     placements: RefCell<PlacementNumbers>,
     budgets: RefCell<HashMap<CompactString, RetryBudget>>,
     pub(crate) deadlines: RefCell<DeadlineHistory>,
-    pub(crate) limits: RefCell<ObservedLimits>,
+    pub(crate) limits: RefCell<KnownLimits>,
+    /// Incremented when the arbiter has to know something at once.
+    pub(crate) urgent_syncs: watch::Sender<u64>,
     pub(crate) quarantine: RefCell<Quarantine>,
     /// Incremented when the quarantine changes.
     pub(crate) quarantine_changes: watch::Sender<u64>,
@@ -102,6 +104,7 @@
             budgets: RefCell::default(),
             deadlines: RefCell::default(),
             limits: RefCell::default(),
+            urgent_syncs: watch::Sender::new(0),
             quarantine: RefCell::default(),
             quarantine_changes: watch::Sender::new(0),
             in_flight: Cell::new(0),
--- a/components/schemagen/src/main.rs
+++ b/components/schemagen/src/main.rs
@@ -21,7 +21,7 @@
 
 /// Messages that are read or written as JSON. Types that are neither here nor in
 /// [`JSON_NESTED_TYPES`] get no serde code.
-const JSON_MESSAGES: [&str; 14] = [
+const JSON_MESSAGES: [&str; 15] = [
     "ObjectSet",
     "EntrySettings",
     "ControlSettings",
@@ -29,6 +29,7 @@
     "GatewaySettings",
     "StatusReply",
     "EntryStatus",
+    "LimitStatus",
     "EntryMember",
     "PublishOutcome",
     "AnnounceRequest",
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -64,6 +64,12 @@
         status.revision,
         status.records
     );
+    for limit in &status.limits {
+        println!(
+            "limit {}  per_second={} granted={} refused={}",
+            limit.upstream, limit.per_second, limit.granted, limit.refused
+        );
+    }
     if !status.disk_error.is_empty() {
         println!("control {}  disk refuses writes: {}", process.address, status.disk_error);
     }
