--- a/components/balance/src/limits.rs
+++ b/components/balance/src/limits.rs
@@ -84,6 +84,8 @@
 #[derive(Debug, Default)]
 pub struct UpstreamLimits {
     by_id: HashMap<CompactString, Limit>,
+    /// Incremented when a limit begins, changes or ends.
+    version: u64,
     /// When the next request of a service that was refused for limits is expected to be
     /// served.
     next_free_ms: HashMap<CompactString, f64>,
@@ -97,12 +99,14 @@
             Some(limit) if observed.is_newer_than(&limit.observed) => {
                 let changed = limit.observed.rate != observed.rate;
                 limit.observed = observed;
+                self.version += u64::from(changed);
                 changed
             }
             None if observed.per_second(now_ms).is_some() => {
                 let limit =
                     Limit { observed, tokens: 0.0, filled_ms: now_ms, granted: 0, refused: 0 };
                 self.by_id.insert(id.into(), limit);
+                self.version += 1;
                 true
             }
             Some(_) | None => false,
@@ -114,6 +118,7 @@
     /// `share` is the part of all entries that this arbiter serves: others may be
     /// connected to another arbiter.
     pub fn refill(&mut self, now_ms: u64, share: f64) {
+        let before = self.by_id.len();
         self.by_id.retain(|_, limit| {
             let Some(per_second) = limit.observed.per_second(now_ms) else { return false };
             let per_second = per_second * (1.0 - FALLBACK_SHARE) * share;
@@ -123,9 +128,15 @@
             limit.filled_ms = now_ms;
             true
         });
+        self.version += u64::from(self.by_id.len() != before);
         self.next_free_ms.retain(|_, at_ms| *at_ms > now_ms as f64);
     }
 
+    /// Returns a number that increases when a limit begins, changes or ends.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Returns whether the upstream names a limit.
     pub fn is_limited(&self, id: &str) -> bool {
         self.by_id.contains_key(id)
--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -5,6 +5,7 @@
 mod load;
 mod overhead;
 mod policy;
+mod shared_costs;
 mod slopes;
 
 pub use caller::BenchError;
@@ -14,4 +15,5 @@
 pub use policy::{
     Disturbance, MixName, Policy, PolicyOptions, PolicyRow, render_table, run_policies, write_plots,
 };
+pub use shared_costs::SharedCosts;
 pub use slopes::{CommitRate, UnitCosts, measure_unit_costs};
--- a/components/bench/src/slopes.rs
+++ b/components/bench/src/slopes.rs
@@ -21,6 +21,7 @@
 use state::{Limits, State};
 
 use crate::latency::{LatencyHistogram, LatencySummary};
+use crate::shared_costs::{SharedCosts, measure_shared_costs};
 
 const RECORD_COUNT: u32 = 20_000;
 const WORKSPACE_COUNT: usize = 4_500;
@@ -67,6 +68,8 @@
     pub grant_us: f64,
     /// Time to compute the watchers of an owner among 400 entries.
     pub watchers_us: f64,
+    /// Evidence against prompt parts, and limits of upstreams.
+    pub shared: SharedCosts,
     /// Commit rate with one log entry per sync.
     pub commits_alone: CommitRate,
     /// Commit rate with 64 log entries per sync.
@@ -139,6 +142,7 @@
         snapshot_us_per_1000_records,
         grant_us: measure_grant_us(),
         watchers_us,
+        shared: measure_shared_costs(),
         commits_alone: measure_commits(&folder.join("alone"), 1)?,
         commits_grouped: measure_commits(&folder.join("grouped"), 64)?,
     })
@@ -306,6 +310,6 @@
     Ok(CommitRate { commits_per_s, sync: sync_latency.summary() })
 }
 
-fn to_micros(duration: Duration) -> f64 {
+pub(crate) fn to_micros(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1_000_000.0
 }
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -173,9 +173,7 @@
         self.join_if_not_member(now_ms);
         self.expire_upstreams(now_ms);
         self.update_limit_metrics(now_ms);
-        self.convict(now_ms);
-        self.refresh_quarantine(now_ms);
-        self.commit_convictions(now_ms);
+        self.tick_quarantine(now_ms);
         if self.node.is_leader() {
             self.expire_leases(now_ms);
             self.expire_records(now_ms);
--- a/components/control/src/replica/quarantine.rs
+++ b/components/control/src/replica/quarantine.rs
@@ -27,6 +27,8 @@
 const COMMIT_RETRY_MS: u64 = 500;
 /// Time after which a conviction that could not be committed ends.
 const UNCOMMITTED_MS: u64 = 120_000;
+/// Interval at which the replicated state is applied to the list for the gateways.
+const REFRESH_INTERVAL_MS: u64 = 100;
 /// Convictions that wait to be committed.
 const MAX_UNCOMMITTED: usize = 256;
 
@@ -47,6 +49,7 @@
     /// Sets whose requests gateways hold back until they are convicted or cleared.
     accused: BTreeSet<PartSet>,
     digest: u64,
+    next_refresh_ms: u64,
 }
 
 impl Default for QuarantineState {
@@ -57,6 +60,7 @@
             active: BTreeSet::new(),
             accused: BTreeSet::new(),
             digest: 0,
+            next_refresh_ms: 0,
         }
     }
 }
@@ -131,7 +135,7 @@
     }
 
     /// Quarantines the parts that are convicted by now.
-    pub(super) fn convict(&mut self, now_ms: u64) {
+    fn convict(&mut self, now_ms: u64) {
         for set in self.quarantine.evidence.convict(now_ms) {
             self.quarantine_convicted(set, now_ms);
         }
@@ -173,7 +177,7 @@
     }
 
     /// Sends convictions that are not committed yet to the leader.
-    pub(super) fn commit_convictions(&mut self, now_ms: u64) {
+    fn commit_convictions(&mut self, now_ms: u64) {
         let uncommitted = &mut self.quarantine.uncommitted;
         uncommitted.retain(|_, conviction| now_ms < conviction.since_ms + UNCOMMITTED_MS);
         let due = uncommitted.iter_mut().filter(|(_, c)| now_ms >= c.next_attempt_ms);
@@ -195,9 +199,19 @@
         }
     }
 
+    /// Judges the evidence that is due and applies what changed meanwhile.
+    pub(super) fn tick_quarantine(&mut self, now_ms: u64) {
+        self.convict(now_ms);
+        self.commit_convictions(now_ms);
+        if now_ms >= self.quarantine.next_refresh_ms {
+            self.refresh_quarantine(now_ms);
+        }
+    }
+
     /// Applies the replicated state to the list for the gateways, which get it with
     /// their next sync.
-    pub(super) fn refresh_quarantine(&mut self, now_ms: u64) {
+    fn refresh_quarantine(&mut self, now_ms: u64) {
+        self.quarantine.next_refresh_ms = now_ms + REFRESH_INTERVAL_MS;
         let committed = self.state.quarantine();
         let uncommitted = &mut self.quarantine.uncommitted;
         uncommitted.retain(|set, _| !committed.rejects(&to_ids(set), now_ms));
--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -36,6 +36,9 @@
 /// connected to another arbiter.
 const LIMIT_MEMBER_MS: u64 = 30_000;
 
+/// Interval at which limits are checked for their end.
+const LIMITS_INTERVAL_MS: u64 = 20;
+
 /// State of one gateway as of its last sync.
 #[derive(Debug)]
 struct GatewayState {
@@ -48,6 +51,16 @@
     synced_ms: u64,
 }
 
+/// Limits of upstreams, as gateways get them.
+#[derive(Debug, Default)]
+struct LimitList {
+    /// Version of the arbiter's limits that the list was made of.
+    version: u64,
+    /// Digest of the list; 0 only if it is empty.
+    digest: u64,
+    limits: Vec<UpstreamLimit>,
+}
+
 struct OpenSync {
     request: SyncRequest,
     deadline_ms: u64,
@@ -73,6 +86,8 @@
     pub(super) arbiter: Arbiter<oneshot::Sender<Reply>>,
     pub(super) next_scheduling_ms: u64,
     pub(super) next_limit_metrics_ms: u64,
+    limit_list: LimitList,
+    next_limits_ms: u64,
     /// When each gateway was last live, for [`LIMIT_MEMBER_MS`].
     last_live_ms: BTreeMap<CompactString, u64>,
 }
@@ -88,6 +103,8 @@
             arbiter: Arbiter::default(),
             next_scheduling_ms: 0,
             next_limit_metrics_ms: 0,
+            limit_list: LimitList::default(),
+            next_limits_ms: 0,
             last_live_ms: BTreeMap::new(),
         }
     }
@@ -191,17 +208,23 @@
 
     /// Updates the part of the limits that this process grants, and drops ended limits.
     fn refresh_limits(&mut self, now_ms: u64) {
+        if now_ms < self.next_limits_ms {
+            return;
+        }
+        self.next_limits_ms = now_ms + LIMITS_INTERVAL_MS;
         self.last_live_ms.retain(|_, live_ms| now_ms < *live_ms + LIMIT_MEMBER_MS);
         let share = self.gateways.len() as f64 / self.last_live_ms.len().max(1) as f64;
         self.arbiter.set_limit_share(share);
         self.arbiter.limits_mut().refill(now_ms, share);
     }
 
-    /// Returns the limits in force and a digest of them that is 0 only if there are none.
-    fn limits(&self, now_ms: u64) -> (u64, Vec<UpstreamLimit>) {
-        let mut limits: Vec<UpstreamLimit> = self
-            .arbiter
-            .limits()
+    /// Updates the list of limits for the gateways, if a limit changed.
+    fn refresh_limit_list(&mut self, now_ms: u64) {
+        let limits = self.arbiter.limits();
+        if self.limit_list.version == limits.version() {
+            return;
+        }
+        let mut list: Vec<UpstreamLimit> = limits
             .iter()
             .map(|(id, observed, status)| UpstreamLimit {
                 id: id.to_string(),
@@ -210,14 +233,14 @@
                 age_ms: now_ms.saturating_sub(observed.observed_ms),
             })
             .collect();
-        limits.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        list.sort_unstable_by(|a, b| a.id.cmp(&b.id));
         let mut hasher = DefaultHasher::new();
-        for limit in &limits {
+        for limit in &list {
             let per_second = limit.per_second.unwrap_or_default().to_bits();
             (&limit.id, limit.born_ms, per_second).hash(&mut hasher);
         }
-        let digest = if limits.is_empty() { 0 } else { hasher.finish().max(1) };
-        (digest, limits)
+        let digest = if list.is_empty() { 0 } else { hasher.finish().max(1) };
+        self.limit_list = LimitList { version: limits.version(), digest, limits: list };
     }
 
     fn load_of_other_gateways(&self, vm: &str) -> Vec<UpstreamUse> {
@@ -253,7 +276,8 @@
         let syncs = &mut self.gateway_syncs;
         syncs.expire(now_ms);
         syncs.refresh_limits(now_ms);
-        let (limits_digest, limits) = syncs.limits(now_ms);
+        syncs.refresh_limit_list(now_ms);
+        let limits_digest = syncs.limit_list.digest;
         let (version, epoch) = (syncs.registry.version(), syncs.registry_epoch);
         let number = self.state.routes().current().number;
         let quarantine_digest = self.quarantine.digest();
@@ -270,9 +294,7 @@
         syncs.open_syncs = open;
         let due: Vec<OpenSync> = due;
         for sync in due {
-            let changed = sync.request.limits_digest != limits_digest;
-            let limits = if changed { limits.clone() } else { Vec::new() };
-            let reply = SyncReply { limits_digest, limits, ..self.sync_reply(&sync.request) };
+            let reply = self.sync_reply(&sync.request);
             // Fails if the gateway disconnected meanwhile.
             let _ = sync.result.send(Reply { body: Some(reply::Body::Sync(reply)) });
         }
@@ -291,6 +313,7 @@
         let others =
             if request.wants_use { syncs.load_of_other_gateways(&request.vm) } else { Vec::new() };
         let quarantine = &self.quarantine;
+        let limits_changed = request.limits_digest != syncs.limit_list.digest;
         let parts_changed = request.quarantine_digest != quarantine.digest();
         let members = self.node.configuration().replicas.iter();
         SyncReply {
@@ -300,10 +323,11 @@
             set: set.cloned(),
             r#use: others,
             entries: u32::try_from(syncs.gateways.len()).unwrap_or(u32::MAX),
+            limits_digest: syncs.limit_list.digest,
+            limits: if limits_changed { syncs.limit_list.limits.clone() } else { Vec::new() },
             quarantine_digest: quarantine.digest(),
             quarantine: if parts_changed { quarantine.to_message() } else { Vec::new() },
             control_addresses: members.map(|replica| replica.peer_address.clone()).collect(),
-            ..SyncReply::default()
         }
     }
 
