Go on to the next engine when one does not take an interrupted stream

Cause: the relay placed the stream once; a refused connection or a rejection ended it, and neither the engine's unreachability nor its limit was recorded. Ruled out: MaxAttempts, since nothing ran.

Change: engines that do not run the request are passed over, within the retry budget; failures of resumed streams count like those of first attempts, crashes too. The resumption is a file of its own.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -28,7 +28,7 @@
 const QUEUE_TIME_SHARE: f64 = 0.4;
 /// Maximum number of upstreams that one request is sent to, including those
 /// that reject it.
-const MAX_SENDS: u32 = 4;
+pub(crate) const MAX_SENDS: u32 = 4;
 /// Largest body of a response that is not a stream. It is buffered completely
 /// before the response is returned, so that a retry can replace a truncated one.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -1,6 +1,8 @@
 //! Relays event streams, and resumes them on another engine if theirs exits or
 //! fails.
 
+mod resume;
+
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,12 +18,11 @@
 
 use crate::accept::Call;
 use crate::answer::{Body, ResponseTruncated, strip_hop_by_hop};
-use crate::dialect::{KvCacheRef, Resume};
 use crate::events::{EventKind, EventSplitter, StreamProgress};
-use crate::exchange::{UpstreamResponse, exchange};
+use crate::exchange::UpstreamResponse;
 use crate::forward::{elapsed_ms, record_failure, record_unreachable};
 use crate::moves::{self, CacheCopy, MoveEvent, MoveState, StopResult};
-use crate::place::{Excluded, is_draining_or_gone, wait_for_slot};
+use crate::place::is_draining_or_gone;
 use crate::pool::Connection;
 use crate::quarantine;
 use crate::reservation::Reservation;
@@ -377,96 +378,6 @@
         self.move_state.take_copy(interrupted).await
     }
 
-    /// Resumes an interrupted stream on another engine, if that is possible.
-    async fn recover(&mut self, error: &str) -> Result<(), ResponseTruncated> {
-        if let Some(copy) = self.take_copy(true).await {
-            return self.resume_from_copy(copy).await;
-        }
-        let resumable = self.call.route.kind() == RepeatKind::ResumableStream;
-        let may_run = self.runs < self.call.route.max_attempts.max(1);
-        if resumable && may_run && self.shared.try_retry(&self.call.requirements.service) {
-            self.runs += 1;
-            return self.run_again().await;
-        }
-        self.log_end(error);
-        self.source = None;
-        Err(ResponseTruncated)
-    }
-
-    /// Resumes the stream on the engine that holds the copy of its KV cache; frees the
-    /// copy if that fails.
-    async fn resume_from_copy(&mut self, copy: CacheCopy) -> Result<(), ResponseTruncated> {
-        let source = self.source.take().map(|source| source.reservation.target.clone());
-        self.discard_unfinished_event();
-        let CacheCopy { reservation, cache } = copy;
-        let from = source.as_ref().map_or("", |source| source.id.as_str());
-        log::info!(request = self.call.head.id.as_str(), from, to = reservation.target.id.as_str(), events = self.progress.relayed; "moving generation");
-        let resumed = self.resume(reservation, Some(cache.clone())).await;
-        let outcome = if resumed.is_ok() { "moved" } else { "failed" };
-        self.shared.metrics.moves.with_label_values(&[outcome]).inc();
-        match (&resumed, source) {
-            (Ok(()), _) => {
-                log::info!(request = self.call.head.id.as_str(), events = self.progress.relayed; "generation moved");
-            }
-            (Err(_), Some(source)) => {
-                moves::free_later(&self.shared, &self.call, &source, cache.handle);
-            }
-            (Err(_), None) => {}
-        }
-        resumed
-    }
-
-    /// Runs the request again on another engine, starting after the last event
-    /// that was relayed.
-    async fn run_again(&mut self) -> Result<(), ResponseTruncated> {
-        let failed = self.source.take().map(|source| source.reservation.target.id.clone());
-        self.discard_unfinished_event();
-        let excluded: Excluded = failed.into_iter().collect();
-        if quarantine::admit(&self.shared, &self.call).await.is_err() {
-            self.log_end("prompt part quarantined");
-            return Err(ResponseTruncated);
-        }
-        match wait_for_slot(&self.shared, &self.call, &excluded, self.call.until).await {
-            Ok(reservation) => self.resume(reservation, None).await,
-            Err(_) => {
-                self.log_end("no place to go on");
-                Err(ResponseTruncated)
-            }
-        }
-    }
-
-    async fn resume(
-        &mut self,
-        mut reservation: Reservation,
-        kv_cache: Option<KvCacheRef>,
-    ) -> Result<(), ResponseTruncated> {
-        let resume = Resume { last_event_id: self.progress.last_event_id, kv_cache };
-        let target = &reservation.target;
-        let request = self.call.to_request(&self.shared, target, Some(&resume));
-        let response =
-            exchange(&self.shared, &self.call.span, target, request, self.call.until).await;
-        let response = response.map_err(|error| {
-            self.log_end(&error.to_string());
-            ResponseTruncated
-        })?;
-        let head = self.shared.dialect.parse_response(&response.head);
-        let id_matches = head.request_id.as_deref().is_none_or(|id| id == self.call.head.id);
-        if !response.head.status.is_success() || !head.signed || !id_matches {
-            let status = response.head.status.as_u16();
-            log::warn!(request = self.call.head.id.as_str(), upstream = target.id.as_str(), status, not_run = head.not_run; "engine did not resume the stream");
-            self.log_end("engine did not go on");
-            return Err(ResponseTruncated);
-        }
-        self.resumed = true;
-        self.events_of_run = 0;
-        reservation.record_first_event();
-        reservation.record_progress(&self.call.requirements, self.progress.relayed);
-        let UpstreamResponse { body, connection, .. } = response;
-        self.source = Some(Source { body, connection, reservation });
-        self.start_move();
-        Ok(())
-    }
-
     fn log_end(&self, outcome: &str) {
         let source = self.source.as_ref();
         let upstream = source.map_or("", |source| source.reservation.target.id.as_str());
--- /dev/null
+++ b/components/gateway/src/relay/resume.rs
@@ -0,0 +1,162 @@
+//! Resumption of a stream on another engine.
+
+use schema::RepeatKind;
+
+use super::{Relay, Source};
+use crate::answer::ResponseTruncated;
+use crate::dialect::{KvCacheRef, Resume};
+use crate::exchange::{ExchangeError, UpstreamResponse, exchange};
+use crate::forward::{MAX_SENDS, record_failure, record_unreachable};
+use crate::limits::record_limit;
+use crate::moves::{self, CacheCopy};
+use crate::place::{Excluded, wait_for_slot};
+use crate::quarantine;
+use crate::reservation::Reservation;
+
+/// Why an engine did not resume a stream.
+enum ResumeError {
+    /// It did not run the request; another engine may.
+    NotRun,
+    /// It may have run the request, or there is no time left.
+    Failed,
+}
+
+impl Relay {
+    /// Resumes an interrupted stream on another engine, if that is possible.
+    pub(super) async fn recover(&mut self, error: &str) -> Result<(), ResponseTruncated> {
+        if let Some(copy) = self.take_copy(true).await {
+            return self.resume_from_copy(copy).await;
+        }
+        let resumable = self.call.route.kind() == RepeatKind::ResumableStream;
+        let may_run = self.runs < self.call.route.max_attempts.max(1);
+        if resumable && may_run && self.shared.try_retry(&self.call.requirements.service) {
+            self.runs += 1;
+            return self.run_again().await;
+        }
+        self.log_end(error);
+        self.source = None;
+        Err(ResponseTruncated)
+    }
+
+    /// Resumes the stream on the engine that holds the copy of its KV cache; frees the
+    /// copy if that fails.
+    pub(super) async fn resume_from_copy(
+        &mut self,
+        copy: CacheCopy,
+    ) -> Result<(), ResponseTruncated> {
+        let source = self.source.take().map(|source| source.reservation.target.clone());
+        self.discard_unfinished_event();
+        let CacheCopy { reservation, cache } = copy;
+        let from = source.as_ref().map_or("", |source| source.id.as_str());
+        log::info!(request = self.call.head.id.as_str(), from, to = reservation.target.id.as_str(), events = self.progress.relayed; "moving generation");
+        let resumed = self.resume(reservation, Some(cache.clone())).await;
+        let outcome = if resumed.is_ok() { "moved" } else { "failed" };
+        self.shared.metrics.moves.with_label_values(&[outcome]).inc();
+        match (&resumed, source) {
+            (Ok(()), _) => {
+                log::info!(request = self.call.head.id.as_str(), events = self.progress.relayed; "generation moved");
+            }
+            (Err(_), Some(source)) => {
+                moves::free_later(&self.shared, &self.call, &source, cache.handle);
+            }
+            (Err(_), None) => {}
+        }
+        resumed.map_err(|_| {
+            self.log_end("engine did not go on");
+            ResponseTruncated
+        })
+    }
+
+    /// Runs the request again on another engine, starting after the last event that was
+    /// relayed. Engines that do not run it are passed over.
+    async fn run_again(&mut self) -> Result<(), ResponseTruncated> {
+        let failed = self.source.take().map(|source| source.reservation.target.id.clone());
+        self.discard_unfinished_event();
+        let mut excluded: Excluded = failed.into_iter().collect();
+        for _ in 0..MAX_SENDS {
+            if quarantine::admit(&self.shared, &self.call).await.is_err() {
+                self.log_end("prompt part quarantined");
+                return Err(ResponseTruncated);
+            }
+            let placed = wait_for_slot(&self.shared, &self.call, &excluded, self.call.until).await;
+            let Ok(reservation) = placed else {
+                self.log_end("no place to go on");
+                return Err(ResponseTruncated);
+            };
+            let upstream = reservation.target.id.clone();
+            match self.resume(reservation, None).await {
+                Ok(()) => return Ok(()),
+                Err(ResumeError::NotRun)
+                    if self.shared.try_retry(&self.call.requirements.service) =>
+                {
+                    excluded.push(upstream);
+                }
+                Err(ResumeError::NotRun | ResumeError::Failed) => break,
+            }
+        }
+        self.log_end("engine did not go on");
+        Err(ResponseTruncated)
+    }
+
+    async fn resume(
+        &mut self,
+        mut reservation: Reservation,
+        kv_cache: Option<KvCacheRef>,
+    ) -> Result<(), ResumeError> {
+        let resume = Resume { last_event_id: self.progress.last_event_id, kv_cache };
+        let target = &reservation.target;
+        let request = self.call.to_request(&self.shared, target, Some(&resume));
+        let exchanged =
+            exchange(&self.shared, &self.call.span, target, request, self.call.until).await;
+        let response = match exchanged {
+            Ok(response) => response,
+            Err(error) => return Err(self.handle_exchange_error(&reservation, &error).await),
+        };
+        let head = self.shared.dialect.parse_response(&response.head);
+        let id_matches = head.request_id.as_deref().is_none_or(|id| id == self.call.head.id);
+        if id_matches && !head.misdirected {
+            record_limit(&self.shared, target, head.request_limit);
+        }
+        if !response.head.status.is_success() || !head.signed || !id_matches {
+            let status = response.head.status.as_u16();
+            log::warn!(request = self.call.head.id.as_str(), upstream = target.id.as_str(), status, not_run = head.not_run; "engine did not resume the stream");
+            let is_not_run = id_matches && head.not_run;
+            return Err(if is_not_run { ResumeError::NotRun } else { ResumeError::Failed });
+        }
+        self.resumed = true;
+        self.events_of_run = 0;
+        reservation.record_first_event();
+        reservation.record_progress(&self.call.requirements, self.progress.relayed);
+        let UpstreamResponse { body, connection, .. } = response;
+        self.source = Some(Source { body, connection, reservation });
+        self.start_move();
+        Ok(())
+    }
+
+    /// Counts a failed exchange against the engine.
+    async fn handle_exchange_error(
+        &self,
+        reservation: &Reservation,
+        error: &ExchangeError,
+    ) -> ResumeError {
+        let target = &reservation.target;
+        let text = error.to_string();
+        log::info!(request = self.call.head.id.as_str(), upstream = target.id.as_str(), error = text.as_str(); "request to upstream failed");
+        match error {
+            ExchangeError::NotSent(_) => {
+                record_unreachable(&self.shared, target);
+                ResumeError::NotRun
+            }
+            ExchangeError::ConnectionLost(_) => {
+                record_failure(&self.shared, target, "connection lost");
+                let sent = reservation.reserved_at();
+                quarantine::handle_break_off(&self.shared, &self.call, target, sent).await;
+                ResumeError::Failed
+            }
+            ExchangeError::TimedOut => {
+                record_failure(&self.shared, target, "timed out");
+                ResumeError::Failed
+            }
+        }
+    }
+}
