Do not charge refused connections to the retry budget

Cause: each gateway finds each dead engine by itself, and each refused connection took a retry from the budget, which was empty after a few. The budget protects upstreams; a refused connection reaches none.

Change: an attempt after a refused connection needs no budget; at most eight of them for a request, beside the four sends that reach an upstream.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -29,6 +29,8 @@
 /// Maximum number of upstreams that one request is sent to, including those
 /// that reject it.
 pub(crate) const MAX_SENDS: u32 = 4;
+/// Maximum number of upstreams that accept no connection before a request is given up.
+pub(crate) const MAX_UNREACHABLE: u32 = 8;
 /// Largest body of a response that is not a stream. It is buffered completely
 /// before the response is returned, so that a retry can replace a truncated one.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
@@ -62,6 +64,8 @@
     Responded(Response<Body>),
     /// The upstream did not run the request.
     Rejected(&'static str),
+    /// The upstream accepts no connection.
+    Unreachable,
     /// The upstream ran the request and returned a server error.
     Failed(Response<Body>),
     /// The response was lost; the request may have run.
@@ -75,7 +79,7 @@
 async fn dispatch(shared: &Rc<Shared>, call: Rc<Call>, in_flight: InFlightGuard) -> Response<Body> {
     let mut in_flight = Some(in_flight);
     let mut excluded = Excluded::new();
-    let (mut runs, mut sends) = (0, 0);
+    let (mut runs, mut sends, mut unreachable) = (0, 0, 0);
     let mut failed = None;
     let mut error = RequestError::default();
     let mut record = |refusal: Refusal| error.record(refusal.verdict, refusal);
@@ -98,15 +102,21 @@
             record(refusal);
             break None;
         }
-        sends += 1;
         let (target, sent) = (reservation.target.clone(), reservation.reserved_at());
         let upstream = target.id.clone();
         log_placement(shared, &call, &reservation);
-        match attempt(shared, &call, reservation, &mut in_flight).await {
+        let ended = attempt(shared, &call, reservation, &mut in_flight).await;
+        let reached = !matches!(ended, Attempt::Unreachable);
+        sends += u32::from(reached);
+        unreachable += u32::from(!reached);
+        match ended {
             Attempt::Responded(response) => break Some((response, upstream)),
             Attempt::Rejected(reason) => {
                 record(Refusal::unavailable(reason, call.retry_after_full()));
             }
+            Attempt::Unreachable => {
+                record(Refusal::unavailable("upstream unreachable", call.retry_after_full()));
+            }
             Attempt::Failed(response) => {
                 runs += 1;
                 failed = Some((response, upstream.clone()));
@@ -130,8 +140,11 @@
             }
         }
         let may_run_again = runs == 0 || (call.may_repeat() && runs < call.route.max_attempts);
-        let may_send = sends < MAX_SENDS && Instant::now() < call.until;
-        if !may_send || !may_run_again || !shared.try_retry(&call.requirements.service) {
+        let may_send =
+            sends < MAX_SENDS && unreachable < MAX_UNREACHABLE && Instant::now() < call.until;
+        // Another attempt after a refused connection puts no load on any upstream.
+        let in_budget = || !reached || shared.try_retry(&call.requirements.service);
+        if !may_send || !may_run_again || !in_budget() {
             break None;
         }
         log::info!(request = call.head.id.as_str(), upstream = upstream.as_str(), sends, runs; "retrying request on another upstream");
@@ -308,7 +321,7 @@
     match error {
         ExchangeError::NotSent(_) => {
             record_unreachable(shared, target);
-            Attempt::Rejected("upstream unreachable")
+            Attempt::Unreachable
         }
         ExchangeError::ConnectionLost(_) => {
             record_failure(shared, target, "connection lost");
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -6,7 +6,7 @@
 use crate::answer::ResponseTruncated;
 use crate::dialect::{KvCacheRef, Resume};
 use crate::exchange::{ExchangeError, UpstreamResponse, exchange};
-use crate::forward::{MAX_SENDS, record_failure, record_unreachable};
+use crate::forward::{MAX_SENDS, MAX_UNREACHABLE, record_failure, record_unreachable};
 use crate::limits::record_limit;
 use crate::moves::{self, CacheCopy};
 use crate::place::{Excluded, wait_for_slot};
@@ -17,6 +17,8 @@
 enum ResumeError {
     /// It did not run the request; another engine may.
     NotRun,
+    /// It accepts no connection.
+    Unreachable,
     /// It may have run the request, or there is no time left.
     Failed,
 }
@@ -73,7 +75,7 @@
         let failed = self.source.take().map(|source| source.reservation.target.id.clone());
         self.discard_unfinished_event();
         let mut excluded: Excluded = failed.into_iter().collect();
-        for _ in 0..MAX_SENDS {
+        for _ in 0..MAX_SENDS + MAX_UNREACHABLE {
             if quarantine::admit(&self.shared, &self.call).await.is_err() {
                 self.log_end("prompt part quarantined");
                 return Err(ResponseTruncated);
@@ -86,6 +88,7 @@
             let upstream = reservation.target.id.clone();
             match self.resume(reservation, None).await {
                 Ok(()) => return Ok(()),
+                Err(ResumeError::Unreachable) => excluded.push(upstream),
                 Err(ResumeError::NotRun)
                     if self.shared.try_retry(&self.call.requirements.service) =>
                 {
@@ -145,7 +148,7 @@
         match error {
             ExchangeError::NotSent(_) => {
                 record_unreachable(&self.shared, target);
-                ResumeError::NotRun
+                ResumeError::Unreachable
             }
             ExchangeError::ConnectionLost(_) => {
                 record_failure(&self.shared, target, "connection lost");
