Convict accused prompt parts as soon as all gateways have synced

That wait now ends once every live gateway has synced after the accusation. Ruled out: late reports (2 ms).

Test: part_is_convicted_sooner_once_all_entries_have_reported_their_answers.

--- a/components/bench/src/shared_costs.rs
+++ b/components/bench/src/shared_costs.rs
@@ -60,7 +60,7 @@
         let parts: Vec<PartId> =
             (0..PARTS_PER_REQUEST).map(|part| PartId(u64::MAX - number * 8 - part)).collect();
         evidence.record_crash(crash, &parts, at_ms);
-        black_box(evidence.convict(at_ms));
+        black_box(evidence.convict(at_ms, 0));
     }
     let crash_us = to_micros(started.elapsed()) / CRASHES as f64;
     let (limit_refill_us, limit_take_us) = measure_limits();
--- a/components/control/src/replica/quarantine.rs
+++ b/components/control/src/replica/quarantine.rs
@@ -20,8 +20,8 @@
 use super::local::LocalRequest;
 use super::requests::ready;
 
-/// Time for which an answer may still clear a part with enough crashes: gateways report
-/// answers with their syncs, several times as often.
+/// Longest time for which an answer may still clear a part with enough crashes, if some
+/// gateway does not sync: they do so several times as often.
 const CONFIRMATION_MS: u64 = 150;
 /// Interval at which a conviction that is not committed yet is proposed again.
 const COMMIT_RETRY_MS: u64 = 500;
@@ -128,6 +128,15 @@
         }
     }
 
+    /// Judges the accused parts after a sync of a gateway, which may be the last one that
+    /// they wait for.
+    pub(super) fn judge_accused(&mut self, now_ms: u64) {
+        if !self.quarantine.accused.is_empty() {
+            self.convict(now_ms);
+            self.refresh_quarantine(now_ms);
+        }
+    }
+
     /// Returns whether an operator put the set under quarantine.
     fn is_ordered(&self, set: &PartSet) -> bool {
         let committed = self.state.quarantine().get(&to_ids(set));
@@ -136,7 +145,8 @@
 
     /// Quarantines the parts that are convicted by now.
     fn convict(&mut self, now_ms: u64) {
-        for set in self.quarantine.evidence.convict(now_ms) {
+        let reported_ms = self.gateway_syncs.reported_ms(now_ms);
+        for set in self.quarantine.evidence.convict(now_ms, reported_ms) {
             self.quarantine_convicted(set, now_ms);
         }
     }
--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -117,6 +117,11 @@
         self.gateways.values().filter(is_live)
     }
 
+    /// Returns the time since which every live gateway has synced.
+    pub(super) fn reported_ms(&self, now_ms: u64) -> u64 {
+        self.live_gateways(now_ms).map(|gateway| gateway.synced_ms).min().unwrap_or(now_ms)
+    }
+
     /// Returns whether any gateway can receive changes from this process.
     pub(super) fn has_live_gateway(&self, now_ms: u64) -> bool {
         self.live_gateways(now_ms).next().is_some()
@@ -260,6 +265,7 @@
         let now_ms = self.clock.now_ms();
         self.gateway_syncs.record_sync(&request, address, now_ms);
         self.record_answers(&request.answered_parts, now_ms);
+        self.judge_accused(now_ms);
         let deadline_ms = now_ms + u64::from(request.wait_ms.min(MAX_HOLD_MS));
         let (result, receiver) = oneshot::channel();
         self.gateway_syncs.open_syncs.push(OpenSync { request, deadline_ms, result });
--- a/components/gateway/src/quarantine.rs
+++ b/components/gateway/src/quarantine.rs
@@ -266,7 +266,7 @@
 fn judge_alone(shared: &Shared, parts: &[PartId]) -> bool {
     let now_ms = shared.now_ms();
     let mut quarantine = shared.quarantine.borrow_mut();
-    for set in quarantine.evidence.convict(now_ms) {
+    for set in quarantine.evidence.convict(now_ms, now_ms) {
         log::warn!(parts = set.to_string().as_str(); "prompt parts quarantined at this gateway: upstreams crash under them");
         quarantine.convicted.push((set, Instant::now()));
     }
--- a/components/quarantine/src/evidence.rs
+++ b/components/quarantine/src/evidence.rs
@@ -127,7 +127,7 @@
 /// evidence.record_crash(crash(3_000), &parts, 3_000);
 /// evidence.record_answer(PartId(1), 3_500);
 /// evidence.record_crash(crash(5_000), &parts, 5_000);
-/// assert_eq!(evidence.convict(5_000), [PartSet::new([PartId(2)])]);
+/// assert_eq!(evidence.convict(5_000, 0), [PartSet::new([PartId(2)])]);
 /// ```
 #[derive(Debug, Default)]
 pub struct Evidence {
@@ -136,7 +136,7 @@
     confirmation_ms: u64,
     answered: RecentTimes,
     suspects: HashMap<PartId, Suspect>,
-    /// Parts with enough crashes, and when they are convicted.
+    /// Parts with enough crashes, and since when.
     accused: HashMap<PartId, u64>,
     /// Recent crashes, oldest first.
     crashes: VecDeque<NumberedCrash>,
@@ -173,7 +173,7 @@
             suspect.crashes.retain(|crash| now_ms < crash.at_ms + SUSPICION_MS);
             suspect.record(CrashUnderPart { number, wave, sent_ms, at_ms }, &set);
             if suspect.is_convictable() {
-                self.accused.entry(part).or_insert(now_ms + self.confirmation_ms);
+                self.accused.entry(part).or_insert(now_ms);
             }
         }
         self.enforce_limit(now_ms);
@@ -183,9 +183,13 @@
     ///
     /// A set holds parts that came together in all of the requests, of which at least
     /// one is the cause: only requests with all of them have to be rejected. Crashes
-    /// under a convicted set no longer count against other parts.
-    pub fn convict(&mut self, now_ms: u64) -> Vec<PartSet> {
-        let due = self.accused.iter().filter(|(_, due_ms)| now_ms >= **due_ms);
+    /// under a convicted set no longer count against other parts. `reported_ms` is the
+    /// time until which all entries have reported their answers: what was accused before
+    /// needs no more time.
+    pub fn convict(&mut self, now_ms: u64, reported_ms: u64) -> Vec<PartSet> {
+        let is_due =
+            |since_ms: u64| now_ms >= since_ms + self.confirmation_ms || since_ms < reported_ms;
+        let due = self.accused.iter().filter(|(_, since_ms)| is_due(**since_ms));
         let crashes = |part| self.suspects.get(part).map_or(0, |suspect| suspect.crashes.len());
         let mut due: Vec<(usize, PartId)> = due.map(|(part, _)| (crashes(part), *part)).collect();
         // Parts with more crashes first: they explain those of the others.
--- a/components/quarantine/tests/evidence.rs
+++ b/components/quarantine/tests/evidence.rs
@@ -31,11 +31,11 @@
     let mut evidence = Evidence::default();
 
     let now_ms = record_crashes(&mut evidence, 2, &[DEADLY]);
-    let after_two = evidence.convict(now_ms);
+    let after_two = evidence.convict(now_ms, 0);
     evidence.record_crash(crash("e3", 3_000), &[DEADLY], 3_000);
 
     assert_eq!(after_two, []);
-    assert_eq!(evidence.convict(3_000), [set([DEADLY])]);
+    assert_eq!(evidence.convict(3_000, 0), [set([DEADLY])]);
 }
 
 #[test]
@@ -48,7 +48,7 @@
         evidence.record_crash(report, &[DEADLY], 1_100);
     }
 
-    assert_eq!(evidence.convict(1_100), []);
+    assert_eq!(evidence.convict(1_100, 0), []);
 }
 
 #[test]
@@ -63,7 +63,7 @@
         evidence.record_crash(crash(&format!("e{number}"), at_ms), &parts, at_ms);
     }
 
-    assert_eq!(evidence.convict(3_000), [set([DEADLY])]);
+    assert_eq!(evidence.convict(3_000, 0), [set([DEADLY])]);
 }
 
 #[test]
@@ -72,21 +72,21 @@
 
     let now_ms = record_crashes(&mut evidence, 3, &[CALLER, DEADLY]);
 
-    assert_eq!(evidence.convict(now_ms), [set([CALLER, DEADLY])]);
+    assert_eq!(evidence.convict(now_ms, 0), [set([CALLER, DEADLY])]);
 }
 
 #[test]
 fn deadly_part_that_later_comes_with_another_one_is_convicted_by_two_more_crashes() {
     let mut evidence = Evidence::default();
     let now_ms = record_crashes(&mut evidence, 3, &[CALLER, DEADLY]);
-    evidence.convict(now_ms);
+    evidence.convict(now_ms, 0);
 
     for (number, caller) in [(4, PartId(0xa)), (5, PartId(0xb))] {
         let at_ms = number * 1_000;
         evidence.record_crash(crash(&format!("e{number}"), at_ms), &[caller, DEADLY], at_ms);
     }
 
-    assert_eq!(evidence.convict(5_000), [set([DEADLY])]);
+    assert_eq!(evidence.convict(5_000, 0), [set([DEADLY])]);
 }
 
 #[test]
@@ -103,7 +103,7 @@
         evidence.record_crash(crash(&name, at_ms + 1_000), &[CALLER, OTHER_DEADLY], at_ms + 1_000);
     }
 
-    let mut convicted = evidence.convict(7_000);
+    let mut convicted = evidence.convict(7_000, 0);
     convicted.sort();
     assert_eq!(convicted, [set([DEADLY]), set([OTHER_DEADLY])]);
 }
@@ -119,7 +119,7 @@
         evidence.record_crash(crash(&format!("e{number}"), at_ms), &parts, at_ms);
     }
 
-    assert_eq!(evidence.convict(3_000), [set([DEADLY])]);
+    assert_eq!(evidence.convict(3_000, 0), [set([DEADLY])]);
 }
 
 #[test]
@@ -140,7 +140,7 @@
 
     assert!(evidence.suspects() <= 4_096);
     assert!(evidence.answered() <= 2 * 65_536);
-    assert_eq!(evidence.convict(40_000), [set([DEADLY])]);
+    assert_eq!(evidence.convict(40_000, 0), [set([DEADLY])]);
 }
 
 #[test]
@@ -154,7 +154,7 @@
         evidence.record_crash(report, &[CLASS, CALLER], at_ms);
     }
 
-    assert_eq!(evidence.convict(10_000), []);
+    assert_eq!(evidence.convict(10_000, 0), []);
 }
 
 #[test]
@@ -167,7 +167,7 @@
         evidence.record_crash(report, &[DEADLY], at_ms);
     }
 
-    assert_eq!(evidence.convict(5_176), [set([DEADLY])]);
+    assert_eq!(evidence.convict(5_176, 0), [set([DEADLY])]);
 }
 
 #[test]
@@ -181,31 +181,42 @@
         evidence.record_crash(report, &[DEADLY], at_ms);
     }
 
-    assert_eq!(evidence.convict(1_200), [set([DEADLY])]);
+    assert_eq!(evidence.convict(1_200, 0), [set([DEADLY])]);
 }
 
 #[test]
 fn late_reports_of_a_crash_with_a_known_cause_accuse_no_other_part() {
     let mut evidence = Evidence::default();
     let now_ms = record_crashes(&mut evidence, 3, &[DEADLY]);
-    evidence.convict(now_ms);
+    evidence.convict(now_ms, 0);
 
     record_crashes(&mut evidence, 3, &[CALLER]);
 
-    assert_eq!(evidence.convict(10_000), []);
+    assert_eq!(evidence.convict(10_000, 0), []);
 }
 
 #[test]
 fn answer_during_the_confirmation_clears_the_part() {
     let mut evidence = Evidence::new(150);
     let now_ms = record_crashes(&mut evidence, 3, &[CLASS, DEADLY]);
-    let at_once = evidence.convict(now_ms);
+    let at_once = evidence.convict(now_ms, 0);
 
     evidence.record_answer(CLASS, now_ms + 80);
 
     assert_eq!(at_once, []);
     assert_eq!(evidence.accused().collect::<Vec<_>>(), [set([DEADLY])]);
-    assert_eq!(evidence.convict(now_ms + 150), [set([DEADLY])]);
+    assert_eq!(evidence.convict(now_ms + 150, 0), [set([DEADLY])]);
+}
+
+#[test]
+fn part_is_convicted_sooner_once_all_entries_have_reported_their_answers() {
+    let mut evidence = Evidence::new(150);
+    let now_ms = record_crashes(&mut evidence, 3, &[DEADLY]);
+
+    let before = evidence.convict(now_ms + 20, now_ms);
+    let after = evidence.convict(now_ms + 20, now_ms + 10);
+
+    assert_eq!((before, after), (vec![], vec![set([DEADLY])]));
 }
 
 #[test]
@@ -215,7 +226,7 @@
 
     let now_ms = record_crashes(&mut evidence, 3, &[DEADLY]);
 
-    assert_eq!(evidence.convict(now_ms), [set([DEADLY])]);
+    assert_eq!(evidence.convict(now_ms, 0), [set([DEADLY])]);
 }
 
 #[test]
@@ -276,7 +287,7 @@
         for (_, part) in answers.extract_if(.., |(at_ms, _)| now_ms >= *at_ms) {
             evidence.record_answer(part, now_ms);
         }
-        convicted += evidence.convict(now_ms).len();
+        convicted += evidence.convict(now_ms, 0).len();
     }
     convicted
 }
