Split attempts and crash reports out of long files; send lost crash reports again

A crash report that found no arbiter, or got no reply, was lost; it is now sent again up to three times within 4.5 s, and the answers that went with it stay reported. The record of a request's attempts and the crash reports have files of their own; dispatch reads as one loop.

--- a/components/control/src/replica/places.rs
+++ b/components/control/src/replica/places.rs
@@ -57,9 +57,7 @@
             let _ = result.send(Reply { body: Some(reply::Body::Place(place)) });
         }
     }
-}
 
-impl Replica {
     /// Updates the metrics of the limits that upstreams name.
     pub(super) fn update_limit_metrics(&mut self, now_ms: u64) {
         let syncs = &mut self.gateway_syncs;
--- /dev/null
+++ b/components/gateway/src/attempts.rs
@@ -0,0 +1,92 @@
+//! Attempts of one request at upstreams: how they ended, and whether another may follow.
+
+use compact_str::CompactString;
+use http::{Response, StatusCode};
+use tokio::time::Instant;
+use verdict::RequestError;
+
+use crate::accept::Call;
+use crate::answer::{Body, Refusal};
+
+/// Maximum number of upstreams that one request is sent to, including those
+/// that reject it.
+pub(crate) const MAX_SENDS: u32 = 4;
+/// Maximum number of upstreams that accept no connection before a request is given up.
+pub(crate) const MAX_UNREACHABLE: u32 = 8;
+
+/// How one attempt ended.
+pub(crate) enum Attempt {
+    /// The upstream's response, ready for the caller.
+    Responded(Response<Body>),
+    /// The upstream did not run the request.
+    Rejected(&'static str),
+    /// The upstream accepts no connection.
+    Unreachable,
+    /// The upstream ran the request and returned a server error.
+    Failed(Response<Body>),
+    /// The response was lost; the request may have run.
+    Lost(&'static str),
+    /// The parts of its prompt were quarantined; the request may have run.
+    Withdrawn,
+    TimedOut,
+}
+
+/// Attempts of one request so far.
+#[derive(Default)]
+pub(crate) struct Attempts {
+    /// Upstreams that may have run the request.
+    pub(crate) runs: u32,
+    /// Upstreams that the request reached.
+    pub(crate) sends: u32,
+    /// Upstreams that accepted no connection.
+    unreachable: u32,
+    /// Server error that an upstream returned, with its id.
+    pub(crate) failed: Option<(Response<Body>, CompactString)>,
+    pub(crate) error: RequestError<Refusal>,
+}
+
+impl Attempts {
+    /// Records the refusal of one attempt.
+    pub(crate) fn refuse(&mut self, refusal: Refusal) {
+        self.error.record(refusal.verdict, refusal);
+    }
+
+    /// Records an attempt that ended without a response for the caller.
+    pub(crate) fn record(&mut self, call: &Call, ended: Attempt, upstream: &CompactString) {
+        match ended {
+            Attempt::Unreachable => self.unreachable += 1,
+            _ => self.sends += 1,
+        }
+        match ended {
+            Attempt::Responded(_) => {}
+            Attempt::Rejected(reason) => {
+                self.refuse(Refusal::unavailable(reason, call.retry_after_full()));
+            }
+            Attempt::Unreachable => {
+                self.refuse(Refusal::unavailable("upstream unreachable", call.retry_after_full()));
+            }
+            Attempt::Failed(response) => {
+                self.runs += 1;
+                self.failed = Some((response, upstream.clone()));
+            }
+            Attempt::Lost(reason) => {
+                self.runs += 1;
+                self.refuse(Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, reason));
+            }
+            Attempt::Withdrawn => {
+                let reason = "prompt part quarantined";
+                self.refuse(Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, reason));
+            }
+            Attempt::TimedOut => {
+                self.refuse(Refusal::unknown_outcome(StatusCode::GATEWAY_TIMEOUT, "timed out"));
+            }
+        }
+    }
+
+    /// Returns whether the request may be sent to another upstream.
+    pub(crate) fn may_go_on(&self, call: &Call) -> bool {
+        let may_run = self.runs == 0 || (call.may_repeat() && self.runs < call.route.max_attempts);
+        let may_send = self.sends < MAX_SENDS && self.unreachable < MAX_UNREACHABLE;
+        may_run && may_send && Instant::now() < call.until
+    }
+}
--- /dev/null
+++ b/components/gateway/src/crashes.rs
@@ -0,0 +1,137 @@
+//! Crashes of upstreams under requests that have no answer yet.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ::quarantine::{Crash, PartId};
+use schema::{CrashReport, Request, reply, request};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+use wire::{CallError, Link};
+
+use crate::accept::Call;
+use crate::dialect::PromptParts;
+use crate::exchange::Target;
+use crate::forward::elapsed_ms;
+use crate::shared::Shared;
+
+/// Timeout of the connection that tells a crash from a fault of one request.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeout of a crash report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Delays before a crash report that was lost is sent again: another arbiter may have
+/// taken over.
+const RESEND_DELAYS: [Duration; 3] =
+    [Duration::from_millis(300), Duration::from_millis(1_200), Duration::from_millis(3_000)];
+
+/// Crash of an upstream, and the request that had no answer.
+#[derive(Clone, Debug)]
+struct CrashedRequest {
+    target: Target,
+    parts: PromptParts,
+    traceparent: String,
+    sent: Instant,
+    noticed: Instant,
+}
+
+impl CrashedRequest {
+    fn to_report(&self, shared: &Shared) -> CrashReport {
+        CrashReport {
+            vm: shared.config.vm.to_string(),
+            upstream: self.target.id.to_string(),
+            born_ms: self.target.born_ms,
+            parts: self.parts.iter().map(|part| part.0).collect(),
+            age_ms: elapsed_ms(self.noticed),
+            sent_age_ms: elapsed_ms(self.sent),
+            answered_parts: shared.quarantine.borrow_mut().take_answered(),
+        }
+    }
+
+    /// Sends the report to the arbiter; returns whether the request may be repeated.
+    async fn report(&self, shared: &Shared, arbiter: &Link) -> Result<bool, CallError> {
+        let report = self.to_report(shared);
+        let answered_parts = report.answered_parts.clone();
+        let body = Some(request::Body::Crash(report));
+        let request = Request { traceparent: self.traceparent.clone(), body };
+        let replied = arbiter.call(request, REPORT_TIMEOUT).await;
+        if let Ok(reply::Body::Crash(reply)) = replied {
+            return Ok(reply.may_repeat);
+        }
+        shared.quarantine.borrow_mut().restore_answered(&answered_parts);
+        Err(replied.err().unwrap_or(CallError::UnexpectedReply))
+    }
+}
+
+/// Handles the loss of an upstream before it began the answer to a request. Returns
+/// whether the request may be sent to another upstream.
+pub(crate) async fn handle_break_off(
+    shared: &Rc<Shared>,
+    call: &Call,
+    target: &Target,
+    sent: Instant,
+) -> bool {
+    let parts = &call.head.prompt_parts;
+    if parts.is_empty() {
+        return true;
+    }
+    let noticed = Instant::now();
+    let crashed = refuses_connections(target.address).await;
+    let names: Vec<String> = parts.iter().map(PartId::to_string).collect();
+    log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(), born_ms = target.born_ms, parts = names.join(",").as_str(), crashed; "upstream broke off before an answer began");
+    if !crashed {
+        return true;
+    }
+    let crash = CrashedRequest {
+        target: target.clone(),
+        parts: parts.clone(),
+        traceparent: call.span.traceparent(),
+        sent,
+        noticed,
+    };
+    let may_repeat = report_crash(shared, crash).await;
+    may_repeat && shared.quarantine.borrow().find(parts).is_none()
+}
+
+/// Returns whether nothing listens at the address any more.
+async fn refuses_connections(address: SocketAddr) -> bool {
+    let connecting = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connecting, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
+/// Reports a crash; without an arbiter this gateway judges alone, and reports later.
+async fn report_crash(shared: &Rc<Shared>, crash: CrashedRequest) -> bool {
+    let now_ms = shared.now_ms();
+    let own = Crash {
+        upstream: crash.target.id.clone(),
+        born_ms: crash.target.born_ms,
+        sent_ms: now_ms.saturating_sub(elapsed_ms(crash.sent)),
+        at_ms: now_ms.saturating_sub(elapsed_ms(crash.noticed)),
+    };
+    shared.quarantine.borrow_mut().record_crash(own, &crash.parts, now_ms);
+    let replied = match shared.arbiter() {
+        Some(arbiter) => crash.report(shared, &arbiter).await,
+        None => Err(CallError::Timeout),
+    };
+    match replied {
+        Ok(may_repeat) => may_repeat,
+        Err(error) => {
+            log::warn!(upstream = crash.target.id.as_str(), error = error.to_string().as_str(); "crash report lost");
+            let may_repeat = shared.quarantine.borrow_mut().judge_alone(&crash.parts, now_ms);
+            actix_rt::spawn(resend(shared.clone(), crash));
+            may_repeat
+        }
+    }
+}
+
+async fn resend(shared: Rc<Shared>, crash: CrashedRequest) {
+    for delay in RESEND_DELAYS {
+        sleep(delay).await;
+        if let Some(arbiter) = shared.arbiter()
+            && crash.report(&shared, &arbiter).await.is_ok()
+        {
+            return;
+        }
+    }
+    log::warn!(upstream = crash.target.id.as_str(); "crash report given up");
+}
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -14,6 +14,8 @@
 
 use crate::accept::{Call, RETRY_AFTER_NO_UPSTREAM, accept};
 use crate::answer::{Body, Refusal, full_body, strip_hop_by_hop};
+use crate::attempts::{Attempt, Attempts};
+use crate::crashes;
 use crate::dialect::{ResponseHead, Resume};
 use crate::exchange::{ExchangeError, Target, UpstreamResponse, exchange};
 use crate::limits::record_limit;
@@ -26,11 +28,6 @@
 /// Share of a route's target latency for which a request may queue for a slot,
 /// counted from its arrival.
 const QUEUE_TIME_SHARE: f64 = 0.4;
-/// Maximum number of upstreams that one request is sent to, including those
-/// that reject it.
-pub(crate) const MAX_SENDS: u32 = 4;
-/// Maximum number of upstreams that accept no connection before a request is given up.
-pub(crate) const MAX_UNREACHABLE: u32 = 8;
 /// Largest body of a response that is not a stream. It is buffered completely
 /// before the response is returned, so that a retry can replace a truncated one.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
@@ -58,103 +55,65 @@
     response
 }
 
-/// How one attempt ended.
-enum Attempt {
-    /// The upstream's response, ready for the caller.
-    Responded(Response<Body>),
-    /// The upstream did not run the request.
-    Rejected(&'static str),
-    /// The upstream accepts no connection.
-    Unreachable,
-    /// The upstream ran the request and returned a server error.
-    Failed(Response<Body>),
-    /// The response was lost; the request may have run.
-    Lost(&'static str),
-    /// The parts of its prompt were quarantined; the request may have run.
-    Withdrawn,
-    TimedOut,
-}
-
 /// Sends the request to upstreams until one responds or it may not be retried.
 async fn dispatch(shared: &Rc<Shared>, call: Rc<Call>, in_flight: InFlightGuard) -> Response<Body> {
     let mut in_flight = Some(in_flight);
     let mut excluded = Excluded::new();
-    let (mut runs, mut sends, mut unreachable) = (0, 0, 0);
-    let mut failed = None;
-    let mut error = RequestError::default();
-    let mut record = |refusal: Refusal| error.record(refusal.verdict, refusal);
+    let mut attempts = Attempts::default();
     let queue_ms = call.route.target_latency_ms as f64 * QUEUE_TIME_SHARE;
     let queue_until = (call.arrived + Duration::from_millis(queue_ms as u64)).min(call.until);
     let responded = loop {
-        if let Err(refusal) = quarantine::admit(shared, &call).await {
-            record(refusal);
-            break None;
-        }
-        let reservation = match wait_for_slot(shared, &call, &excluded, queue_until).await {
+        let reservation = match place(shared, &call, &excluded, queue_until).await {
             Ok(reservation) => reservation,
-            Err(reason) => {
-                record(refuse_unplaced(&call, reason));
+            Err(refusal) => {
+                attempts.refuse(refusal);
                 break None;
             }
         };
-        // Its parts may have been accused or convicted while the request waited.
-        if let Err(refusal) = quarantine::admit(shared, &call).await {
-            record(refusal);
-            break None;
-        }
         let (target, sent) = (reservation.target.clone(), reservation.reserved_at());
         let upstream = target.id.clone();
         log_placement(shared, &call, &reservation);
         let ended = attempt(shared, &call, reservation, &mut in_flight).await;
-        let reached = !matches!(ended, Attempt::Unreachable);
-        sends += u32::from(reached);
-        unreachable += u32::from(!reached);
-        match ended {
-            Attempt::Responded(response) => break Some((response, upstream)),
-            Attempt::Rejected(reason) => {
-                record(Refusal::unavailable(reason, call.retry_after_full()));
-            }
-            Attempt::Unreachable => {
-                record(Refusal::unavailable("upstream unreachable", call.retry_after_full()));
-            }
-            Attempt::Failed(response) => {
-                runs += 1;
-                failed = Some((response, upstream.clone()));
-            }
-            Attempt::Lost(reason) => {
-                runs += 1;
-                record(Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, reason));
-                if !quarantine::handle_break_off(shared, &call, &target, sent).await {
-                    break None;
-                }
-            }
-            Attempt::Withdrawn => {
-                log::info!(request = call.head.id.as_str(), upstream = upstream.as_str(); "request withdrawn: upstreams crash under parts of its prompt");
-                let reason = "prompt part quarantined";
-                record(Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, reason));
-                break None;
-            }
-            Attempt::TimedOut => {
-                record(Refusal::unknown_outcome(StatusCode::GATEWAY_TIMEOUT, "timed out"));
-                break None;
-            }
+        let may_follow = match &ended {
+            Attempt::Responded(_) | Attempt::Withdrawn | Attempt::TimedOut => false,
+            Attempt::Lost(_) => crashes::handle_break_off(shared, &call, &target, sent).await,
+            Attempt::Unreachable | Attempt::Rejected(_) | Attempt::Failed(_) => true,
+        };
+        // A refused connection puts no load on any upstream.
+        let needs_budget = !matches!(ended, Attempt::Unreachable);
+        if let Attempt::Responded(response) = ended {
+            attempts.sends += 1;
+            break Some((response, upstream));
         }
-        let may_run_again = runs == 0 || (call.may_repeat() && runs < call.route.max_attempts);
-        let may_send =
-            sends < MAX_SENDS && unreachable < MAX_UNREACHABLE && Instant::now() < call.until;
-        // Another attempt after a refused connection puts no load on any upstream.
-        let in_budget = || !reached || shared.try_retry(&call.requirements.service);
-        if !may_send || !may_run_again || !in_budget() {
+        attempts.record(&call, ended, &upstream);
+        let in_budget = || !needs_budget || shared.try_retry(&call.requirements.service);
+        if !may_follow || !attempts.may_go_on(&call) || !in_budget() {
             break None;
         }
-        log::info!(request = call.head.id.as_str(), upstream = upstream.as_str(), sends, runs; "retrying request on another upstream");
+        log::info!(request = call.head.id.as_str(), upstream = upstream.as_str(), sends = attempts.sends, runs = attempts.runs; "retrying request on another upstream");
         excluded.push(upstream);
     };
+    let Attempts { sends, failed, error, .. } = attempts;
     // A response that an upstream gave takes precedence over errors of other attempts.
     let result = responded.or(failed).ok_or(error);
     finish(shared, &call, result.map_err(refusal_of), sends)
 }
 
+/// Reserves a slot for a request, unless its prompt parts are quarantined.
+async fn place(
+    shared: &Rc<Shared>,
+    call: &Call,
+    excluded: &Excluded,
+    queue_until: Instant,
+) -> Result<Reservation, Refusal> {
+    quarantine::admit(shared, call).await?;
+    let reservation = wait_for_slot(shared, call, excluded, queue_until).await;
+    let reservation = reservation.map_err(|reason| refuse_unplaced(call, reason))?;
+    // Its parts may have been accused or convicted while the request waited.
+    quarantine::admit(shared, call).await?;
+    Ok(reservation)
+}
+
 /// Refuses a request for which no slot could be reserved.
 fn refuse_unplaced(call: &Call, reason: ReserveError) -> Refusal {
     match reason {
@@ -216,7 +175,10 @@
     let exchanged = tokio::select! {
         exchanged = exchange(shared, &call.span, &target, request, call.until) => exchanged,
         // Engines drop a request whose connection closes before they begin its answer.
-        () = quarantine::wait_for_conviction(shared, call) => return Attempt::Withdrawn,
+        () = quarantine::wait_for_conviction(shared, call) => {
+            log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(); "request withdrawn: upstreams crash under parts of its prompt");
+            return Attempt::Withdrawn;
+        }
     };
     let response = match exchanged {
         Ok(response) => response,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -2,16 +2,20 @@
 //! routes.
 //!
 //! A request passes through [`server`] (connections of callers), [`accept`]
-//! (routing, request body), [`forward`] (attempts, retries, verdict), [`place`]
-//! (upstream selection, slot reservation), [`exchange`] and [`pool`]
-//! (connections to upstreams) and [`relay`] (event streams; [`moves`] moves the
-//! generation that produces a stream to another engine). [`control`]
-//! synchronises state with the control processes. [`dialect`] abstracts the
-//! headers and commands that callers and upstreams use.
+//! (routing, request body), [`forward`] and [`attempts`] (attempts, retries,
+//! verdict), [`place`] (upstream selection, slot reservation, with the [`limits`] of
+//! upstreams), [`exchange`] and [`pool`] (connections to upstreams) and [`relay`]
+//! (event streams; [`moves`] moves the generation that produces a stream to another
+//! engine). [`crashes`] reports upstreams that crash, and [`quarantine`] rejects prompt
+//! parts under which they do. [`control`] synchronises state with the control
+//! processes. [`dialect`] abstracts the headers and commands that callers and upstreams
+//! use.
 
 mod accept;
 mod answer;
+mod attempts;
 mod control;
+mod crashes;
 mod dialect;
 mod error;
 mod events;
--- a/components/gateway/src/quarantine.rs
+++ b/components/gateway/src/quarantine.rs
@@ -2,25 +2,15 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use ::quarantine::{Crash, Evidence, PartId, PartSet};
-use schema::{CrashReport, Request, reply, request};
-use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep, timeout};
-use wire::CallError;
+use tokio::time::{Instant, sleep};
 
 use crate::accept::Call;
 use crate::answer::Refusal;
-use crate::exchange::Target;
-use crate::forward::elapsed_ms;
 use crate::shared::Shared;
 
-/// Timeout of the connection that tells a crash from a fault of one request.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Timeout of a crash report.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for which the list of a control process that is not connected stays in force,
 /// and a set that this gateway convicted by itself.
 const STALE_LIST_PERIOD: Duration = Duration::from_secs(120);
@@ -75,7 +65,7 @@
 
 impl Quarantine {
     /// Returns a quarantined set of which a request has all parts.
-    fn find(&self, parts: &[PartId]) -> Option<&PartSet> {
+    pub(crate) fn find(&self, parts: &[PartId]) -> Option<&PartSet> {
         let listed = self.by_source.values().find_map(|list| list.convicted.find(parts));
         let own = || self.convicted.iter().map(|(set, _)| set);
         listed.or_else(|| own().find(|set| set.is_subset_of(parts)))
@@ -90,7 +80,7 @@
         self.by_source.get(&source).map_or(0, |list| list.digest)
     }
 
-    /// Returns whether the list of the control process changed.
+    /// Applies the list of a control process; returns whether it changed.
     fn apply(&mut self, source: SocketAddr, digest: u64, sets: &[schema::PartSet]) -> bool {
         let list = self.by_source.entry(source).or_default();
         list.disconnected_at = None;
@@ -129,6 +119,21 @@
         self.convicted.retain(|(_, since)| since.elapsed() < STALE_LIST_PERIOD);
     }
 
+    /// Records a crash in the evidence of this gateway.
+    pub(crate) fn record_crash(&mut self, crash: Crash, parts: &[PartId], now_ms: u64) {
+        self.evidence.record_crash(crash, parts, now_ms);
+    }
+
+    /// Convicts parts by the evidence of this gateway alone; returns whether a request
+    /// with these parts may be repeated.
+    pub(crate) fn judge_alone(&mut self, parts: &[PartId], now_ms: u64) -> bool {
+        for set in self.evidence.convict(now_ms, now_ms) {
+            log::warn!(parts = set.to_string().as_str(); "prompt parts quarantined at this gateway: upstreams crash under them");
+            self.convicted.push((set, Instant::now()));
+        }
+        self.evidence.may_repeat(parts, now_ms)
+    }
+
     /// Adds parts whose report was lost.
     pub(crate) fn restore_answered(&mut self, parts: &[u64]) {
         self.answered.extend(parts.iter().map(|part| PartId(*part)));
@@ -189,86 +194,3 @@
     shared.metrics.quarantine_rejections.inc();
     Err(Refusal::unavailable("prompt part quarantined", RETRY_AFTER_QUARANTINED))
 }
-
-/// Handles the loss of an upstream before it began the answer to a request. Returns
-/// whether the request may be sent to another upstream.
-pub(crate) async fn handle_break_off(
-    shared: &Rc<Shared>,
-    call: &Call,
-    target: &Target,
-    sent: Instant,
-) -> bool {
-    let parts = &call.head.prompt_parts;
-    if parts.is_empty() {
-        return true;
-    }
-    let noticed = Instant::now();
-    let crashed = refuses_connections(target.address).await;
-    let names: Vec<String> = parts.iter().map(PartId::to_string).collect();
-    log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(), born_ms = target.born_ms, parts = names.join(",").as_str(), crashed; "upstream broke off before an answer began");
-    if !crashed {
-        return true;
-    }
-    let may_repeat = report_crash(shared, call, target, (sent, noticed)).await;
-    may_repeat && shared.quarantine.borrow().find(parts).is_none()
-}
-
-/// Returns whether nothing listens at the address any more.
-async fn refuses_connections(address: SocketAddr) -> bool {
-    let connecting = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(connecting, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
-}
-
-async fn report_crash(
-    shared: &Rc<Shared>,
-    call: &Call,
-    target: &Target,
-    (sent, noticed): (Instant, Instant),
-) -> bool {
-    let parts = &call.head.prompt_parts;
-    record_crash(shared, parts, target, sent);
-    let report = CrashReport {
-        vm: shared.config.vm.to_string(),
-        upstream: target.id.to_string(),
-        born_ms: target.born_ms,
-        parts: parts.iter().map(|part| part.0).collect(),
-        age_ms: elapsed_ms(noticed),
-        sent_age_ms: elapsed_ms(sent),
-        answered_parts: shared.quarantine.borrow_mut().take_answered(),
-    };
-    let body = Some(request::Body::Crash(report));
-    let request = Request { traceparent: call.span.traceparent(), body };
-    let Some(arbiter) = shared.arbiter() else { return judge_alone(shared, parts) };
-    match arbiter.call(request, REPORT_TIMEOUT).await {
-        Ok(reply::Body::Crash(reply)) => reply.may_repeat,
-        failed => {
-            let error = failed.err().unwrap_or(CallError::UnexpectedReply).to_string();
-            log::warn!(upstream = target.id.as_str(), error = error.as_str(); "crash report lost");
-            judge_alone(shared, parts)
-        }
-    }
-}
-
-/// Records a crash in the evidence of this gateway.
-fn record_crash(shared: &Shared, parts: &[PartId], target: &Target, sent: Instant) {
-    let now_ms = shared.now_ms();
-    let crash = Crash {
-        upstream: target.id.clone(),
-        born_ms: target.born_ms,
-        sent_ms: now_ms.saturating_sub(elapsed_ms(sent)),
-        at_ms: now_ms,
-    };
-    shared.quarantine.borrow_mut().evidence.record_crash(crash, parts, now_ms);
-}
-
-/// Convicts parts by the evidence of this gateway alone; returns whether a request with
-/// these parts may be repeated.
-fn judge_alone(shared: &Shared, parts: &[PartId]) -> bool {
-    let now_ms = shared.now_ms();
-    let mut quarantine = shared.quarantine.borrow_mut();
-    for set in quarantine.evidence.convict(now_ms, now_ms) {
-        log::warn!(parts = set.to_string().as_str(); "prompt parts quarantined at this gateway: upstreams crash under them");
-        quarantine.convicted.push((set, Instant::now()));
-    }
-    quarantine.evidence.may_repeat(parts, now_ms)
-}
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -18,6 +18,7 @@
 
 use crate::accept::Call;
 use crate::answer::{Body, ResponseTruncated, strip_hop_by_hop};
+use crate::crashes;
 use crate::events::{EventKind, EventSplitter, StreamProgress};
 use crate::exchange::UpstreamResponse;
 use crate::forward::{elapsed_ms, record_failure, record_unreachable};
@@ -262,7 +263,7 @@
             Some(source) if self.events_of_run == 0 => {
                 let target = &source.reservation.target;
                 let sent = source.reservation.reserved_at();
-                quarantine::handle_break_off(&self.shared, &self.call, target, sent).await
+                crashes::handle_break_off(&self.shared, &self.call, target, sent).await
             }
             _ => true,
         }
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -4,9 +4,11 @@
 
 use super::{Relay, Source};
 use crate::answer::ResponseTruncated;
+use crate::attempts::{MAX_SENDS, MAX_UNREACHABLE};
+use crate::crashes;
 use crate::dialect::{KvCacheRef, Resume};
 use crate::exchange::{ExchangeError, UpstreamResponse, exchange};
-use crate::forward::{MAX_SENDS, MAX_UNREACHABLE, record_failure, record_unreachable};
+use crate::forward::{record_failure, record_unreachable};
 use crate::limits::record_limit;
 use crate::moves::{self, CacheCopy};
 use crate::place::{Excluded, wait_for_slot};
@@ -153,7 +155,7 @@
             ExchangeError::ConnectionLost(_) => {
                 record_failure(&self.shared, target, "connection lost");
                 let sent = reservation.reserved_at();
-                quarantine::handle_break_off(&self.shared, &self.call, target, sent).await;
+                crashes::handle_break_off(&self.shared, &self.call, target, sent).await;
                 ResumeError::Failed
             }
             ExchangeError::TimedOut => {
