Use the usual terms for quarantined prompt parts

Parts with enough crashes are pending, then confirmed; the part that crashes engines is the crashing part. Names, comments and docs only; the field accused of PartSet is now pending.

--- a/components/bench/src/shared_costs.rs
+++ b/components/bench/src/shared_costs.rs
@@ -31,7 +31,7 @@
     pub answered_parts: usize,
     /// Size of a crash report with three parts.
     pub crash_report_bytes: usize,
-    /// Time to record a crash with three parts, and to judge.
+    /// Time to record a crash with three parts, and to evaluate it.
     pub crash_us: f64,
     /// Parts under suspicion at the end.
     pub suspects: usize,
@@ -60,7 +60,7 @@
         let parts: Vec<PartId> =
             (0..PARTS_PER_REQUEST).map(|part| PartId(u64::MAX - number * 8 - part)).collect();
         evidence.record_crash(crash, &parts, at_ms);
-        black_box(evidence.convict(at_ms, 0));
+        black_box(evidence.confirm(at_ms, 0));
     }
     let crash_us = to_micros(started.elapsed()) / CRASHES as f64;
     let (limit_refill_us, limit_take_us) = measure_limits();
--- a/components/control/src/replica/drive.rs
+++ b/components/control/src/replica/drive.rs
@@ -134,7 +134,7 @@
         };
         let applied = self.state.apply(command);
         if !lifted.is_empty() {
-            self.forget_conviction(&lifted);
+            self.forget_quarantine(&lifted);
         }
         let elapsed_ms = self.proposals.complete(at, applied.outcome, self.clock.now_ms());
         if let Some(elapsed_ms) = elapsed_ms {
--- a/components/control/src/replica/quarantine.rs
+++ b/components/control/src/replica/quarantine.rs
@@ -1,7 +1,7 @@
 //! Quarantine of prompt parts under which upstreams crash.
 //!
 //! The arbiter collects the evidence of all gateways in memory. A set of parts that it
-//! convicts is in force at once through the syncs of this process, and is then committed
+//! confirms is in force at once through the syncs of this process, and is then committed
 //! to the replicated state, from which every control process hands it to the gateways.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -23,31 +23,31 @@
 /// Longest time for which an answer may still clear a part with enough crashes, if some
 /// gateway does not sync: they do so several times as often.
 const CONFIRMATION_MS: u64 = 150;
-/// Interval at which a conviction that is not committed yet is proposed again.
+/// Interval at which a quarantine that is not committed yet is proposed again.
 const COMMIT_RETRY_MS: u64 = 500;
-/// Time after which a conviction that could not be committed ends.
+/// Time after which a quarantine that could not be committed ends.
 const UNCOMMITTED_MS: u64 = 120_000;
 /// Interval at which the replicated state is applied to the list for the gateways.
 const REFRESH_INTERVAL_MS: u64 = 100;
-/// Convictions that wait to be committed.
+/// Quarantines that wait to be committed.
 const MAX_UNCOMMITTED: usize = 256;
 
-/// Conviction that is not part of the replicated state yet.
+/// Quarantine that is not part of the replicated state yet.
 #[derive(Debug)]
 struct Uncommitted {
     since_ms: u64,
     next_attempt_ms: u64,
 }
 
-/// Evidence and convictions at this control process, and the list for the gateways.
+/// Evidence and quarantines at this control process, and the list for the gateways.
 #[derive(Debug)]
 pub(crate) struct QuarantineState {
     evidence: Evidence,
     uncommitted: BTreeMap<PartSet, Uncommitted>,
     /// Sets that gateways have to reject.
     active: BTreeSet<PartSet>,
-    /// Sets whose requests gateways hold back until they are convicted or cleared.
-    accused: BTreeSet<PartSet>,
+    /// Sets whose requests gateways hold back until they are quarantined or cleared.
+    pending: BTreeSet<PartSet>,
     digest: u64,
     next_refresh_ms: u64,
 }
@@ -58,7 +58,7 @@
             evidence: Evidence::new(CONFIRMATION_MS),
             uncommitted: BTreeMap::new(),
             active: BTreeSet::new(),
-            accused: BTreeSet::new(),
+            pending: BTreeSet::new(),
             digest: 0,
             next_refresh_ms: 0,
         }
@@ -73,14 +73,14 @@
 
     pub(super) fn to_message(&self) -> Vec<schema::PartSet> {
         let active = self.active.iter().map(|set| (set, false));
-        let accused = self.accused.iter().map(|set| (set, true));
-        let sets = active.chain(accused);
-        sets.map(|(set, accused)| schema::PartSet { parts: to_ids(set), accused }).collect()
+        let pending = self.pending.iter().map(|set| (set, true));
+        let sets = active.chain(pending);
+        sets.map(|(set, pending)| schema::PartSet { parts: to_ids(set), pending }).collect()
     }
 }
 
 impl Replica {
-    /// Records a crash; convicts the parts under which upstreams crash.
+    /// Records a crash; quarantines the parts under which upstreams crash.
     pub(super) fn report_crash(
         &mut self,
         peer: &Identity,
@@ -103,51 +103,51 @@
         self.record_answers(&report.answered_parts, now_ms);
         self.quarantine.evidence.record_crash(crash, &parts, now_ms);
         self.renew_quarantine(&parts, now_ms);
-        self.convict(now_ms);
+        self.confirm(now_ms);
         self.refresh_quarantine(now_ms);
         let may_repeat = self.quarantine.evidence.may_repeat(&parts, now_ms);
         self.serve_gateways();
         ready(Reply { body: Some(reply::Body::Crash(CrashReply { may_repeat })) })
     }
 
-    /// Records the parts on which answers began at a gateway. A convicted set with such a
+    /// Records the parts on which answers began at a gateway. A confirmed set with such a
     /// part is reduced to the others, or lifted.
     pub(super) fn record_answers(&mut self, parts: &[u64], now_ms: u64) {
         for part in parts.iter().map(|part| PartId(*part)) {
             self.quarantine.evidence.record_answer(part, now_ms);
             let active = self.quarantine.active.iter();
-            let cleared = active.filter(|set| set.contains(part) && !self.is_ordered(set));
+            let cleared = active.filter(|set| set.contains(part) && !self.is_from_operator(set));
             for set in cleared.cloned().collect::<Vec<_>>() {
                 let rest = set.without(part);
                 if rest.is_empty() {
-                    self.lift_convicted(&set);
+                    self.lift_answered(&set);
                 } else {
-                    self.quarantine_convicted(rest, now_ms);
+                    self.start_quarantine(rest, now_ms);
                 }
             }
         }
     }
 
-    /// Judges the accused parts after a sync of a gateway, which may be the last one that
+    /// Confirms pending parts after a sync of a gateway, which may be the last one that
     /// they wait for.
-    pub(super) fn judge_accused(&mut self, now_ms: u64) {
-        if !self.quarantine.accused.is_empty() {
-            self.convict(now_ms);
+    pub(super) fn confirm_pending(&mut self, now_ms: u64) {
+        if !self.quarantine.pending.is_empty() {
+            self.confirm(now_ms);
             self.refresh_quarantine(now_ms);
         }
     }
 
     /// Returns whether an operator put the set under quarantine.
-    fn is_ordered(&self, set: &PartSet) -> bool {
+    fn is_from_operator(&self, set: &PartSet) -> bool {
         let committed = self.state.quarantine().get(&to_ids(set));
         committed.is_some_and(|quarantined| !quarantined.operator.is_empty())
     }
 
-    /// Quarantines the parts that are convicted by now.
-    fn convict(&mut self, now_ms: u64) {
+    /// Quarantines the parts that are confirmed by now.
+    fn confirm(&mut self, now_ms: u64) {
         let reported_ms = self.gateway_syncs.reported_ms(now_ms);
-        for set in self.quarantine.evidence.convict(now_ms, reported_ms) {
-            self.quarantine_convicted(set, now_ms);
+        for set in self.quarantine.evidence.confirm(now_ms, reported_ms) {
+            self.start_quarantine(set, now_ms);
         }
     }
 
@@ -160,11 +160,11 @@
             set.is_subset_of(parts) && !set.iter().any(|part| evidence.has_answered(part, now_ms))
         };
         for set in ended.filter(is_suspect).collect::<Vec<_>>() {
-            self.quarantine_convicted(set, now_ms);
+            self.start_quarantine(set, now_ms);
         }
     }
 
-    fn quarantine_convicted(&mut self, set: PartSet, now_ms: u64) {
+    fn start_quarantine(&mut self, set: PartSet, now_ms: u64) {
         if self.state.quarantine().rejects(&to_ids(&set), now_ms)
             || self.quarantine.uncommitted.contains_key(&set)
             || self.quarantine.uncommitted.len() >= MAX_UNCOMMITTED
@@ -175,25 +175,25 @@
         let uncommitted = Uncommitted { since_ms: now_ms, next_attempt_ms: now_ms };
         self.quarantine.uncommitted.insert(set, uncommitted);
         self.refresh_quarantine(now_ms);
-        self.commit_convictions(now_ms);
+        self.commit_uncommitted(now_ms);
     }
 
     /// Lifts the quarantine of a set on which an answer began.
-    fn lift_convicted(&mut self, set: &PartSet) {
+    fn lift_answered(&mut self, set: &PartSet) {
         log::warn!(parts = set.to_string().as_str(); "answer began on quarantined prompt parts; lifting the quarantine");
         self.quarantine.uncommitted.remove(set);
         let lift = LiftQuarantine { parts: to_ids(set) };
         self.send_to_leader(request::Body::LiftQuarantine(lift));
     }
 
-    /// Sends convictions that are not committed yet to the leader.
-    fn commit_convictions(&mut self, now_ms: u64) {
+    /// Sends quarantines that are not committed yet to the leader.
+    fn commit_uncommitted(&mut self, now_ms: u64) {
         let uncommitted = &mut self.quarantine.uncommitted;
-        uncommitted.retain(|_, conviction| now_ms < conviction.since_ms + UNCOMMITTED_MS);
+        uncommitted.retain(|_, quarantine| now_ms < quarantine.since_ms + UNCOMMITTED_MS);
         let due = uncommitted.iter_mut().filter(|(_, c)| now_ms >= c.next_attempt_ms);
         let commands: Vec<QuarantineParts> = due
-            .map(|(set, conviction)| {
-                conviction.next_attempt_ms = now_ms + COMMIT_RETRY_MS;
+            .map(|(set, quarantine)| {
+                quarantine.next_attempt_ms = now_ms + COMMIT_RETRY_MS;
                 QuarantineParts { parts: to_ids(set), operator: String::new() }
             })
             .collect();
@@ -209,10 +209,10 @@
         }
     }
 
-    /// Judges the evidence that is due and applies what changed meanwhile.
+    /// Confirms pending parts that are due and applies what changed meanwhile.
     pub(super) fn tick_quarantine(&mut self, now_ms: u64) {
-        self.convict(now_ms);
-        self.commit_convictions(now_ms);
+        self.confirm(now_ms);
+        self.commit_uncommitted(now_ms);
         if now_ms >= self.quarantine.next_refresh_ms {
             self.refresh_quarantine(now_ms);
         }
@@ -227,17 +227,17 @@
         uncommitted.retain(|set, _| !committed.rejects(&to_ids(set), now_ms));
         let sets = committed.active(now_ms).map(|set| to_set(&set.parts));
         let active: BTreeSet<PartSet> = sets.chain(uncommitted.keys().cloned()).collect();
-        let accused: BTreeSet<PartSet> = self.quarantine.evidence.accused().collect();
-        if active != self.quarantine.active || accused != self.quarantine.accused {
-            self.quarantine.digest = digest(&active, &accused);
+        let pending: BTreeSet<PartSet> = self.quarantine.evidence.pending().collect();
+        if active != self.quarantine.active || pending != self.quarantine.pending {
+            self.quarantine.digest = digest(&active, &pending);
             self.metrics.quarantined.set(i64::try_from(active.len()).unwrap_or(i64::MAX));
             self.quarantine.active = active;
-            self.quarantine.accused = accused;
+            self.quarantine.pending = pending;
         }
     }
 
     /// Drops what this process holds against a set whose quarantine was lifted.
-    pub(super) fn forget_conviction(&mut self, parts: &[u64]) {
+    pub(super) fn forget_quarantine(&mut self, parts: &[u64]) {
         let set = to_set(parts);
         log::info!(parts = set.to_string().as_str(); "quarantine of prompt parts lifted");
         self.quarantine.uncommitted.remove(&set);
@@ -277,12 +277,12 @@
 }
 
 /// Returns a digest of the sets that is 0 only if there are none.
-fn digest(active: &BTreeSet<PartSet>, accused: &BTreeSet<PartSet>) -> u64 {
-    if active.is_empty() && accused.is_empty() {
+fn digest(active: &BTreeSet<PartSet>, pending: &BTreeSet<PartSet>) -> u64 {
+    if active.is_empty() && pending.is_empty() {
         return 0;
     }
     let mut hasher = DefaultHasher::new();
-    (active, accused).hash(&mut hasher);
+    (active, pending).hash(&mut hasher);
     hasher.finish().max(1)
 }
 
--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -265,7 +265,7 @@
         let now_ms = self.clock.now_ms();
         self.gateway_syncs.record_sync(&request, address, now_ms);
         self.record_answers(&request.answered_parts, now_ms);
-        self.judge_accused(now_ms);
+        self.confirm_pending(now_ms);
         let deadline_ms = now_ms + u64::from(request.wait_ms.min(MAX_HOLD_MS));
         let (result, receiver) = oneshot::channel();
         self.gateway_syncs.open_syncs.push(OpenSync { request, deadline_ms, result });
--- a/components/gateway/src/crashes.rs
+++ b/components/gateway/src/crashes.rs
@@ -99,7 +99,7 @@
     matches!(connecting, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
 }
 
-/// Reports a crash; without an arbiter this gateway judges alone, and reports later.
+/// Reports a crash; without an arbiter this gateway decides alone, and reports later.
 async fn report_crash(shared: &Rc<Shared>, crash: CrashedRequest) -> bool {
     let now_ms = shared.now_ms();
     let own = Crash {
@@ -117,7 +117,7 @@
         Ok(may_repeat) => may_repeat,
         Err(error) => {
             log::warn!(upstream = crash.target.id.as_str(), error = error.to_string().as_str(); "crash report lost");
-            let may_repeat = shared.quarantine.borrow_mut().judge_alone(&crash.parts, now_ms);
+            let may_repeat = shared.quarantine.borrow_mut().confirm_alone(&crash.parts, now_ms);
             actix_rt::spawn(resend(shared.clone(), crash));
             may_repeat
         }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -109,7 +109,7 @@
     quarantine::admit(shared, call).await?;
     let reservation = wait_for_slot(shared, call, excluded, queue_until).await;
     let reservation = reservation.map_err(|reason| refuse_unplaced(call, reason))?;
-    // Its parts may have been accused or convicted while the request waited.
+    // Its parts may have been quarantined while the request waited.
     quarantine::admit(shared, call).await?;
     Ok(reservation)
 }
@@ -175,7 +175,7 @@
     let exchanged = tokio::select! {
         exchanged = exchange(shared, &call.span, &target, request, call.until) => exchanged,
         // Engines drop a request whose connection closes before they begin its answer.
-        () = quarantine::wait_for_conviction(shared, call) => {
+        () = quarantine::wait_for_quarantine(shared, call) => {
             log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(); "request withdrawn: upstreams crash under parts of its prompt");
             return Attempt::Withdrawn;
         }
--- a/components/gateway/src/quarantine.rs
+++ b/components/gateway/src/quarantine.rs
@@ -12,11 +12,11 @@
 use crate::shared::Shared;
 
 /// Time for which the list of a control process that is not connected stays in force,
-/// and a set that this gateway convicted by itself.
+/// and a set that this gateway quarantined by itself.
 const STALE_LIST_PERIOD: Duration = Duration::from_secs(120);
 /// `Retry-After` of requests with a quarantined part.
 const RETRY_AFTER_QUARANTINED: Duration = Duration::from_secs(120);
-/// Longest time for which a request waits for an accused set to be convicted or cleared;
+/// Longest time for which a request waits for a pending set to be quarantined or cleared;
 /// several times what that takes.
 const MAX_HOLD: Duration = Duration::from_millis(400);
 /// Interval at which a request that waits looks at the quarantine again.
@@ -47,8 +47,8 @@
 #[derive(Debug, Default)]
 struct SourceList {
     digest: u64,
-    convicted: SetIndex,
-    accused: SetIndex,
+    quarantined: SetIndex,
+    pending: SetIndex,
     disconnected_at: Option<Instant>,
 }
 
@@ -60,19 +60,20 @@
     answered: BTreeSet<PartId>,
     /// Evidence of this gateway alone, used while no arbiter replies.
     evidence: Evidence,
-    convicted: Vec<(PartSet, Instant)>,
+    /// Sets that this gateway quarantined by itself, and when.
+    own: Vec<(PartSet, Instant)>,
 }
 
 impl Quarantine {
     /// Returns a quarantined set of which a request has all parts.
     pub(crate) fn find(&self, parts: &[PartId]) -> Option<&PartSet> {
-        let listed = self.by_source.values().find_map(|list| list.convicted.find(parts));
-        let own = || self.convicted.iter().map(|(set, _)| set);
+        let listed = self.by_source.values().find_map(|list| list.quarantined.find(parts));
+        let own = || self.own.iter().map(|(set, _)| set);
         listed.or_else(|| own().find(|set| set.is_subset_of(parts)))
     }
 
-    fn is_accused(&self, parts: &[PartId]) -> bool {
-        self.by_source.values().any(|list| list.accused.find(parts).is_some())
+    fn is_pending(&self, parts: &[PartId]) -> bool {
+        self.by_source.values().any(|list| list.pending.find(parts).is_some())
     }
 
     /// Returns the digest of the list that was last received from a control process.
@@ -88,10 +89,10 @@
             return false;
         }
         list.digest = digest;
-        list.convicted = SetIndex::default();
-        list.accused = SetIndex::default();
+        list.quarantined = SetIndex::default();
+        list.pending = SetIndex::default();
         for set in sets {
-            let index = if set.accused { &mut list.accused } else { &mut list.convicted };
+            let index = if set.pending { &mut list.pending } else { &mut list.quarantined };
             index.insert(PartSet::new(set.parts.iter().map(|part| PartId(*part))));
         }
         log::info!(control = source.to_string().as_str(), sets = sets.len(); "quarantine of prompt parts changed");
@@ -102,7 +103,7 @@
     pub(crate) fn disconnect(&mut self, source: SocketAddr) {
         if let Some(list) = self.by_source.get_mut(&source) {
             list.disconnected_at.get_or_insert_with(Instant::now);
-            list.accused = SetIndex::default();
+            list.pending = SetIndex::default();
         }
     }
 
@@ -116,7 +117,7 @@
         self.by_source.retain(|_, list| {
             list.disconnected_at.is_none_or(|since| since.elapsed() < STALE_LIST_PERIOD)
         });
-        self.convicted.retain(|(_, since)| since.elapsed() < STALE_LIST_PERIOD);
+        self.own.retain(|(_, since)| since.elapsed() < STALE_LIST_PERIOD);
     }
 
     /// Records a crash in the evidence of this gateway.
@@ -124,12 +125,12 @@
         self.evidence.record_crash(crash, parts, now_ms);
     }
 
-    /// Convicts parts by the evidence of this gateway alone; returns whether a request
+    /// Quarantines parts by the evidence of this gateway alone; returns whether a request
     /// with these parts may be repeated.
-    pub(crate) fn judge_alone(&mut self, parts: &[PartId], now_ms: u64) -> bool {
-        for set in self.evidence.convict(now_ms, now_ms) {
+    pub(crate) fn confirm_alone(&mut self, parts: &[PartId], now_ms: u64) -> bool {
+        for set in self.evidence.confirm(now_ms, now_ms) {
             log::warn!(parts = set.to_string().as_str(); "prompt parts quarantined at this gateway: upstreams crash under them");
-            self.convicted.push((set, Instant::now()));
+            self.own.push((set, Instant::now()));
         }
         self.evidence.may_repeat(parts, now_ms)
     }
@@ -157,19 +158,19 @@
     }
 }
 
-/// Waits while the parts of a request are accused, and rejects it once they are
+/// Waits while the parts of a request are pending, and rejects it once they are
 /// quarantined.
 pub(crate) async fn admit(shared: &Shared, call: &Call) -> Result<(), Refusal> {
     let parts = &call.head.prompt_parts;
     let until = (Instant::now() + MAX_HOLD).min(call.until);
-    while shared.quarantine.borrow().is_accused(parts) && Instant::now() < until {
+    while shared.quarantine.borrow().is_pending(parts) && Instant::now() < until {
         sleep(HOLD_POLL_INTERVAL).await;
     }
     check(shared, call)
 }
 
 /// Waits until the parts of a request that was sent are quarantined.
-pub(crate) async fn wait_for_conviction(shared: &Shared, call: &Call) {
+pub(crate) async fn wait_for_quarantine(shared: &Shared, call: &Call) {
     let mut changes = shared.quarantine_changes.subscribe();
     while shared.quarantine.borrow().find(&call.head.prompt_parts).is_none() {
         // Fails only once `shared` is gone.
--- a/components/quarantine/src/evidence.rs
+++ b/components/quarantine/src/evidence.rs
@@ -2,7 +2,7 @@
 //!
 //! A request that causes a crash has no answer when its upstream crashes, like others
 //! that wait there. What tells the cause from them is that no answer ever begins on it:
-//! a part is convicted by crashes under it in a row, without an answer between them.
+//! a part is confirmed by crashes under it in a row, without an answer between them.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 
@@ -13,8 +13,8 @@
 use crate::part_set::PartSet;
 use crate::recent::RecentTimes;
 
-/// Incidents in a row, without an answer between them, that convict a part.
-const CONVICTING_INCIDENTS: usize = 3;
+/// Incidents in a row, without an answer between them, after which a part is quarantined.
+const QUARANTINE_INCIDENTS: usize = 3;
 /// Longest time from one crash of a wave to the next. Upstreams that are stopped together
 /// all have requests with the parts that are in frequent use.
 const WAVE_GAP_MS: u64 = 50;
@@ -26,7 +26,7 @@
 /// Parts under suspicion; beyond it, those with the fewest and oldest crashes are dropped.
 const MAX_SUSPECTS: usize = 4_096;
 /// Crashes that are remembered, so that late reports of them count once and, if their
-/// cause is known, accuse no other part.
+/// cause is known, count against no other part.
 const MAX_CRASHES: usize = 256;
 
 /// Crash of one incarnation of an upstream under a request that had no answer yet. Times
@@ -106,8 +106,8 @@
         incidents
     }
 
-    fn is_convictable(&self) -> bool {
-        self.incidents() >= CONVICTING_INCIDENTS
+    fn reaches_threshold(&self) -> bool {
+        self.incidents() >= QUARANTINE_INCIDENTS
     }
 }
 
@@ -127,7 +127,7 @@
 /// evidence.record_crash(crash(3_000), &parts, 3_000);
 /// evidence.record_answer(PartId(1), 3_500);
 /// evidence.record_crash(crash(5_000), &parts, 5_000);
-/// assert_eq!(evidence.convict(5_000, 0), [PartSet::new([PartId(2)])]);
+/// assert_eq!(evidence.confirm(5_000, 0), [PartSet::new([PartId(2)])]);
 /// ```
 #[derive(Debug, Default)]
 pub struct Evidence {
@@ -137,11 +137,11 @@
     answered: RecentTimes,
     suspects: HashMap<PartId, Suspect>,
     /// Parts with enough crashes, and since when.
-    accused: HashMap<PartId, u64>,
+    pending: HashMap<PartId, u64>,
     /// Recent crashes, oldest first.
     crashes: VecDeque<NumberedCrash>,
     last_number: CrashNumber,
-    /// Crashes whose cause was convicted.
+    /// Crashes whose cause is confirmed.
     explained: HashSet<CrashNumber>,
 }
 
@@ -172,50 +172,51 @@
             let suspect = self.suspects.entry(part).or_default();
             suspect.crashes.retain(|crash| now_ms < crash.at_ms + SUSPICION_MS);
             suspect.record(CrashUnderPart { number, wave, sent_ms, at_ms }, &set);
-            if suspect.is_convictable() {
-                self.accused.entry(part).or_insert(now_ms);
+            if suspect.reaches_threshold() {
+                self.pending.entry(part).or_insert(now_ms);
             }
         }
         self.enforce_limit(now_ms);
     }
 
-    /// Returns the sets of parts that are convicted by now.
+    /// Returns the sets of parts that are confirmed by now.
     ///
     /// A set holds parts that came together in all of the requests, of which at least
     /// one is the cause: only requests with all of them have to be rejected. Crashes
-    /// under a convicted set no longer count against other parts. `reported_ms` is the
-    /// time until which all entries have reported their answers: what was accused before
+    /// under a confirmed set no longer count against other parts. `reported_ms` is the
+    /// time until which all entries have reported their answers: what was pending before
     /// needs no more time.
-    pub fn convict(&mut self, now_ms: u64, reported_ms: u64) -> Vec<PartSet> {
+    pub fn confirm(&mut self, now_ms: u64, reported_ms: u64) -> Vec<PartSet> {
         let is_due =
             |since_ms: u64| now_ms >= since_ms + self.confirmation_ms || since_ms < reported_ms;
-        let due = self.accused.iter().filter(|(_, since_ms)| is_due(**since_ms));
+        let due = self.pending.iter().filter(|(_, since_ms)| is_due(**since_ms));
         let crashes = |part| self.suspects.get(part).map_or(0, |suspect| suspect.crashes.len());
         let mut due: Vec<(usize, PartId)> = due.map(|(part, _)| (crashes(part), *part)).collect();
         // Parts with more crashes first: they explain those of the others.
         due.sort_unstable_by(|a, b| b.cmp(a));
-        let mut convicted: Vec<PartSet> = Vec::new();
+        let mut confirmed: Vec<PartSet> = Vec::new();
         for (_, part) in due {
-            if let Some(set) = self.convictable_set(part) {
+            if let Some(set) = self.candidate_set(part) {
                 self.explain_crashes_under(&set);
-                convicted.push(set);
+                confirmed.push(set);
             }
         }
-        self.accused.retain(|part, _| self.suspects.get(part).is_some_and(Suspect::is_convictable));
-        convicted
+        self.pending
+            .retain(|part, _| self.suspects.get(part).is_some_and(Suspect::reaches_threshold));
+        confirmed
     }
 
-    /// Returns the sets that will be convicted unless answers clear them.
-    pub fn accused(&self) -> impl Iterator<Item = PartSet> {
-        self.accused.keys().filter_map(|part| self.convictable_set(*part))
+    /// Returns the sets that will be confirmed unless answers clear them.
+    pub fn pending(&self) -> impl Iterator<Item = PartSet> {
+        self.pending.keys().filter_map(|part| self.candidate_set(*part))
     }
 
     /// Returns the part with those that always came with it and may as well be the cause.
-    fn convictable_set(&self, part: PartId) -> Option<PartSet> {
-        let is_convictable =
-            |part: &PartId| self.suspects.get(part).is_some_and(Suspect::is_convictable);
-        let suspect = self.suspects.get(&part).filter(|_| is_convictable(&part))?;
-        Some(PartSet::new(suspect.companions.iter().filter(is_convictable)))
+    fn candidate_set(&self, part: PartId) -> Option<PartSet> {
+        let reaches_threshold =
+            |part: &PartId| self.suspects.get(part).is_some_and(Suspect::reaches_threshold);
+        let suspect = self.suspects.get(&part).filter(|_| reaches_threshold(&part))?;
+        Some(PartSet::new(suspect.companions.iter().filter(reaches_threshold)))
     }
 
     /// Returns whether a request with these parts may be sent to another upstream after
@@ -236,7 +237,7 @@
     /// Drops the evidence against a part.
     pub fn clear(&mut self, part: PartId) {
         self.suspects.remove(&part);
-        self.accused.remove(&part);
+        self.pending.remove(&part);
     }
 
     /// Returns the number of parts under suspicion.
@@ -273,7 +274,7 @@
         (number, wave)
     }
 
-    /// Attributes the crashes under a convicted set to it alone. Parts of a set of
+    /// Attributes the crashes under a confirmed set to it alone. Parts of a set of
     /// several stay under suspicion for one of them: which one is the cause is open.
     fn explain_crashes_under(&mut self, set: &PartSet) {
         let mut remaining: Vec<(PartId, Suspect)> = Vec::new();
@@ -310,6 +311,6 @@
             }
         }
         let suspects = &self.suspects;
-        self.accused.retain(|part, _| suspects.contains_key(part));
+        self.pending.retain(|part, _| suspects.contains_key(part));
     }
 }
--- a/components/quarantine/tests/evidence.rs
+++ b/components/quarantine/tests/evidence.rs
@@ -6,8 +6,8 @@
 
 const CLASS: PartId = PartId(0xc1a55);
 const CALLER: PartId = PartId(0xca11);
-const DEADLY: PartId = PartId(0xdead);
-const OTHER_DEADLY: PartId = PartId(0xdead2);
+const CRASHING: PartId = PartId(0xdead);
+const OTHER_CRASHING: PartId = PartId(0xdead2);
 
 fn crash(upstream: &str, at_ms: u64) -> Crash {
     Crash { upstream: upstream.into(), born_ms: 0, sent_ms: at_ms.saturating_sub(300), at_ms }
@@ -27,15 +27,15 @@
 }
 
 #[test]
-fn third_crash_in_a_row_convicts_the_part() {
+fn third_crash_in_a_row_confirms_the_part() {
     let mut evidence = Evidence::default();
 
-    let now_ms = record_crashes(&mut evidence, 2, &[DEADLY]);
-    let after_two = evidence.convict(now_ms, 0);
-    evidence.record_crash(crash("e3", 3_000), &[DEADLY], 3_000);
+    let now_ms = record_crashes(&mut evidence, 2, &[CRASHING]);
+    let after_two = evidence.confirm(now_ms, 0);
+    evidence.record_crash(crash("e3", 3_000), &[CRASHING], 3_000);
 
     assert_eq!(after_two, []);
-    assert_eq!(evidence.convict(3_000, 0), [set([DEADLY])]);
+    assert_eq!(evidence.confirm(3_000, 0), [set([CRASHING])]);
 }
 
 #[test]
@@ -45,87 +45,91 @@
     for gateway in 0..20 {
         let mut report = crash("e1", 1_000 + gateway);
         report.sent_ms = 900 + gateway;
-        evidence.record_crash(report, &[DEADLY], 1_100);
+        evidence.record_crash(report, &[CRASHING], 1_100);
     }
 
-    assert_eq!(evidence.convict(1_100, 0), []);
+    assert_eq!(evidence.confirm(1_100, 0), []);
 }
 
 #[test]
-fn sound_parts_that_came_with_a_deadly_one_are_cleared_by_answers() {
+fn sound_parts_that_came_with_a_crashing_one_are_cleared_by_answers() {
     let mut evidence = Evidence::default();
 
     for number in 1..=3 {
         let at_ms = number * 1_000;
         evidence.record_answer(CLASS, at_ms - 100);
         evidence.record_answer(CALLER, at_ms - 50);
-        let parts = [CLASS, CALLER, DEADLY];
+        let parts = [CLASS, CALLER, CRASHING];
         evidence.record_crash(crash(&format!("e{number}"), at_ms), &parts, at_ms);
     }
 
-    assert_eq!(evidence.convict(3_000, 0), [set([DEADLY])]);
+    assert_eq!(evidence.confirm(3_000, 0), [set([CRASHING])]);
 }
 
 #[test]
-fn parts_without_answers_are_convicted_only_together() {
+fn parts_without_answers_are_confirmed_only_together() {
     let mut evidence = Evidence::default();
 
-    let now_ms = record_crashes(&mut evidence, 3, &[CALLER, DEADLY]);
+    let now_ms = record_crashes(&mut evidence, 3, &[CALLER, CRASHING]);
 
-    assert_eq!(evidence.convict(now_ms, 0), [set([CALLER, DEADLY])]);
+    assert_eq!(evidence.confirm(now_ms, 0), [set([CALLER, CRASHING])]);
 }
 
 #[test]
-fn deadly_part_that_later_comes_with_another_one_is_convicted_by_two_more_crashes() {
+fn crashing_part_that_later_comes_with_another_one_is_confirmed_by_two_more_crashes() {
     let mut evidence = Evidence::default();
-    let now_ms = record_crashes(&mut evidence, 3, &[CALLER, DEADLY]);
-    evidence.convict(now_ms, 0);
+    let now_ms = record_crashes(&mut evidence, 3, &[CALLER, CRASHING]);
+    evidence.confirm(now_ms, 0);
 
     for (number, caller) in [(4, PartId(0xa)), (5, PartId(0xb))] {
         let at_ms = number * 1_000;
-        evidence.record_crash(crash(&format!("e{number}"), at_ms), &[caller, DEADLY], at_ms);
+        evidence.record_crash(crash(&format!("e{number}"), at_ms), &[caller, CRASHING], at_ms);
     }
 
-    assert_eq!(evidence.convict(5_000, 0), [set([DEADLY])]);
+    assert_eq!(evidence.confirm(5_000, 0), [set([CRASHING])]);
 }
 
 #[test]
-fn two_deadly_parts_at_once_are_both_convicted() {
+fn two_crashing_parts_at_once_are_both_confirmed() {
     let mut evidence = Evidence::default();
 
     for number in 1..=3 {
         let at_ms = number * 2_000;
         evidence.record_answer(CALLER, at_ms - 10);
         let name = format!("a{number}");
-        evidence.record_crash(crash(&name, at_ms), &[CALLER, DEADLY], at_ms);
+        evidence.record_crash(crash(&name, at_ms), &[CALLER, CRASHING], at_ms);
         evidence.record_answer(CALLER, at_ms + 500);
         let name = format!("b{number}");
-        evidence.record_crash(crash(&name, at_ms + 1_000), &[CALLER, OTHER_DEADLY], at_ms + 1_000);
+        evidence.record_crash(
+            crash(&name, at_ms + 1_000),
+            &[CALLER, OTHER_CRASHING],
+            at_ms + 1_000,
+        );
     }
 
-    let mut convicted = evidence.convict(7_000, 0);
-    convicted.sort();
-    assert_eq!(convicted, [set([DEADLY]), set([OTHER_DEADLY])]);
+    let mut confirmed = evidence.confirm(7_000, 0);
+    confirmed.sort();
+    assert_eq!(confirmed, [set([CRASHING]), set([OTHER_CRASHING])]);
 }
 
 #[test]
-fn request_with_many_parts_does_not_hide_the_deadly_one() {
+fn request_with_many_parts_does_not_hide_the_crashing_one() {
     let mut evidence = Evidence::default();
 
     for number in 1..=3 {
         let at_ms = number * 1_000;
         let fresh = (0..1_000).map(|index| PartId(number * 10_000 + index));
-        let parts: Vec<PartId> = fresh.chain([DEADLY]).collect();
+        let parts: Vec<PartId> = fresh.chain([CRASHING]).collect();
         evidence.record_crash(crash(&format!("e{number}"), at_ms), &parts, at_ms);
     }
 
-    assert_eq!(evidence.convict(3_000, 0), [set([DEADLY])]);
+    assert_eq!(evidence.confirm(3_000, 0), [set([CRASHING])]);
 }
 
 #[test]
 fn invented_parts_do_not_push_out_a_true_one_and_memory_is_bounded() {
     let mut evidence = Evidence::default();
-    record_crashes(&mut evidence, 2, &[DEADLY]);
+    record_crashes(&mut evidence, 2, &[CRASHING]);
 
     for number in 0..20 {
         let at_ms = 10_000 + number * 1_000;
@@ -136,15 +140,15 @@
             evidence.record_answer(PartId(part.0 << 32), at_ms);
         }
     }
-    evidence.record_crash(crash("e3", 40_000), &[DEADLY], 40_000);
+    evidence.record_crash(crash("e3", 40_000), &[CRASHING], 40_000);
 
     assert!(evidence.suspects() <= 4_096);
     assert!(evidence.answered() <= 2 * 65_536);
-    assert_eq!(evidence.convict(40_000, 0), [set([DEADLY])]);
+    assert_eq!(evidence.confirm(40_000, 0), [set([CRASHING])]);
 }
 
 #[test]
-fn wave_of_crashes_at_one_moment_convicts_no_part() {
+fn wave_of_crashes_at_one_moment_confirms_no_part() {
     let mut evidence = Evidence::default();
 
     for number in 0..18 {
@@ -154,89 +158,89 @@
         evidence.record_crash(report, &[CLASS, CALLER], at_ms);
     }
 
-    assert_eq!(evidence.convict(10_000, 0), []);
+    assert_eq!(evidence.confirm(10_000, 0), []);
 }
 
 #[test]
-fn requests_with_a_deadly_part_that_are_sent_at_once_convict_it_by_three_crashes() {
+fn requests_with_a_crashing_part_that_are_sent_at_once_confirm_it_by_three_crashes() {
     let mut evidence = Evidence::default();
 
     for (number, at_ms) in [(1, 4_924), (2, 5_039), (3, 5_176)] {
         let mut report = crash(&format!("e{number}"), at_ms);
         report.sent_ms = 4_500;
-        evidence.record_crash(report, &[DEADLY], at_ms);
+        evidence.record_crash(report, &[CRASHING], at_ms);
     }
 
-    assert_eq!(evidence.convict(5_176, 0), [set([DEADLY])]);
+    assert_eq!(evidence.confirm(5_176, 0), [set([CRASHING])]);
 }
 
 #[test]
-fn flood_of_requests_with_a_deadly_part_convicts_it() {
+fn flood_of_requests_with_a_crashing_part_confirms_it() {
     let mut evidence = Evidence::default();
 
     for number in 0..10 {
         let at_ms = 1_000 + number * 20;
         let mut report = crash(&format!("e{number}"), at_ms);
         report.sent_ms = at_ms - 30;
-        evidence.record_crash(report, &[DEADLY], at_ms);
+        evidence.record_crash(report, &[CRASHING], at_ms);
     }
 
-    assert_eq!(evidence.convict(1_200, 0), [set([DEADLY])]);
+    assert_eq!(evidence.confirm(1_200, 0), [set([CRASHING])]);
 }
 
 #[test]
-fn late_reports_of_a_crash_with_a_known_cause_accuse_no_other_part() {
+fn late_reports_of_a_crash_with_a_known_cause_count_against_no_other_part() {
     let mut evidence = Evidence::default();
-    let now_ms = record_crashes(&mut evidence, 3, &[DEADLY]);
-    evidence.convict(now_ms, 0);
+    let now_ms = record_crashes(&mut evidence, 3, &[CRASHING]);
+    evidence.confirm(now_ms, 0);
 
     record_crashes(&mut evidence, 3, &[CALLER]);
 
-    assert_eq!(evidence.convict(10_000, 0), []);
+    assert_eq!(evidence.confirm(10_000, 0), []);
 }
 
 #[test]
 fn answer_during_the_confirmation_clears_the_part() {
     let mut evidence = Evidence::new(150);
-    let now_ms = record_crashes(&mut evidence, 3, &[CLASS, DEADLY]);
-    let at_once = evidence.convict(now_ms, 0);
+    let now_ms = record_crashes(&mut evidence, 3, &[CLASS, CRASHING]);
+    let at_once = evidence.confirm(now_ms, 0);
 
     evidence.record_answer(CLASS, now_ms + 80);
 
     assert_eq!(at_once, []);
-    assert_eq!(evidence.accused().collect::<Vec<_>>(), [set([DEADLY])]);
-    assert_eq!(evidence.convict(now_ms + 150, 0), [set([DEADLY])]);
+    assert_eq!(evidence.pending().collect::<Vec<_>>(), [set([CRASHING])]);
+    assert_eq!(evidence.confirm(now_ms + 150, 0), [set([CRASHING])]);
 }
 
 #[test]
-fn part_is_convicted_sooner_once_all_entries_have_reported_their_answers() {
+fn part_is_confirmed_sooner_once_all_entries_have_reported_their_answers() {
     let mut evidence = Evidence::new(150);
-    let now_ms = record_crashes(&mut evidence, 3, &[DEADLY]);
+    let now_ms = record_crashes(&mut evidence, 3, &[CRASHING]);
 
-    let before = evidence.convict(now_ms + 20, now_ms);
-    let after = evidence.convict(now_ms + 20, now_ms + 10);
+    let before = evidence.confirm(now_ms + 20, now_ms);
+    let after = evidence.confirm(now_ms + 20, now_ms + 10);
 
-    assert_eq!((before, after), (vec![], vec![set([DEADLY])]));
+    assert_eq!((before, after), (vec![], vec![set([CRASHING])]));
 }
 
 #[test]
-fn part_that_turns_deadly_after_answers_is_convicted() {
+fn part_that_starts_to_crash_engines_after_answers_is_confirmed() {
     let mut evidence = Evidence::default();
-    evidence.record_answer(DEADLY, 900);
+    evidence.record_answer(CRASHING, 900);
 
-    let now_ms = record_crashes(&mut evidence, 3, &[DEADLY]);
+    let now_ms = record_crashes(&mut evidence, 3, &[CRASHING]);
 
-    assert_eq!(evidence.convict(now_ms, 0), [set([DEADLY])]);
+    assert_eq!(evidence.confirm(now_ms, 0), [set([CRASHING])]);
 }
 
 #[test]
 fn request_is_repeated_after_a_crash_only_if_its_parts_were_answered_lately() {
     let mut evidence = Evidence::default();
     evidence.record_answer(CLASS, 500);
-    evidence.record_crash(crash("e1", 1_000), &[CLASS, DEADLY], 1_000);
+    evidence.record_crash(crash("e1", 1_000), &[CLASS, CRASHING], 1_000);
 
     assert!(evidence.may_repeat(&[CLASS], 1_000));
-    assert!(!evidence.may_repeat(&[CLASS, DEADLY], 1_000));
+    assert!(!evidence.may_repeat(&[CLASS, CRASHING], 1_000));
     evidence.record_crash(crash("e2", 2_000), &[CLASS], 2_000);
     assert!(!evidence.may_repeat(&[CLASS], 2_000));
 }
@@ -248,14 +252,14 @@
 const RARE_PARTS: u64 = 300;
 
 /// Simulated requests on engines that crash in waves, in turn and alone, all for other
-/// reasons than the requests; `crashes_per_minute` is the rate. Returns convictions.
-fn convictions_of_sound_parts(seed: u64, crashes_per_minute: u64) -> usize {
+/// reasons than the requests; `crashes_per_minute` is the rate. Returns the quarantines.
+fn quarantines_of_sound_parts(seed: u64, crashes_per_minute: u64) -> usize {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut evidence = Evidence::new(150);
     // Engine, time of sending and parts of requests whose answer has not begun.
     let mut waiting: Vec<(u64, u64, Vec<PartId>)> = Vec::new();
     let mut answers: Vec<(u64, PartId)> = Vec::new();
-    let mut convicted = 0;
+    let mut confirmed = 0;
     for now_ms in (0..60_000).step_by(20) {
         if rng.random_bool(0.4) {
             let parts = vec![
@@ -287,21 +291,21 @@
         for (_, part) in answers.extract_if(.., |(at_ms, _)| now_ms >= *at_ms) {
             evidence.record_answer(part, now_ms);
         }
-        convicted += evidence.convict(now_ms, 0).len();
+        confirmed += evidence.confirm(now_ms, 0).len();
     }
-    convicted
+    confirmed
 }
 
 #[test]
-fn crashes_for_other_reasons_convict_no_sound_part() {
+fn crashes_for_other_reasons_confirm_no_sound_part() {
     for seed in 0..40 {
-        assert_eq!(convictions_of_sound_parts(seed, 8), 0, "seed {seed}");
+        assert_eq!(quarantines_of_sound_parts(seed, 8), 0, "seed {seed}");
     }
 }
 
 #[test]
-fn ten_times_as_many_crashes_for_other_reasons_convict_no_sound_part() {
+fn ten_times_as_many_crashes_for_other_reasons_confirm_no_sound_part() {
     for seed in 0..40 {
-        assert_eq!(convictions_of_sound_parts(seed, 80), 0, "seed {seed}");
+        assert_eq!(quarantines_of_sound_parts(seed, 80), 0, "seed {seed}");
     }
 }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -10,7 +10,7 @@
 use support::{Deployment, eventually};
 use wire::CallError;
 
-const DEADLY: u64 = 0xdead;
+const CRASHING: u64 = 0xdead;
 
 async fn quarantined(deployment: &Deployment) -> Option<Vec<QuarantinedParts>> {
     let body = request::Body::GetQuarantine(GetQuarantineRequest {});
@@ -32,7 +32,7 @@
     let report = CrashReport {
         vm: entry_vm(0),
         upstream: upstream.to_string(),
-        parts: vec![DEADLY],
+        parts: vec![CRASHING],
         ..CrashReport::default()
     };
     let reply = deployment.call_as_entry(0, control, request::Body::Crash(report)).await;
@@ -40,7 +40,7 @@
 }
 
 #[test]
-fn parts_convicted_at_a_follower_survive_the_loss_of_all_control_processes() {
+fn parts_quarantined_at_a_follower_survive_the_loss_of_all_control_processes() {
     support::run_async(async {
         let mut deployment = Deployment::start(3, 1, DeploymentOptions::default()).await;
         let follower = (deployment.leader().await + 1) % 3;
@@ -48,7 +48,7 @@
         for upstream in ["e1", "e2", "e3"] {
             report_crash(&deployment, follower, upstream).await;
         }
-        wait_until_quarantined(&deployment, &[DEADLY]).await;
+        wait_until_quarantined(&deployment, &[CRASHING]).await;
         for index in 0..3 {
             deployment.kill_control(index).await;
         }
@@ -56,7 +56,7 @@
             deployment.start_control(index).await;
         }
 
-        wait_until_quarantined(&deployment, &[DEADLY]).await;
+        wait_until_quarantined(&deployment, &[CRASHING]).await;
     });
 }
 
@@ -85,8 +85,8 @@
         let leader = deployment.leader().await;
 
         let report = CrashReport { vm: "another".to_string(), ..CrashReport::default() };
-        let add = QuarantineParts { parts: vec![DEADLY], operator: String::new() };
-        let lift = LiftQuarantine { parts: vec![DEADLY] };
+        let add = QuarantineParts { parts: vec![CRASHING], operator: String::new() };
+        let lift = LiftQuarantine { parts: vec![CRASHING] };
 
         for body in [
             request::Body::Crash(report),
