--- a/components/bench/src/shared_costs.rs
+++ b/components/bench/src/shared_costs.rs
@@ -1,12 +1,12 @@
 //! Costs of what the arbiter collects from all gateways: evidence against prompt parts
-//! and limits of upstreams, at the size that decides the design.
+//! and requests, and limits of upstreams, at the size that decides the design.
 
 use std::hint::black_box;
 use std::time::Instant;
 
 use balance::{ObservedLimit, RequestRate, UpstreamLimits};
 use prost::Message;
-use quarantine::{Crash, Evidence, PartId};
+use quarantine::{Crash, Evidence, Feature, Fingerprint, PartId, RequestIdentity};
 use schema::{CrashReport, SyncReply, SyncRequest, UpstreamLimit};
 use serde::Serialize;
 
@@ -17,6 +17,10 @@
 const PARTS_PER_MINUTE: u64 = 100_000;
 const MINUTES: u64 = 3;
 const PARTS_PER_REQUEST: u64 = 3;
+/// Requests in a minute, all of them different, and the size of their bodies.
+const REQUESTS_PER_MINUTE: u64 = 1_000_000;
+const BODY_BYTES: usize = 12 << 10;
+const FINGERPRINTS: u32 = 20_000;
 const CRASHES: u64 = 200;
 const REFILLS: u32 = 1_000;
 
@@ -27,13 +31,19 @@
     pub answered_part_bytes: usize,
     /// Time to record an answer on a part, with new parts all the time.
     pub answered_part_us: f64,
+    /// Time to compute the fingerprint of a request with a body of 12 KiB.
+    pub fingerprint_us: f64,
+    /// Size of an answered request in a sync request.
+    pub answered_request_bytes: usize,
+    /// Time to record the answer to a request, with new requests all the time.
+    pub answered_request_us: f64,
     /// Parts with an answer that are remembered at the end.
     pub answered_parts: usize,
-    /// Size of a crash report with three parts.
+    /// Size of a crash report with three parts and a request.
     pub crash_report_bytes: usize,
-    /// Time to record a crash with three parts, and to evaluate it.
+    /// Time to record a crash with three parts and a request, and to evaluate it.
     pub crash_us: f64,
-    /// Parts under suspicion at the end.
+    /// Parts and requests under suspicion at the end.
     pub suspects: usize,
     /// Size of the list of limits if all of 1,900 engines name one.
     pub limit_list_bytes: usize,
@@ -49,7 +59,7 @@
     let started = Instant::now();
     let answers = PARTS_PER_MINUTE * MINUTES;
     for number in 0..answers {
-        evidence.record_answer(PartId(number), number * 60_000 / PARTS_PER_MINUTE);
+        evidence.record_answer(part(number), number * 60_000 / PARTS_PER_MINUTE);
     }
     let answered_part_us = to_micros(started.elapsed()) / answers as f64;
     let started = Instant::now();
@@ -57,15 +67,25 @@
         let at_ms = MINUTES * 60_000 + number * 300;
         let upstream = format!("engine-{}", number % ENGINE_COUNT).into();
         let crash = Crash { upstream, born_ms: number, sent_ms: at_ms - 200, at_ms };
-        let parts: Vec<PartId> =
-            (0..PARTS_PER_REQUEST).map(|part| PartId(u64::MAX - number * 8 - part)).collect();
-        evidence.record_crash(crash, &parts, at_ms);
+        let parts = (0..PARTS_PER_REQUEST).map(|index| part(u64::MAX - number * 8 - index));
+        let request = Feature::Request(Fingerprint(u64::MAX - number));
+        let features: Vec<Feature> = parts.chain([request]).collect();
+        evidence.record_crash(crash, &features, at_ms);
         black_box(evidence.confirm(at_ms, 0));
     }
     let crash_us = to_micros(started.elapsed()) / CRASHES as f64;
+    let started = Instant::now();
+    for number in 0..REQUESTS_PER_MINUTE {
+        let at_ms = MINUTES * 60_000 + number * 60_000 / REQUESTS_PER_MINUTE;
+        evidence.record_answer(Feature::Request(Fingerprint(number)), at_ms);
+    }
+    let answered_request_us = to_micros(started.elapsed()) / REQUESTS_PER_MINUTE as f64;
     let (limit_refill_us, limit_take_us) = measure_limits();
     SharedCosts {
         answered_part_bytes: bytes_per_part(),
+        fingerprint_us: measure_fingerprint(),
+        answered_request_bytes: bytes_per_request(),
+        answered_request_us,
         answered_part_us,
         answered_parts: evidence.answered(),
         crash_report_bytes: sample_report().encoded_len(),
@@ -82,12 +102,39 @@
     with(vec![u64::MAX; 9]).encoded_len() - with(vec![u64::MAX; 8]).encoded_len()
 }
 
+fn part(number: u64) -> Feature {
+    Feature::Part(PartId(number))
+}
+
+fn bytes_per_request() -> usize {
+    let with = |answered_requests| SyncRequest { answered_requests, ..SyncRequest::default() };
+    with(vec![u64::MAX; 9]).encoded_len() - with(vec![u64::MAX; 8]).encoded_len()
+}
+
+/// Returns the microseconds for the fingerprint of one request.
+fn measure_fingerprint() -> f64 {
+    let body = vec![b'x'; BODY_BYTES];
+    let identity = RequestIdentity {
+        caller: "workspace",
+        host: "example",
+        method: "POST",
+        path: "/generate",
+        body: &body,
+    };
+    let started = Instant::now();
+    for _ in 0..FINGERPRINTS {
+        black_box(Fingerprint::of(black_box(&identity)));
+    }
+    to_micros(started.elapsed()) / f64::from(FINGERPRINTS)
+}
+
 fn sample_report() -> CrashReport {
     CrashReport {
         vm: "entry-7".to_string(),
         upstream: "engine-1024".to_string(),
         born_ms: 1_700_000_000_000,
         parts: vec![u64::MAX; PARTS_PER_REQUEST as usize],
+        request: u64::MAX,
         age_ms: 2,
         sent_age_ms: 400,
         ..CrashReport::default()
--- a/components/control/src/replica/drive.rs
+++ b/components/control/src/replica/drive.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use consensus::{Batch, CommittedChange, LogPosition};
 use prost::Message as _;
+use quarantine::FeatureSet;
 use schema::{Command, ConsensusMessage, Snapshot, command};
 use state::State;
 
@@ -129,8 +130,10 @@
             }
         };
         let lifted = match &command.body {
-            Some(command::Body::LiftQuarantine(lift)) => lift.parts.clone(),
-            _ => Vec::new(),
+            Some(command::Body::LiftQuarantine(lift)) => {
+                FeatureSet::from_ids(&lift.parts, lift.request)
+            }
+            _ => FeatureSet::default(),
         };
         let applied = self.state.apply(command);
         if !lifted.is_empty() {
--- a/components/control/src/replica/quarantine.rs
+++ b/components/control/src/replica/quarantine.rs
@@ -1,15 +1,15 @@
-//! Quarantine of prompt parts under which upstreams crash.
+//! Quarantine of prompt parts and requests under which upstreams crash.
 //!
-//! The arbiter collects the evidence of all gateways in memory. A set of parts that it
-//! confirms is in force at once through the syncs of this process, and is then committed
+//! The arbiter collects the evidence of all gateways in memory. A set of features that
+//! it confirms is in force at once through the syncs of this process, and is then committed
 //! to the replicated state, from which every control process hands it to the gateways.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 
 use actix::ResponseFuture;
 use credentials::{Identity, Role};
-use quarantine::{Crash, Evidence, PartId, PartSet};
+use quarantine::{Crash, Evidence, Feature, FeatureSet, Fingerprint, PartId};
 use schema::{
     CrashReply, CrashReport, ErrorCode, LiftQuarantine, QuarantineParts, QuarantineReply,
     QuarantinedParts, Reply, command, reply, request,
@@ -20,7 +20,7 @@
 use super::local::LocalRequest;
 use super::requests::ready;
 
-/// Longest time for which an answer may still clear a part with enough crashes, if some
+/// Longest time for which an answer may still clear a feature with enough crashes, if some
 /// gateway does not sync: they do so several times as often.
 const CONFIRMATION_MS: u64 = 150;
 /// Interval at which a quarantine that is not committed yet is proposed again.
@@ -43,11 +43,13 @@
 #[derive(Debug)]
 pub(crate) struct QuarantineState {
     evidence: Evidence,
-    uncommitted: BTreeMap<PartSet, Uncommitted>,
+    uncommitted: BTreeMap<FeatureSet, Uncommitted>,
     /// Sets that gateways have to reject.
-    active: BTreeSet<PartSet>,
+    active: BTreeSet<FeatureSet>,
+    /// Requests that are, or were lately, under quarantine.
+    listed_requests: HashSet<Feature>,
     /// Sets whose requests gateways hold back until they are quarantined or cleared.
-    pending: BTreeSet<PartSet>,
+    pending: BTreeSet<FeatureSet>,
     digest: u64,
     next_refresh_ms: u64,
 }
@@ -58,6 +60,7 @@
             evidence: Evidence::new(CONFIRMATION_MS),
             uncommitted: BTreeMap::new(),
             active: BTreeSet::new(),
+            listed_requests: HashSet::new(),
             pending: BTreeSet::new(),
             digest: 0,
             next_refresh_ms: 0,
@@ -71,16 +74,27 @@
         self.digest
     }
 
-    pub(super) fn to_message(&self) -> Vec<schema::PartSet> {
+    /// Returns whether requests with these features are rejected or held back.
+    fn holds(&self, features: &FeatureSet) -> bool {
+        let mut sets = self.active.iter().chain(&self.pending);
+        sets.any(|set| set.is_subset_of(features.as_slice()))
+    }
+
+    pub(super) fn to_message(&self) -> Vec<schema::FeatureSet> {
         let active = self.active.iter().map(|set| (set, false));
         let pending = self.pending.iter().map(|set| (set, true));
         let sets = active.chain(pending);
-        sets.map(|(set, pending)| schema::PartSet { parts: to_ids(set), pending }).collect()
+        let to_message = |(set, pending): (&FeatureSet, bool)| schema::FeatureSet {
+            parts: set.part_ids(),
+            request: set.request_id(),
+            pending,
+        };
+        sets.map(to_message).collect()
     }
 }
 
 impl Replica {
-    /// Records a crash; quarantines the parts under which upstreams crash.
+    /// Records a crash; quarantines the features under which upstreams crash.
     pub(super) fn report_crash(
         &mut self,
         peer: &Identity,
@@ -90,45 +104,69 @@
             return ready(error_reply(ErrorCode::Forbidden, "a gateway reports for itself only"));
         }
         let now_ms = self.clock.now_ms();
-        let set = to_set(&report.parts);
-        let parts: Vec<PartId> = set.iter().collect();
+        let set = FeatureSet::from_ids(&report.parts, report.request);
         let crash = Crash {
             upstream: report.upstream.as_str().into(),
             born_ms: report.born_ms,
             sent_ms: now_ms.saturating_sub(report.sent_age_ms),
             at_ms: now_ms.saturating_sub(report.age_ms),
         };
-        log::info!(vm = report.vm.as_str(), upstream = report.upstream.as_str(), born_ms = report.born_ms, age_ms = report.age_ms, parts = set.to_string().as_str(); "upstream crashed before an answer began");
+        log::info!(vm = report.vm.as_str(), upstream = report.upstream.as_str(), born_ms = report.born_ms, age_ms = report.age_ms, features = set.to_string().as_str(); "upstream crashed before an answer began");
         self.metrics.crashes.inc();
-        self.record_answers(&report.answered_parts, now_ms);
-        self.quarantine.evidence.record_crash(crash, &parts, now_ms);
-        self.renew_quarantine(&parts, now_ms);
+        self.record_answers(&report.answered_parts, &report.answered_requests, now_ms);
+        self.quarantine.evidence.record_crash(crash, set.as_slice(), now_ms);
+        self.renew_quarantine(set.as_slice(), now_ms);
         self.confirm(now_ms);
         self.refresh_quarantine(now_ms);
-        let may_repeat = self.quarantine.evidence.may_repeat(&parts, now_ms);
+        let evidence = &self.quarantine.evidence;
+        let may_repeat = evidence.may_repeat(set.as_slice(), report.alone, now_ms);
+        let pending = self.quarantine.holds(&set);
         self.serve_gateways();
-        ready(Reply { body: Some(reply::Body::Crash(CrashReply { may_repeat })) })
+        ready(Reply { body: Some(reply::Body::Crash(CrashReply { may_repeat, pending })) })
     }
 
-    /// Records the parts on which answers began at a gateway. A confirmed set with such a
-    /// part is reduced to the others, or lifted.
-    pub(super) fn record_answers(&mut self, parts: &[u64], now_ms: u64) {
-        for part in parts.iter().map(|part| PartId(*part)) {
-            self.quarantine.evidence.record_answer(part, now_ms);
-            let active = self.quarantine.active.iter();
-            let cleared = active.filter(|set| set.contains(part) && !self.is_from_operator(set));
-            for set in cleared.cloned().collect::<Vec<_>>() {
-                let rest = set.without(part);
-                if rest.is_empty() {
-                    self.lift_answered(&set);
-                } else {
-                    self.start_quarantine(rest, now_ms);
-                }
+    /// Records the prompt parts and requests on which answers began at a gateway.
+    pub(super) fn record_answers(&mut self, parts: &[u64], requests: &[u64], now_ms: u64) {
+        for part in parts {
+            self.record_answer(Feature::Part(PartId(*part)), now_ms);
+        }
+        for request in requests.iter().map(|request| Feature::Request(Fingerprint(*request))) {
+            self.quarantine.evidence.record_answer(request, now_ms);
+            if self.quarantine.listed_requests.contains(&request) {
+                self.record_answer(request, now_ms);
+                self.lift_ended(request, now_ms);
             }
         }
     }
 
-    /// Confirms pending parts after a sync of a gateway, which may be the last one that
+    /// Records an answer on a feature. A confirmed set with it is reduced to the others,
+    /// or lifted.
+    fn record_answer(&mut self, feature: Feature, now_ms: u64) {
+        self.quarantine.evidence.record_answer(feature, now_ms);
+        let active = self.quarantine.active.iter();
+        let cleared = active.filter(|set| set.contains(feature) && !self.is_from_operator(set));
+        for set in cleared.cloned().collect::<Vec<_>>() {
+            let rest = set.without(feature);
+            if rest.is_empty() {
+                self.lift_answered(&set);
+            } else {
+                self.start_quarantine(rest, now_ms);
+            }
+        }
+    }
+
+    /// Forgets the ended quarantine of a request that was answered: a later crash does
+    /// not renew it.
+    fn lift_ended(&mut self, request: Feature, now_ms: u64) {
+        let set = FeatureSet::new([request]);
+        let quarantined = self.state.quarantine().get(&set);
+        if quarantined.is_some_and(|quarantined| quarantined.until_ms <= now_ms) {
+            self.quarantine.listed_requests.remove(&request);
+            self.lift_answered(&set);
+        }
+    }
+
+    /// Confirms pending features after a sync of a gateway, which may be the last one that
     /// they wait for.
     pub(super) fn confirm_pending(&mut self, now_ms: u64) {
         if !self.quarantine.pending.is_empty() {
@@ -138,12 +176,12 @@
     }
 
     /// Returns whether an operator put the set under quarantine.
-    fn is_from_operator(&self, set: &PartSet) -> bool {
-        let committed = self.state.quarantine().get(&to_ids(set));
+    fn is_from_operator(&self, set: &FeatureSet) -> bool {
+        let committed = self.state.quarantine().get(set);
         committed.is_some_and(|quarantined| !quarantined.operator.is_empty())
     }
 
-    /// Quarantines the parts that are confirmed by now.
+    /// Quarantines the features that are confirmed by now.
     fn confirm(&mut self, now_ms: u64) {
         let reported_ms = self.gateway_syncs.reported_ms(now_ms);
         for set in self.quarantine.evidence.confirm(now_ms, reported_ms) {
@@ -153,25 +191,26 @@
 
     /// Renews the quarantine of sets under which an upstream crashed once more after its
     /// end, unless an answer began on them since.
-    fn renew_quarantine(&mut self, parts: &[PartId], now_ms: u64) {
-        let ended = self.state.quarantine().ended(now_ms).map(|set| to_set(&set.parts));
+    fn renew_quarantine(&mut self, features: &[Feature], now_ms: u64) {
+        let ended = self.state.quarantine().ended(now_ms).map(to_set);
         let evidence = &self.quarantine.evidence;
-        let is_suspect = |set: &PartSet| {
-            set.is_subset_of(parts) && !set.iter().any(|part| evidence.has_answered(part, now_ms))
+        let is_suspect = |set: &FeatureSet| {
+            set.is_subset_of(features)
+                && !set.iter().any(|feature| evidence.has_answered(feature, now_ms))
         };
         for set in ended.filter(is_suspect).collect::<Vec<_>>() {
             self.start_quarantine(set, now_ms);
         }
     }
 
-    fn start_quarantine(&mut self, set: PartSet, now_ms: u64) {
-        if self.state.quarantine().rejects(&to_ids(&set), now_ms)
+    fn start_quarantine(&mut self, set: FeatureSet, now_ms: u64) {
+        if self.state.quarantine().rejects(set.as_slice(), now_ms)
             || self.quarantine.uncommitted.contains_key(&set)
             || self.quarantine.uncommitted.len() >= MAX_UNCOMMITTED
         {
             return;
         }
-        log::warn!(parts = set.to_string().as_str(); "prompt parts quarantined: upstreams crash under them");
+        log::warn!(features = set.to_string().as_str(); "requests quarantined: upstreams crash under them");
         let uncommitted = Uncommitted { since_ms: now_ms, next_attempt_ms: now_ms };
         self.quarantine.uncommitted.insert(set, uncommitted);
         self.refresh_quarantine(now_ms);
@@ -179,10 +218,10 @@
     }
 
     /// Lifts the quarantine of a set on which an answer began.
-    fn lift_answered(&mut self, set: &PartSet) {
-        log::warn!(parts = set.to_string().as_str(); "answer began on quarantined prompt parts; lifting the quarantine");
+    fn lift_answered(&mut self, set: &FeatureSet) {
+        log::warn!(features = set.to_string().as_str(); "answer began on quarantined requests; lifting the quarantine");
         self.quarantine.uncommitted.remove(set);
-        let lift = LiftQuarantine { parts: to_ids(set) };
+        let lift = LiftQuarantine { parts: set.part_ids(), request: set.request_id() };
         self.send_to_leader(request::Body::LiftQuarantine(lift));
     }
 
@@ -194,7 +233,11 @@
         let commands: Vec<QuarantineParts> = due
             .map(|(set, quarantine)| {
                 quarantine.next_attempt_ms = now_ms + COMMIT_RETRY_MS;
-                QuarantineParts { parts: to_ids(set), operator: String::new() }
+                QuarantineParts {
+                    parts: set.part_ids(),
+                    request: set.request_id(),
+                    operator: String::new(),
+                }
             })
             .collect();
         for command in commands {
@@ -209,7 +252,7 @@
         }
     }
 
-    /// Confirms pending parts that are due and applies what changed meanwhile.
+    /// Confirms pending features that are due and applies what changed meanwhile.
     pub(super) fn tick_quarantine(&mut self, now_ms: u64) {
         self.confirm(now_ms);
         self.commit_uncommitted(now_ms);
@@ -224,10 +267,14 @@
         self.quarantine.next_refresh_ms = now_ms + REFRESH_INTERVAL_MS;
         let committed = self.state.quarantine();
         let uncommitted = &mut self.quarantine.uncommitted;
-        uncommitted.retain(|set, _| !committed.rejects(&to_ids(set), now_ms));
-        let sets = committed.active(now_ms).map(|set| to_set(&set.parts));
-        let active: BTreeSet<PartSet> = sets.chain(uncommitted.keys().cloned()).collect();
-        let pending: BTreeSet<PartSet> = self.quarantine.evidence.pending().collect();
+        uncommitted.retain(|set, _| !committed.rejects(set.as_slice(), now_ms));
+        let sets = committed.active(now_ms).map(to_set);
+        let active: BTreeSet<FeatureSet> = sets.chain(uncommitted.keys().cloned()).collect();
+        let pending: BTreeSet<FeatureSet> = self.quarantine.evidence.pending().collect();
+        let listed = committed.iter().map(to_set).chain(uncommitted.keys().cloned());
+        let is_request = |feature: &Feature| matches!(feature, Feature::Request(_));
+        let features = listed.flat_map(|set| set.iter().collect::<Vec<_>>());
+        self.quarantine.listed_requests = features.filter(is_request).collect();
         if active != self.quarantine.active || pending != self.quarantine.pending {
             self.quarantine.digest = digest(&active, &pending);
             self.metrics.quarantined.set(i64::try_from(active.len()).unwrap_or(i64::MAX));
@@ -237,12 +284,11 @@
     }
 
     /// Drops what this process holds against a set whose quarantine was lifted.
-    pub(super) fn forget_quarantine(&mut self, parts: &[u64]) {
-        let set = to_set(parts);
-        log::info!(parts = set.to_string().as_str(); "quarantine of prompt parts lifted");
-        self.quarantine.uncommitted.remove(&set);
-        for part in set.iter() {
-            self.quarantine.evidence.clear(part);
+    pub(super) fn forget_quarantine(&mut self, set: &FeatureSet) {
+        log::info!(features = set.to_string().as_str(); "quarantine of requests lifted");
+        self.quarantine.uncommitted.remove(set);
+        for feature in set.iter() {
+            self.quarantine.evidence.clear(feature);
         }
     }
 
@@ -252,8 +298,11 @@
         peer: &Identity,
         command: QuarantineParts,
     ) -> ResponseFuture<Reply> {
-        if command.parts.is_empty() {
-            return ready(error_reply(ErrorCode::Invalid, "no prompt parts are named"));
+        if command.parts.is_empty() && command.request == 0 {
+            return ready(error_reply(
+                ErrorCode::Invalid,
+                "no prompt part and no request is named",
+            ));
         }
         let operator = match peer.role {
             Role::Operator => peer.name.to_string(),
@@ -277,7 +326,7 @@
 }
 
 /// Returns a digest of the sets that is 0 only if there are none.
-fn digest(active: &BTreeSet<PartSet>, pending: &BTreeSet<PartSet>) -> u64 {
+fn digest(active: &BTreeSet<FeatureSet>, pending: &BTreeSet<FeatureSet>) -> u64 {
     if active.is_empty() && pending.is_empty() {
         return 0;
     }
@@ -286,10 +335,6 @@
     hasher.finish().max(1)
 }
 
-fn to_set(parts: &[u64]) -> PartSet {
-    PartSet::new(parts.iter().map(|part| PartId(*part)))
-}
-
-fn to_ids(set: &PartSet) -> Vec<u64> {
-    set.iter().map(|part| part.0).collect()
+fn to_set(set: &QuarantinedParts) -> FeatureSet {
+    FeatureSet::from_ids(&set.parts, set.request)
 }
--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -264,7 +264,7 @@
         };
         let now_ms = self.clock.now_ms();
         self.gateway_syncs.record_sync(&request, address, now_ms);
-        self.record_answers(&request.answered_parts, now_ms);
+        self.record_answers(&request.answered_parts, &request.answered_requests, now_ms);
         self.confirm_pending(now_ms);
         let deadline_ms = now_ms + u64::from(request.wait_ms.min(MAX_HOLD_MS));
         let (result, receiver) = oneshot::channel();
@@ -320,7 +320,7 @@
             if request.wants_use { syncs.load_of_other_gateways(&request.vm) } else { Vec::new() };
         let quarantine = &self.quarantine;
         let limits_changed = request.limits_digest != syncs.limit_list.digest;
-        let parts_changed = request.quarantine_digest != quarantine.digest();
+        let quarantine_changed = request.quarantine_digest != quarantine.digest();
         let members = self.node.configuration().replicas.iter();
         SyncReply {
             registry_epoch: syncs.registry_epoch,
@@ -332,7 +332,7 @@
             limits_digest: syncs.limit_list.digest,
             limits: if limits_changed { syncs.limit_list.limits.clone() } else { Vec::new() },
             quarantine_digest: quarantine.digest(),
-            quarantine: if parts_changed { quarantine.to_message() } else { Vec::new() },
+            quarantine: if quarantine_changed { quarantine.to_message() } else { Vec::new() },
             control_addresses: members.map(|replica| replica.peer_address.clone()).collect(),
         }
     }
--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -3,15 +3,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ::quarantine::{Feature, Fingerprint, RequestIdentity};
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::header::{CONTENT_LENGTH, EXPECT, HeaderName};
+use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, StatusCode, Uri, request};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::{Body as _, Incoming};
 use rand::RngExt as _;
 use routing::{RouteError, RouteTable, pick_weighted_service};
 use schema::{EntryPhase, RepeatKind, RouteRule};
+use smallvec::SmallVec;
 use telemetry::Span;
 use tokio::time::{Instant, timeout_at};
 
@@ -49,6 +52,9 @@
 /// bodies is used up.
 pub(crate) const RETRY_AFTER_NO_UPSTREAM: Duration = Duration::from_millis(300);
 
+/// Features of one request.
+pub(crate) type Features = SmallVec<[Feature; 4]>;
+
 /// Accepted request of a caller, from which each attempt is built.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -69,6 +75,8 @@
     /// higher rank number; the engine's rank depends on the workspace only.
     pub(crate) engine_rank: Option<u32>,
     pub(crate) requirements: Requirements,
+    /// What the request has in common with others that may crash upstreams.
+    pub(crate) features: Features,
     pub(crate) arrived: Instant,
     /// When the response, or the first event of a stream, is due for its full value.
     pub(crate) first_event_due: Instant,
@@ -174,17 +182,29 @@
     let span = shared.spans.start_server_span("request", context.unwrap_or_default());
     span.set_attribute("request", request_head.id.to_string());
     span.set_attribute("route", routed.route.name.clone());
+    let workspace = routed.workspace.map(|workspace| workspace.name.as_str());
+    let uri = origin_form(&head.uri);
+    let identity = RequestIdentity {
+        caller: workspace.unwrap_or_default(),
+        host: &request_head.host,
+        method: head.method.as_str(),
+        path: uri.path_and_query().map_or("/", PathAndQuery::as_str),
+        body: &body,
+    };
+    let parts = request_head.prompt_parts.iter().copied().map(Feature::Part);
+    let features = parts.chain([Feature::Request(Fingerprint::of(&identity))]).collect();
     Ok(Call {
         span,
+        features,
         requirements: Requirements::new(service, engine, request_head.token_counts),
         head: request_head,
         method: head.method,
-        uri: origin_form(&head.uri),
+        uri,
         headers,
         body,
         _body_memory: body_memory,
         route: routed.route.clone(),
-        workspace: routed.workspace.map(|workspace| workspace.name.as_str().into()),
+        workspace: workspace.map(CompactString::from),
         ranks: routed.ranks(),
         engine_rank: routed.workspace_rank(),
         arrived,
--- a/components/gateway/src/attempts.rs
+++ b/components/gateway/src/attempts.rs
@@ -26,8 +26,8 @@
     Failed(Response<Body>),
     /// The response was lost; the request may have run.
     Lost(&'static str),
-    /// The parts of its prompt were quarantined; the request may have run.
-    Withdrawn,
+    /// The request was quarantined; it may have run.
+    Withdrawn(&'static str),
     TimedOut,
 }
 
@@ -73,8 +73,7 @@
                 self.runs += 1;
                 self.refuse(Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, reason));
             }
-            Attempt::Withdrawn => {
-                let reason = "prompt part quarantined";
+            Attempt::Withdrawn(reason) => {
                 self.refuse(Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, reason));
             }
             Attempt::TimedOut => {
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use wire::{CallError, Endpoint, Link};
 
-use crate::quarantine;
+use crate::quarantine::{self, AnsweredFeatures};
 use crate::shared::Shared;
 
 /// Longest time for which the control process that aggregates upstream load
@@ -113,7 +113,7 @@
 #[derive(Debug, Default)]
 struct SyncReports {
     sent_ms: u64,
-    answered_parts: Vec<u64>,
+    answered: AnsweredFeatures,
     limits: Vec<UpstreamLimit>,
 }
 
@@ -126,7 +126,10 @@
 
     fn of(request: &SyncRequest) -> Self {
         SyncReports {
-            answered_parts: request.answered_parts.clone(),
+            answered: AnsweredFeatures {
+                parts: request.answered_parts.clone(),
+                requests: request.answered_requests.clone(),
+            },
             limits: request.limits.clone(),
             ..SyncReports::default()
         }
@@ -175,11 +178,11 @@
                     shared.quarantine.borrow_mut().disconnect(address);
                     cursor = RegistryCursor::default();
                 }
-                shared.quarantine.borrow_mut().restore_answered(&reports.answered_parts);
+                shared.quarantine.borrow_mut().restore_answered(&reports.answered);
                 sleep(RETRY_DELAY).await;
             }
             None => {
-                shared.quarantine.borrow_mut().restore_answered(&reports.answered_parts);
+                shared.quarantine.borrow_mut().restore_answered(&reports.answered);
                 sleep_until(started + MIN_SYNC_INTERVAL).await;
             }
         }
@@ -199,6 +202,8 @@
         let event_gaps_ms = u32::try_from(sum.as_millis()).unwrap_or(u32::MAX);
         UpstreamUse { events, event_gaps_ms, ..load.to_message(id) }
     });
+    let answered =
+        if aggregates_load { quarantine.take_answered() } else { AnsweredFeatures::default() };
     let config = &shared.config;
     SyncRequest {
         vm: config.vm.to_string(),
@@ -213,7 +218,8 @@
         wait_ms: if aggregates_load { LOAD_SYNC_WAIT_MS } else { SYNC_WAIT_MS },
         wants_use: aggregates_load,
         placed_through: shared.placed_through(),
-        answered_parts: if aggregates_load { quarantine.take_answered() } else { Vec::new() },
+        answered_parts: answered.parts,
+        answered_requests: answered.requests,
         quarantine_digest: quarantine.digest(address),
         limits: if aggregates_load { limits.due_reports(address, now_ms) } else { Vec::new() },
         limits_digest: limits.digest(),
--- a/components/gateway/src/crashes.rs
+++ b/components/gateway/src/crashes.rs
@@ -4,16 +4,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ::quarantine::{Crash, PartId};
+use ::quarantine::{Crash, FeatureSet};
 use schema::{CrashReport, Request, reply, request};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout};
 use wire::{CallError, Link};
 
 use crate::accept::Call;
-use crate::dialect::PromptParts;
 use crate::exchange::Target;
 use crate::forward::elapsed_ms;
+use crate::place::is_draining_or_gone;
+use crate::quarantine::AnsweredFeatures;
 use crate::shared::Shared;
 
 /// Timeout of the connection that tells a crash from a fault of one request.
@@ -29,7 +30,9 @@
 #[derive(Clone, Debug)]
 struct CrashedRequest {
     target: Target,
-    parts: PromptParts,
+    features: FeatureSet,
+    /// No other request was at the upstream.
+    alone: bool,
     traceparent: String,
     sent: Instant,
     noticed: Instant,
@@ -37,28 +40,38 @@
 
 impl CrashedRequest {
     fn to_report(&self, shared: &Shared) -> CrashReport {
+        let answered = shared.quarantine.borrow_mut().take_answered();
         CrashReport {
             vm: shared.config.vm.to_string(),
             upstream: self.target.id.to_string(),
             born_ms: self.target.born_ms,
-            parts: self.parts.iter().map(|part| part.0).collect(),
+            parts: self.features.part_ids(),
+            request: self.features.request_id(),
+            alone: self.alone,
             age_ms: elapsed_ms(self.noticed),
             sent_age_ms: elapsed_ms(self.sent),
-            answered_parts: shared.quarantine.borrow_mut().take_answered(),
+            answered_parts: answered.parts,
+            answered_requests: answered.requests,
         }
     }
 
     /// Sends the report to the arbiter; returns whether the request may be repeated.
     async fn report(&self, shared: &Shared, arbiter: &Link) -> Result<bool, CallError> {
         let report = self.to_report(shared);
-        let answered_parts = report.answered_parts.clone();
+        let answered = AnsweredFeatures {
+            parts: report.answered_parts.clone(),
+            requests: report.answered_requests.clone(),
+        };
         let body = Some(request::Body::Crash(report));
         let request = Request { traceparent: self.traceparent.clone(), body };
         let replied = arbiter.call(request, REPORT_TIMEOUT).await;
         if let Ok(reply::Body::Crash(reply)) = replied {
+            if reply.pending {
+                shared.quarantine.borrow_mut().hold(self.features.clone());
+            }
             return Ok(reply.may_repeat);
         }
-        shared.quarantine.borrow_mut().restore_answered(&answered_parts);
+        shared.quarantine.borrow_mut().restore_answered(&answered);
         Err(replied.err().unwrap_or(CallError::UnexpectedReply))
     }
 }
@@ -71,26 +84,26 @@
     target: &Target,
     sent: Instant,
 ) -> bool {
-    let parts = &call.head.prompt_parts;
-    if parts.is_empty() {
-        return true;
-    }
     let noticed = Instant::now();
-    let crashed = refuses_connections(target.address).await;
-    let names: Vec<String> = parts.iter().map(PartId::to_string).collect();
-    log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(), born_ms = target.born_ms, parts = names.join(",").as_str(), crashed; "upstream broke off before an answer began");
+    let features = FeatureSet::new(call.features.iter().copied());
+    // An upstream that leaves may close connections and stop listening.
+    let leaving = is_draining_or_gone(shared, target);
+    let alone = shared.loads.borrow().total(&target.id).running == 0;
+    let crashed = !leaving && refuses_connections(target.address).await;
+    log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(), born_ms = target.born_ms, features = features.to_string().as_str(), leaving, alone, crashed; "upstream broke off before an answer began");
     if !crashed {
         return true;
     }
     let crash = CrashedRequest {
         target: target.clone(),
-        parts: parts.clone(),
+        features,
+        alone,
         traceparent: call.span.traceparent(),
         sent,
         noticed,
     };
     let may_repeat = report_crash(shared, crash).await;
-    may_repeat && shared.quarantine.borrow().find(parts).is_none()
+    may_repeat && shared.quarantine.borrow().find(&call.features).is_none()
 }
 
 /// Returns whether nothing listens at the address any more.
@@ -108,7 +121,7 @@
         sent_ms: now_ms.saturating_sub(elapsed_ms(crash.sent)),
         at_ms: now_ms.saturating_sub(elapsed_ms(crash.noticed)),
     };
-    shared.quarantine.borrow_mut().record_crash(own, &crash.parts, now_ms);
+    shared.quarantine.borrow_mut().record_crash(own, crash.features.as_slice(), now_ms);
     let replied = match shared.arbiter() {
         Some(arbiter) => crash.report(shared, &arbiter).await,
         None => Err(CallError::Timeout),
@@ -117,7 +130,8 @@
         Ok(may_repeat) => may_repeat,
         Err(error) => {
             log::warn!(upstream = crash.target.id.as_str(), error = error.to_string().as_str(); "crash report lost");
-            let may_repeat = shared.quarantine.borrow_mut().confirm_alone(&crash.parts, now_ms);
+            let may_repeat =
+                shared.quarantine.borrow_mut().decide_locally(&crash.features, crash.alone, now_ms);
             actix_rt::spawn(resend(shared.clone(), crash));
             may_repeat
         }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -75,7 +75,7 @@
         log_placement(shared, &call, &reservation);
         let ended = attempt(shared, &call, reservation, &mut in_flight).await;
         let may_follow = match &ended {
-            Attempt::Responded(_) | Attempt::Withdrawn | Attempt::TimedOut => false,
+            Attempt::Responded(_) | Attempt::Withdrawn(_) | Attempt::TimedOut => false,
             Attempt::Lost(_) => crashes::handle_break_off(shared, &call, &target, sent).await,
             Attempt::Unreachable | Attempt::Rejected(_) | Attempt::Failed(_) => true,
         };
@@ -99,7 +99,7 @@
     finish(shared, &call, result.map_err(refusal_of), sends)
 }
 
-/// Reserves a slot for a request, unless its prompt parts are quarantined.
+/// Reserves a slot for a request, unless it is quarantined.
 async fn place(
     shared: &Rc<Shared>,
     call: &Call,
@@ -109,7 +109,7 @@
     quarantine::admit(shared, call).await?;
     let reservation = wait_for_slot(shared, call, excluded, queue_until).await;
     let reservation = reservation.map_err(|reason| refuse_unplaced(call, reason))?;
-    // Its parts may have been quarantined while the request waited.
+    // It may have been quarantined while it waited.
     quarantine::admit(shared, call).await?;
     Ok(reservation)
 }
@@ -175,9 +175,9 @@
     let exchanged = tokio::select! {
         exchanged = exchange(shared, &call.span, &target, request, call.until) => exchanged,
         // Engines drop a request whose connection closes before they begin its answer.
-        () = quarantine::wait_for_quarantine(shared, call) => {
-            log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(); "request withdrawn: upstreams crash under parts of its prompt");
-            return Attempt::Withdrawn;
+        reason = quarantine::wait_for_quarantine(shared, call) => {
+            log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(); "request withdrawn: upstreams crash under it");
+            return Attempt::Withdrawn(reason);
         }
     };
     let response = match exchanged {
@@ -237,6 +237,7 @@
     shared.return_connection(target, connection);
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
+    quarantine::record_answer(shared, &call.features);
     let failed = head.status.is_server_error();
     let mut response = Response::new(full_body(bytes));
     *response.status_mut() = head.status;
@@ -246,7 +247,6 @@
         return Attempt::Failed(response);
     }
     shared.outlier_detector.borrow_mut().record_success(&target.id);
-    quarantine::record_answer(shared, &call.head.prompt_parts);
     Attempt::Responded(response)
 }
 
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -16,7 +16,7 @@
     pub(crate) connections_opened: IntCounterVec,
     /// Moves of generations to other engines, by outcome.
     pub(crate) moves: IntCounterVec,
-    /// Requests rejected for a quarantined part of their prompt.
+    /// Requests rejected because they, or a part of their prompt, are quarantined.
     pub(crate) quarantine_rejections: IntCounter,
     /// Requests in progress.
     pub(crate) in_flight: IntGauge,
--- a/components/gateway/src/quarantine.rs
+++ b/components/gateway/src/quarantine.rs
@@ -1,10 +1,10 @@
-//! Prompt parts that this gateway rejects, and its evidence on them.
+//! Prompt parts and requests that this gateway rejects, and its evidence on them.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ::quarantine::{Crash, Evidence, PartId, PartSet};
+use ::quarantine::{Crash, Evidence, Feature, FeatureSet, Fingerprint, PartId};
 use tokio::time::{Instant, sleep};
 
 use crate::accept::Call;
@@ -14,32 +14,35 @@
 /// Time for which the list of a control process that is not connected stays in force,
 /// and a set that this gateway quarantined by itself.
 const STALE_LIST_PERIOD: Duration = Duration::from_secs(120);
-/// `Retry-After` of requests with a quarantined part.
+/// `Retry-After` of quarantined requests.
 const RETRY_AFTER_QUARANTINED: Duration = Duration::from_secs(120);
 /// Longest time for which a request waits for a pending set to be quarantined or cleared;
 /// several times what that takes.
 const MAX_HOLD: Duration = Duration::from_millis(400);
 /// Interval at which a request that waits looks at the quarantine again.
 const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// Answered parts that wait for the next sync; more are dropped.
+/// Answered features that wait for the next sync; more are dropped.
 const MAX_ANSWERED: usize = 4_096;
 
-/// Quarantined sets of prompt parts, by their first part.
+/// Quarantined sets of features, by their first feature.
 #[derive(Debug, Default)]
-struct SetIndex(HashMap<PartId, Vec<PartSet>>);
+struct SetIndex(HashMap<Feature, Vec<FeatureSet>>);
 
 impl SetIndex {
-    fn insert(&mut self, set: PartSet) {
+    fn insert(&mut self, set: FeatureSet) {
         let first = set.iter().next();
         if let Some(first) = first {
             self.0.entry(first).or_default().push(set);
         }
     }
 
-    /// Returns a set all of whose parts are among `parts`.
-    fn find(&self, parts: &[PartId]) -> Option<&PartSet> {
-        let sets = parts.iter().filter_map(|part| self.0.get(part)).flatten();
-        sets.into_iter().find(|set| set.is_subset_of(parts))
+    /// Returns a set all of whose features are among `features`.
+    fn find(&self, features: &[Feature]) -> Option<&FeatureSet> {
+        if self.0.is_empty() {
+            return None;
+        }
+        let sets = features.iter().filter_map(|feature| self.0.get(feature)).flatten();
+        sets.into_iter().find(|set| set.is_subset_of(features))
     }
 }
 
@@ -56,24 +59,35 @@
 #[derive(Debug, Default)]
 pub(crate) struct Quarantine {
     by_source: BTreeMap<SocketAddr, SourceList>,
-    /// Parts on which an answer began since the last sync with the arbiter.
-    answered: BTreeSet<PartId>,
+    /// Features on which an answer began since the last sync with the arbiter.
+    answered: BTreeSet<Feature>,
     /// Evidence of this gateway alone, used while no arbiter replies.
     evidence: Evidence,
     /// Sets that this gateway quarantined by itself, and when.
-    own: Vec<(PartSet, Instant)>,
+    own: Vec<(FeatureSet, Instant)>,
+    /// Requests to hold back until the next list of the arbiter, and since when.
+    held: Vec<(FeatureSet, Instant)>,
 }
 
 impl Quarantine {
-    /// Returns a quarantined set of which a request has all parts.
-    pub(crate) fn find(&self, parts: &[PartId]) -> Option<&PartSet> {
-        let listed = self.by_source.values().find_map(|list| list.quarantined.find(parts));
+    /// Returns a quarantined set of which a request has all features.
+    pub(crate) fn find(&self, features: &[Feature]) -> Option<&FeatureSet> {
+        let listed = self.by_source.values().find_map(|list| list.quarantined.find(features));
         let own = || self.own.iter().map(|(set, _)| set);
-        listed.or_else(|| own().find(|set| set.is_subset_of(parts)))
+        listed.or_else(|| own().find(|set| set.is_subset_of(features)))
+    }
+
+    fn is_pending(&self, features: &[Feature]) -> bool {
+        let is_held = || {
+            let held = self.held.iter().filter(|(_, since)| since.elapsed() < MAX_HOLD);
+            held.into_iter().any(|(set, _)| set.is_subset_of(features))
+        };
+        self.by_source.values().any(|list| list.pending.find(features).is_some()) || is_held()
     }
 
-    fn is_pending(&self, parts: &[PartId]) -> bool {
-        self.by_source.values().any(|list| list.pending.find(parts).is_some())
+    /// Holds back requests with all of these features until the arbiter has decided.
+    pub(crate) fn hold(&mut self, features: FeatureSet) {
+        self.held.push((features, Instant::now()));
     }
 
     /// Returns the digest of the list that was last received from a control process.
@@ -82,20 +96,21 @@
     }
 
     /// Applies the list of a control process; returns whether it changed.
-    fn apply(&mut self, source: SocketAddr, digest: u64, sets: &[schema::PartSet]) -> bool {
+    fn apply(&mut self, source: SocketAddr, digest: u64, sets: &[schema::FeatureSet]) -> bool {
         let list = self.by_source.entry(source).or_default();
         list.disconnected_at = None;
         if list.digest == digest {
             return false;
         }
         list.digest = digest;
+        self.held.clear();
         list.quarantined = SetIndex::default();
         list.pending = SetIndex::default();
         for set in sets {
             let index = if set.pending { &mut list.pending } else { &mut list.quarantined };
-            index.insert(PartSet::new(set.parts.iter().map(|part| PartId(*part))));
+            index.insert(FeatureSet::from_ids(&set.parts, set.request));
         }
-        log::info!(control = source.to_string().as_str(), sets = sets.len(); "quarantine of prompt parts changed");
+        log::info!(control = source.to_string().as_str(), sets = sets.len(); "quarantine changed");
         true
     }
 
@@ -118,80 +133,117 @@
             list.disconnected_at.is_none_or(|since| since.elapsed() < STALE_LIST_PERIOD)
         });
         self.own.retain(|(_, since)| since.elapsed() < STALE_LIST_PERIOD);
+        self.held.retain(|(_, since)| since.elapsed() < MAX_HOLD);
     }
 
     /// Records a crash in the evidence of this gateway.
-    pub(crate) fn record_crash(&mut self, crash: Crash, parts: &[PartId], now_ms: u64) {
-        self.evidence.record_crash(crash, parts, now_ms);
-    }
-
-    /// Quarantines parts by the evidence of this gateway alone; returns whether a request
-    /// with these parts may be repeated.
-    pub(crate) fn confirm_alone(&mut self, parts: &[PartId], now_ms: u64) -> bool {
+    pub(crate) fn record_crash(&mut self, crash: Crash, features: &[Feature], now_ms: u64) {
+        self.evidence.record_crash(crash, features, now_ms);
+    }
+
+    /// Quarantines features by the evidence of this gateway, which has no arbiter; returns
+    /// whether a request with these features may be repeated that was the only one at its
+    /// upstream if `alone`.
+    pub(crate) fn decide_locally(
+        &mut self,
+        features: &FeatureSet,
+        alone: bool,
+        now_ms: u64,
+    ) -> bool {
         for set in self.evidence.confirm(now_ms, now_ms) {
-            log::warn!(parts = set.to_string().as_str(); "prompt parts quarantined at this gateway: upstreams crash under them");
+            log::warn!(features = set.to_string().as_str(); "requests quarantined at this gateway: upstreams crash under them");
             self.own.push((set, Instant::now()));
         }
-        self.evidence.may_repeat(parts, now_ms)
+        self.evidence.may_repeat(features.as_slice(), alone, now_ms)
     }
 
-    /// Adds parts whose report was lost.
-    pub(crate) fn restore_answered(&mut self, parts: &[u64]) {
-        self.answered.extend(parts.iter().map(|part| PartId(*part)));
+    /// Adds features whose report was lost.
+    pub(crate) fn restore_answered(&mut self, answered: &AnsweredFeatures) {
+        let AnsweredFeatures { parts, requests } = answered;
+        self.answered.extend(parts.iter().map(|part| Feature::Part(PartId(*part))));
+        let requests = requests.iter().map(|request| Feature::Request(Fingerprint(*request)));
+        self.answered.extend(requests);
     }
 
-    /// Takes the parts on which an answer began since the last call.
-    pub(crate) fn take_answered(&mut self) -> Vec<u64> {
-        std::mem::take(&mut self.answered).into_iter().map(|part| part.0).collect()
+    /// Takes the features on which an answer began since the last call.
+    pub(crate) fn take_answered(&mut self) -> AnsweredFeatures {
+        let mut answered = AnsweredFeatures::default();
+        for feature in std::mem::take(&mut self.answered) {
+            match feature {
+                Feature::Part(part) => answered.parts.push(part.0),
+                Feature::Request(fingerprint) => answered.requests.push(fingerprint.0),
+            }
+        }
+        answered
     }
 }
 
+/// Features on which answers began, as they are reported to the arbiter.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AnsweredFeatures {
+    /// Ids of prompt parts.
+    pub(crate) parts: Vec<u64>,
+    /// Fingerprints of requests.
+    pub(crate) requests: Vec<u64>,
+}
+
 /// Records that the answer to a request began.
-pub(crate) fn record_answer(shared: &Shared, parts: &[PartId]) {
+pub(crate) fn record_answer(shared: &Shared, features: &[Feature]) {
     let now_ms = shared.now_ms();
     let mut quarantine = shared.quarantine.borrow_mut();
-    for part in parts {
-        quarantine.evidence.record_answer(*part, now_ms);
+    for feature in features {
+        quarantine.evidence.record_answer(*feature, now_ms);
         if quarantine.answered.len() < MAX_ANSWERED {
-            quarantine.answered.insert(*part);
+            quarantine.answered.insert(*feature);
         }
     }
 }
 
-/// Waits while the parts of a request are pending, and rejects it once they are
+/// Waits while the features of a request are pending, and rejects it once they are
 /// quarantined.
 pub(crate) async fn admit(shared: &Shared, call: &Call) -> Result<(), Refusal> {
-    let parts = &call.head.prompt_parts;
+    let features = &call.features;
     let until = (Instant::now() + MAX_HOLD).min(call.until);
-    while shared.quarantine.borrow().is_pending(parts) && Instant::now() < until {
+    while shared.quarantine.borrow().is_pending(features) && Instant::now() < until {
         sleep(HOLD_POLL_INTERVAL).await;
     }
     check(shared, call)
 }
 
-/// Waits until the parts of a request that was sent are quarantined.
-pub(crate) async fn wait_for_quarantine(shared: &Shared, call: &Call) {
+/// Waits until a request that was sent is quarantined; returns the reason to give.
+pub(crate) async fn wait_for_quarantine(shared: &Shared, call: &Call) -> &'static str {
     let mut changes = shared.quarantine_changes.subscribe();
-    while shared.quarantine.borrow().find(&call.head.prompt_parts).is_none() {
+    loop {
+        if let Some(set) = shared.quarantine.borrow().find(&call.features) {
+            return reason(set);
+        }
         // Fails only once `shared` is gone.
         if changes.changed().await.is_err() {
-            return;
+            return "stopping";
         }
     }
 }
 
+/// Returns why requests with the features of this set are rejected.
+fn reason(set: &FeatureSet) -> &'static str {
+    match set.request_id() {
+        0 => "prompt part quarantined",
+        _ => "request quarantined",
+    }
+}
+
 /// Applies the quarantine in a sync reply of a control process.
-pub(crate) fn apply(shared: &Shared, source: SocketAddr, digest: u64, sets: &[schema::PartSet]) {
+pub(crate) fn apply(shared: &Shared, source: SocketAddr, digest: u64, sets: &[schema::FeatureSet]) {
     if shared.quarantine.borrow_mut().apply(source, digest, sets) {
         shared.quarantine_changes.send_modify(|changes| *changes += 1);
     }
 }
 
-/// Rejects a request that has all parts of a quarantined set.
+/// Rejects a request that has all features of a quarantined set.
 fn check(shared: &Shared, call: &Call) -> Result<(), Refusal> {
     let quarantine = shared.quarantine.borrow();
-    let Some(set) = quarantine.find(&call.head.prompt_parts) else { return Ok(()) };
-    log::info!(request = call.head.id.as_str(), parts = set.to_string().as_str(); "request rejected: upstreams crash under parts of its prompt");
+    let Some(set) = quarantine.find(&call.features) else { return Ok(()) };
+    log::info!(request = call.head.id.as_str(), features = set.to_string().as_str(); "request rejected: upstreams crash under it");
     shared.metrics.quarantine_rejections.inc();
-    Err(Refusal::unavailable("prompt part quarantined", RETRY_AFTER_QUARANTINED))
+    Err(Refusal::unavailable(reason(set), RETRY_AFTER_QUARANTINED))
 }
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -228,7 +228,7 @@
             log::info!(request = self.call.head.id.as_str(), last_event_id = self.progress.last_event_id, pause_ms = gap.as_millis(); "stream resumed");
         }
         if self.events_of_run == 0 {
-            quarantine::record_answer(&self.shared, &self.call.head.prompt_parts);
+            quarantine::record_answer(&self.shared, &self.call.features);
         }
         self.events_of_run += 1;
         if let Some(source) = &mut self.source {
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -78,8 +78,8 @@
         self.discard_unfinished_event();
         let mut excluded: Excluded = failed.into_iter().collect();
         for _ in 0..MAX_SENDS + MAX_UNREACHABLE {
-            if quarantine::admit(&self.shared, &self.call).await.is_err() {
-                self.log_end("prompt part quarantined");
+            if let Err(refusal) = quarantine::admit(&self.shared, &self.call).await {
+                self.log_end(refusal.reason);
                 return Err(ResponseTruncated);
             }
             let placed = wait_for_slot(&self.shared, &self.call, &excluded, self.call.until).await;
--- a/components/quarantine/src/evidence.rs
+++ b/components/quarantine/src/evidence.rs
@@ -1,32 +1,37 @@
-//! Evidence that a prompt part crashes the upstreams that begin an answer on it.
+//! Evidence that a feature of requests crashes the upstreams that begin to run them.
 //!
 //! A request that causes a crash has no answer when its upstream crashes, like others
 //! that wait there. What tells the cause from them is that no answer ever begins on it:
-//! a part is confirmed by crashes under it in a row, without an answer between them.
+//! a feature is confirmed by crashes under it in a row, without an answer between them.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 
 use compact_str::CompactString;
 use smallvec::SmallVec;
 
-use crate::part::PartId;
-use crate::part_set::PartSet;
+use crate::feature::Feature;
+use crate::feature_set::FeatureSet;
 use crate::recent::RecentTimes;
 
-/// Incidents in a row, without an answer between them, after which a part is quarantined.
+/// Incidents in a row, without an answer between them, after which a feature is quarantined.
 const QUARANTINE_INCIDENTS: usize = 3;
 /// Longest time from one crash of a wave to the next. Upstreams that are stopped together
-/// all have requests with the parts that are in frequent use.
+/// all have requests with the features that are in frequent use.
 const WAVE_GAP_MS: u64 = 50;
+/// Rounding of the times in crash reports: a request counts as sent after a crash from
+/// this time before it on.
+const ROUNDING_MS: u64 = 1;
 /// Later reports of a crash of the same incarnation mean that it started again and
 /// crashed before it announced itself.
 const SAME_CRASH_MS: u64 = 1_000;
 /// Time without a crash after which a suspicion ends.
 const SUSPICION_MS: u64 = 600_000;
-/// Parts under suspicion; beyond it, those with the fewest and oldest crashes are dropped.
+/// Features under suspicion; beyond it, those with the fewest and oldest crashes are dropped.
 const MAX_SUSPECTS: usize = 4_096;
+/// Suspects that are kept once there are too many: dropping several at once is rarer.
+const KEPT_SUSPECTS: usize = MAX_SUSPECTS * 7 / 8;
 /// Crashes that are remembered, so that late reports of them count once and, if their
-/// cause is known, count against no other part.
+/// cause is known, count against no other feature.
 const MAX_CRASHES: usize = 256;
 
 /// Crash of one incarnation of an upstream under a request that had no answer yet. Times
@@ -54,29 +59,29 @@
     wave: CrashNumber,
 }
 
-/// Crash under one part.
+/// Crash under one feature.
 #[derive(Clone, Copy, Debug)]
-struct CrashUnderPart {
+struct CrashUnderFeature {
     number: CrashNumber,
     wave: CrashNumber,
     sent_ms: u64,
     at_ms: u64,
 }
 
-/// Crashes under one part since the last answer that began on it.
+/// Crashes under one feature since the last answer that began on it.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
-    crashes: SmallVec<[CrashUnderPart; 4]>,
-    /// Parts of all the requests with this part that crashes were reported of.
-    companions: PartSet,
+    crashes: SmallVec<[CrashUnderFeature; 4]>,
+    /// Features of all the requests with this feature that crashes were reported of.
+    companions: FeatureSet,
 }
 
 impl Suspect {
-    fn record(&mut self, crash: CrashUnderPart, parts: &PartSet) {
+    fn record(&mut self, crash: CrashUnderFeature, features: &FeatureSet) {
         self.companions = if self.crashes.is_empty() {
-            parts.clone()
+            features.clone()
         } else {
-            self.companions.intersection(parts)
+            self.companions.intersection(features)
         };
         match self.crashes.iter_mut().find(|known| known.number == crash.number) {
             Some(known) => known.sent_ms = known.sent_ms.max(crash.sent_ms),
@@ -93,11 +98,12 @@
     fn incidents(&self) -> usize {
         let mut crashes = self.crashes.clone();
         crashes.sort_unstable_by_key(|crash| crash.at_ms);
-        let mut last: Option<CrashUnderPart> = None;
+        let mut last: Option<CrashUnderFeature> = None;
         let mut incidents = 0;
         for crash in crashes {
-            let is_new =
-                last.is_none_or(|last| crash.wave != last.wave || crash.sent_ms > last.at_ms);
+            let is_new = last.is_none_or(|last| {
+                crash.wave != last.wave || crash.sent_ms + ROUNDING_MS >= last.at_ms
+            });
             if is_new {
                 last = Some(crash);
                 incidents += 1;
@@ -111,10 +117,10 @@
     }
 }
 
-/// Crashes of upstreams under prompt parts, and the answers that clear parts.
+/// Crashes of upstreams under features of requests, and the answers that clear features.
 ///
 /// ```
-/// use quarantine::{Crash, Evidence, PartId, PartSet};
+/// use quarantine::{Crash, Evidence, Feature, FeatureSet, PartId};
 /// let mut evidence = Evidence::default();
 /// let crash = |at_ms| Crash {
 ///     upstream: "engine".into(),
@@ -122,22 +128,22 @@
 ///     sent_ms: at_ms - 300,
 ///     at_ms,
 /// };
-/// let parts = [PartId(1), PartId(2)];
-/// evidence.record_crash(crash(1_000), &parts, 1_000);
-/// evidence.record_crash(crash(3_000), &parts, 3_000);
-/// evidence.record_answer(PartId(1), 3_500);
-/// evidence.record_crash(crash(5_000), &parts, 5_000);
-/// assert_eq!(evidence.confirm(5_000, 0), [PartSet::new([PartId(2)])]);
+/// let features = [Feature::Part(PartId(1)), Feature::Part(PartId(2))];
+/// evidence.record_crash(crash(1_000), &features, 1_000);
+/// evidence.record_crash(crash(3_000), &features, 3_000);
+/// evidence.record_answer(features[0], 3_500);
+/// evidence.record_crash(crash(5_000), &features, 5_000);
+/// assert_eq!(evidence.confirm(5_000, 0), [FeatureSet::new([features[1]])]);
 /// ```
 #[derive(Debug, Default)]
 pub struct Evidence {
-    /// Time for which an answer may still clear a part with enough crashes: until all
+    /// Time for which an answer may still clear a feature with enough crashes: until all
     /// entries have reported theirs.
     confirmation_ms: u64,
     answered: RecentTimes,
-    suspects: HashMap<PartId, Suspect>,
-    /// Parts with enough crashes, and since when.
-    pending: HashMap<PartId, u64>,
+    suspects: HashMap<Feature, Suspect>,
+    /// Features with enough crashes, and since when.
+    pending: HashMap<Feature, u64>,
     /// Recent crashes, oldest first.
     crashes: VecDeque<NumberedCrash>,
     last_number: CrashNumber,
@@ -152,95 +158,110 @@
         Evidence { confirmation_ms, ..Evidence::default() }
     }
 
-    /// Records that an answer began on a part, which clears it of earlier crashes.
-    pub fn record_answer(&mut self, part: PartId, now_ms: u64) {
-        self.answered.record(part, now_ms);
-        self.clear(part);
+    /// Records that an answer began on a feature, which clears it of earlier crashes.
+    pub fn record_answer(&mut self, feature: Feature, now_ms: u64) {
+        if let Feature::Part(part) = feature {
+            self.answered.record(part, now_ms);
+        }
+        self.clear(feature);
     }
 
-    /// Records that an upstream crashed while a request with these parts had no answer
-    /// yet; each crash counts once for a part, however many requests and entries report
+    /// Records that an upstream crashed while a request with these features had no answer
+    /// yet; each crash counts once for a feature, however many requests and entries report
     /// it.
-    pub fn record_crash(&mut self, crash: Crash, parts: &[PartId], now_ms: u64) {
+    pub fn record_crash(&mut self, crash: Crash, features: &[Feature], now_ms: u64) {
         let (sent_ms, at_ms) = (crash.sent_ms, crash.at_ms);
         let (number, wave) = self.number_of(crash);
         if self.explained.contains(&number) {
             return;
         }
-        let set = PartSet::new(parts.iter().copied());
-        for part in set.iter() {
-            let suspect = self.suspects.entry(part).or_default();
+        let set = FeatureSet::new(features.iter().copied());
+        for feature in set.iter() {
+            let suspect = self.suspects.entry(feature).or_default();
             suspect.crashes.retain(|crash| now_ms < crash.at_ms + SUSPICION_MS);
-            suspect.record(CrashUnderPart { number, wave, sent_ms, at_ms }, &set);
+            suspect.record(CrashUnderFeature { number, wave, sent_ms, at_ms }, &set);
             if suspect.reaches_threshold() {
-                self.pending.entry(part).or_insert(now_ms);
+                self.pending.entry(feature).or_insert(now_ms);
             }
         }
         self.enforce_limit(now_ms);
     }
 
-    /// Returns the sets of parts that are confirmed by now.
+    /// Returns the sets of features that are confirmed by now.
     ///
-    /// A set holds parts that came together in all of the requests, of which at least
-    /// one is the cause: only requests with all of them have to be rejected. Crashes
-    /// under a confirmed set no longer count against other parts. `reported_ms` is the
+    /// A set holds features that came together in all of the requests, of which at least
+    /// one is the cause: only requests with all of them have to be rejected. If it was
+    /// the same request each time, the set is that request alone. Crashes
+    /// under a confirmed set no longer count against other features. `reported_ms` is the
     /// time until which all entries have reported their answers: what was pending before
     /// needs no more time.
-    pub fn confirm(&mut self, now_ms: u64, reported_ms: u64) -> Vec<PartSet> {
+    pub fn confirm(&mut self, now_ms: u64, reported_ms: u64) -> Vec<FeatureSet> {
         let is_due =
             |since_ms: u64| now_ms >= since_ms + self.confirmation_ms || since_ms < reported_ms;
         let due = self.pending.iter().filter(|(_, since_ms)| is_due(**since_ms));
-        let crashes = |part| self.suspects.get(part).map_or(0, |suspect| suspect.crashes.len());
-        let mut due: Vec<(usize, PartId)> = due.map(|(part, _)| (crashes(part), *part)).collect();
-        // Parts with more crashes first: they explain those of the others.
+        let crashes =
+            |feature| self.suspects.get(feature).map_or(0, |suspect| suspect.crashes.len());
+        let mut due: Vec<(usize, Feature)> =
+            due.map(|(feature, _)| (crashes(feature), *feature)).collect();
+        // Features with more crashes first: they explain those of the others.
         due.sort_unstable_by(|a, b| b.cmp(a));
-        let mut confirmed: Vec<PartSet> = Vec::new();
-        for (_, part) in due {
-            if let Some(set) = self.candidate_set(part) {
+        let mut confirmed: Vec<FeatureSet> = Vec::new();
+        for (_, feature) in due {
+            if let Some(set) = self.candidate_set(feature) {
                 self.explain_crashes_under(&set);
-                confirmed.push(set);
+                confirmed.push(set.narrowest());
             }
         }
-        self.pending
-            .retain(|part, _| self.suspects.get(part).is_some_and(Suspect::reaches_threshold));
+        self.pending.retain(|feature, _| {
+            self.suspects.get(feature).is_some_and(Suspect::reaches_threshold)
+        });
         confirmed
     }
 
     /// Returns the sets that will be confirmed unless answers clear them.
-    pub fn pending(&self) -> impl Iterator<Item = PartSet> {
-        self.pending.keys().filter_map(|part| self.candidate_set(*part))
+    pub fn pending(&self) -> impl Iterator<Item = FeatureSet> {
+        let sets = self.pending.keys().filter_map(|feature| self.candidate_set(*feature));
+        sets.map(|set| set.narrowest())
     }
 
-    /// Returns the part with those that always came with it and may as well be the cause.
-    fn candidate_set(&self, part: PartId) -> Option<PartSet> {
+    /// Returns the feature with those that always came with it and may as well be the cause.
+    fn candidate_set(&self, feature: Feature) -> Option<FeatureSet> {
         let reaches_threshold =
-            |part: &PartId| self.suspects.get(part).is_some_and(Suspect::reaches_threshold);
-        let suspect = self.suspects.get(&part).filter(|_| reaches_threshold(&part))?;
-        Some(PartSet::new(suspect.companions.iter().filter(reaches_threshold)))
+            |feature: &Feature| self.suspects.get(feature).is_some_and(Suspect::reaches_threshold);
+        let suspect = self.suspects.get(&feature).filter(|_| reaches_threshold(&feature))?;
+        Some(FeatureSet::new(suspect.companions.iter().filter(reaches_threshold)))
     }
 
-    /// Returns whether a request with these parts may be sent to another upstream after
+    /// Returns whether a request with these features may be sent to another upstream after
     /// one crashed under it: an answer began on each part lately, and at most one
-    /// incident happened under it since.
-    pub fn may_repeat(&self, parts: &[PartId], now_ms: u64) -> bool {
-        parts.iter().all(|part| {
-            let incidents = self.suspects.get(part).map_or(0, Suspect::incidents);
-            incidents <= 1 && self.has_answered(*part, now_ms)
-        })
+    /// incident happened under each feature since. A request without parts must not have
+    /// been `alone` at the upstream, where only it can be the cause.
+    pub fn may_repeat(&self, features: &[Feature], alone: bool, now_ms: u64) -> bool {
+        let is_part = |feature: &Feature| matches!(feature, Feature::Part(_));
+        let has_parts = features.iter().any(is_part);
+        let is_sound = |feature: &Feature| {
+            let incidents = self.suspects.get(feature).map_or(0, Suspect::incidents);
+            incidents <= 1 && (!is_part(feature) || self.has_answered(*feature, now_ms))
+        };
+        features.iter().all(is_sound) && (has_parts || !alone)
     }
 
-    /// Returns whether an answer began on the part lately.
-    pub fn has_answered(&self, part: PartId, now_ms: u64) -> bool {
-        self.answered.contains(part, now_ms)
+    /// Returns whether an answer began on the part lately. Answers to requests as a whole
+    /// are not remembered.
+    pub fn has_answered(&self, feature: Feature, now_ms: u64) -> bool {
+        match feature {
+            Feature::Part(part) => self.answered.contains(part, now_ms),
+            Feature::Request(_) => false,
+        }
     }
 
-    /// Drops the evidence against a part.
-    pub fn clear(&mut self, part: PartId) {
-        self.suspects.remove(&part);
-        self.pending.remove(&part);
+    /// Drops the evidence against a feature.
+    pub fn clear(&mut self, feature: Feature) {
+        self.suspects.remove(&feature);
+        self.pending.remove(&feature);
     }
 
-    /// Returns the number of parts under suspicion.
+    /// Returns the number of features under suspicion.
     pub fn suspects(&self) -> usize {
         self.suspects.len()
     }
@@ -274,17 +295,17 @@
         (number, wave)
     }
 
-    /// Attributes the crashes under a confirmed set to it alone. Parts of a set of
+    /// Attributes the crashes under a confirmed set to it alone. Features of a set of
     /// several stay under suspicion for one of them: which one is the cause is open.
-    fn explain_crashes_under(&mut self, set: &PartSet) {
-        let mut remaining: Vec<(PartId, Suspect)> = Vec::new();
-        for part in set.iter() {
-            let Some(mut suspect) = self.suspects.remove(&part) else { continue };
+    fn explain_crashes_under(&mut self, set: &FeatureSet) {
+        let mut remaining: Vec<(Feature, Suspect)> = Vec::new();
+        for feature in set.iter() {
+            let Some(mut suspect) = self.suspects.remove(&feature) else { continue };
             self.explained.extend(suspect.crashes.iter().map(|crash| crash.number));
             if set.len() > 1 {
                 suspect.crashes.sort_unstable_by_key(|crash| crash.at_ms);
                 suspect.crashes.drain(..suspect.crashes.len() - 1);
-                remaining.push((part, suspect));
+                remaining.push((feature, suspect));
             }
         }
         let explained = &self.explained;
@@ -300,17 +321,17 @@
             return;
         }
         self.suspects.retain(|_, suspect| now_ms < suspect.last_ms() + SUSPICION_MS);
-        let excess = self.suspects.len().saturating_sub(MAX_SUSPECTS);
+        let excess = self.suspects.len().saturating_sub(KEPT_SUSPECTS);
         if excess > 0 {
             let rank = |suspect: &Suspect| (suspect.incidents(), suspect.last_ms());
             let mut ranked: Vec<_> =
-                self.suspects.iter().map(|(part, s)| (rank(s), *part)).collect();
+                self.suspects.iter().map(|(feature, s)| (rank(s), *feature)).collect();
             ranked.select_nth_unstable(excess - 1);
-            for (_, part) in &ranked[..excess] {
-                self.suspects.remove(part);
+            for (_, feature) in &ranked[..excess] {
+                self.suspects.remove(feature);
             }
         }
         let suspects = &self.suspects;
-        self.pending.retain(|part, _| suspects.contains_key(part));
+        self.pending.retain(|feature, _| suspects.contains_key(feature));
     }
 }
--- a/components/quarantine/tests/evidence.rs
+++ b/components/quarantine/tests/evidence.rs
@@ -1,24 +1,33 @@
-//! Evidence against prompt parts, for patterns of crashes and requests.
+//! Evidence against prompt parts and requests, for patterns of crashes and requests.
 
-use quarantine::{Crash, Evidence, PartId, PartSet};
+use quarantine::{Crash, Evidence, Feature, FeatureSet, Fingerprint, PartId};
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
 
-const CLASS: PartId = PartId(0xc1a55);
-const CALLER: PartId = PartId(0xca11);
-const CRASHING: PartId = PartId(0xdead);
-const OTHER_CRASHING: PartId = PartId(0xdead2);
+const CLASS: Feature = part(0xc1a55);
+const CALLER: Feature = part(0xca11);
+const CRASHING: Feature = part(0xdead);
+const OTHER_CRASHING: Feature = part(0xdead2);
+const REQUEST: Feature = request(0xf00d);
+
+const fn part(id: u64) -> Feature {
+    Feature::Part(PartId(id))
+}
+
+const fn request(id: u64) -> Feature {
+    Feature::Request(Fingerprint(id))
+}
 
 fn crash(upstream: &str, at_ms: u64) -> Crash {
     Crash { upstream: upstream.into(), born_ms: 0, sent_ms: at_ms.saturating_sub(300), at_ms }
 }
 
-fn set<const N: usize>(parts: [PartId; N]) -> PartSet {
-    PartSet::new(parts)
+fn set<const N: usize>(parts: [Feature; N]) -> FeatureSet {
+    FeatureSet::new(parts)
 }
 
 /// Records a crash of each upstream in turn under the same parts, a second apart.
-fn record_crashes(evidence: &mut Evidence, count: u64, parts: &[PartId]) -> u64 {
+fn record_crashes(evidence: &mut Evidence, count: u64, parts: &[Feature]) -> u64 {
     for number in 1..=count {
         let at_ms = number * 1_000;
         evidence.record_crash(crash(&format!("e{number}"), at_ms), parts, at_ms);
@@ -81,7 +90,7 @@
     let now_ms = record_crashes(&mut evidence, 3, &[CALLER, CRASHING]);
     evidence.confirm(now_ms, 0);
 
-    for (number, caller) in [(4, PartId(0xa)), (5, PartId(0xb))] {
+    for (number, caller) in [(4, part(0xa)), (5, part(0xb))] {
         let at_ms = number * 1_000;
         evidence.record_crash(crash(&format!("e{number}"), at_ms), &[caller, CRASHING], at_ms);
     }
@@ -118,8 +127,8 @@
 
     for number in 1..=3 {
         let at_ms = number * 1_000;
-        let fresh = (0..1_000).map(|index| PartId(number * 10_000 + index));
-        let parts: Vec<PartId> = fresh.chain([CRASHING]).collect();
+        let fresh = (0..1_000).map(|index| part(number * 10_000 + index));
+        let parts: Vec<Feature> = fresh.chain([CRASHING]).collect();
         evidence.record_crash(crash(&format!("e{number}"), at_ms), &parts, at_ms);
     }
 
@@ -133,11 +142,12 @@
 
     for number in 0..20 {
         let at_ms = 10_000 + number * 1_000;
-        let invented: Vec<PartId> =
-            (0..1_000).map(|index| PartId(0x1000_0000 + number * 10_000 + index)).collect();
+        let invented: Vec<Feature> =
+            (0..1_000).map(|index| part(0x1000_0000 + number * 10_000 + index)).collect();
         evidence.record_crash(crash(&format!("x{number}"), at_ms), &invented, at_ms);
-        for part in invented {
-            evidence.record_answer(PartId(part.0 << 32), at_ms);
+        for index in 0..1_000 {
+            let answered = part((0x1000_0000 + number * 10_000 + index) << 32);
+            evidence.record_answer(answered, at_ms);
         }
     }
     evidence.record_crash(crash("e3", 40_000), &[CRASHING], 40_000);
@@ -239,10 +249,10 @@
     evidence.record_answer(CLASS, 500);
     evidence.record_crash(crash("e1", 1_000), &[CLASS, CRASHING], 1_000);
 
-    assert!(evidence.may_repeat(&[CLASS], 1_000));
-    assert!(!evidence.may_repeat(&[CLASS, CRASHING], 1_000));
+    assert!(evidence.may_repeat(&[CLASS], false, 1_000));
+    assert!(!evidence.may_repeat(&[CLASS, CRASHING], false, 1_000));
     evidence.record_crash(crash("e2", 2_000), &[CLASS], 2_000);
-    assert!(!evidence.may_repeat(&[CLASS], 2_000));
+    assert!(!evidence.may_repeat(&[CLASS], false, 2_000));
 }
 
 const ENGINES: u64 = 18;
@@ -257,14 +267,14 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut evidence = Evidence::new(150);
     // Engine, time of sending and parts of requests whose answer has not begun.
-    let mut waiting: Vec<(u64, u64, Vec<PartId>)> = Vec::new();
-    let mut answers: Vec<(u64, PartId)> = Vec::new();
+    let mut waiting: Vec<(u64, u64, Vec<Feature>)> = Vec::new();
+    let mut answers: Vec<(u64, Feature)> = Vec::new();
     let mut confirmed = 0;
     for now_ms in (0..60_000).step_by(20) {
         if rng.random_bool(0.4) {
             let parts = vec![
-                PartId(1 + rng.random_range(0..COMMON_PARTS)),
-                PartId(100 + rng.random_range(0..RARE_PARTS)),
+                part(1 + rng.random_range(0..COMMON_PARTS)),
+                part(100 + rng.random_range(0..RARE_PARTS)),
             ];
             waiting.push((rng.random_range(0..ENGINES), now_ms, parts));
         }
@@ -309,3 +319,133 @@
         assert_eq!(quarantines_of_sound_parts(seed, 80), 0, "seed {seed}");
     }
 }
+
+/// Guards against a request without prompt parts that crashes one upstream after another.
+#[test]
+fn request_that_crashes_each_upstream_is_confirmed_by_the_third_crash() {
+    let mut evidence = Evidence::default();
+
+    let now_ms = record_crashes(&mut evidence, 3, &[REQUEST]);
+
+    assert_eq!(evidence.confirm(now_ms, 0), [set([REQUEST])]);
+}
+
+#[test]
+fn crashing_request_with_parts_that_nobody_else_uses_is_confirmed_without_them() {
+    let mut evidence = Evidence::default();
+
+    let now_ms = record_crashes(&mut evidence, 3, &[CLASS, CALLER, REQUEST]);
+
+    assert_eq!(evidence.confirm(now_ms, 0), [set([REQUEST])]);
+}
+
+#[test]
+fn crashing_part_is_confirmed_without_the_requests_that_came_with_it() {
+    let mut evidence = Evidence::default();
+
+    for number in 1..=3 {
+        let at_ms = number * 1_000;
+        let features = [CRASHING, request(number)];
+        evidence.record_crash(crash(&format!("e{number}"), at_ms), &features, at_ms);
+    }
+
+    assert_eq!(evidence.confirm(3_000, 0), [set([CRASHING])]);
+}
+
+#[test]
+fn crashing_part_is_confirmed_by_two_more_crashes_after_one_of_its_requests() {
+    let mut evidence = Evidence::default();
+    let now_ms = record_crashes(&mut evidence, 3, &[CRASHING, REQUEST]);
+    let first = evidence.confirm(now_ms, 0);
+
+    for number in 4..=5 {
+        let at_ms = number * 1_000;
+        let features = [CRASHING, request(number)];
+        evidence.record_crash(crash(&format!("e{number}"), at_ms), &features, at_ms);
+    }
+
+    assert_eq!(first, [set([REQUEST])]);
+    assert_eq!(evidence.confirm(5_000, 0), [set([CRASHING])]);
+}
+
+#[test]
+fn answer_to_a_request_clears_it() {
+    let mut evidence = Evidence::default();
+    let now_ms = record_crashes(&mut evidence, 2, &[REQUEST]);
+
+    evidence.record_answer(REQUEST, now_ms + 100);
+    evidence.record_crash(crash("e3", now_ms + 1_000), &[REQUEST], now_ms + 1_000);
+
+    assert_eq!(evidence.confirm(now_ms + 1_000, 0), []);
+}
+
+#[test]
+fn request_without_parts_is_repeated_after_its_first_crash_only() {
+    let mut evidence = Evidence::default();
+
+    evidence.record_crash(crash("e1", 1_000), &[REQUEST], 1_000);
+    let after_one = evidence.may_repeat(&[REQUEST], false, 1_000);
+    evidence.record_crash(crash("e2", 2_000), &[REQUEST], 2_000);
+
+    assert!(after_one);
+    assert!(!evidence.may_repeat(&[REQUEST], false, 2_000));
+}
+
+/// Guards against a sound look-up under quarantine because upstreams crashed around it.
+#[test]
+fn same_request_at_ten_upstreams_that_crash_at_one_moment_is_not_confirmed() {
+    let mut evidence = Evidence::default();
+
+    for number in 0..10 {
+        let at_ms = 1_000 + number * 10;
+        let mut report = crash(&format!("e{number}"), at_ms);
+        report.sent_ms = 950;
+        evidence.record_crash(report, &[REQUEST], at_ms);
+    }
+
+    assert_eq!(evidence.confirm(10_000, 0), []);
+}
+
+#[test]
+fn million_invented_requests_a_minute_do_not_push_out_a_crashing_one() {
+    let mut evidence = Evidence::default();
+    record_crashes(&mut evidence, 2, &[REQUEST]);
+
+    for number in 0..1_000_000 {
+        let at_ms = 3_000 + number * 60 / 1_000;
+        let invented = request(0x1_0000_0000 + number);
+        if number % 100 == 0 {
+            let upstream = format!("x{}", number / 5_000);
+            evidence.record_crash(crash(&upstream, at_ms), &[invented], at_ms);
+        } else {
+            evidence.record_answer(invented, at_ms);
+        }
+    }
+    evidence.record_crash(crash("e3", 64_000), &[REQUEST], 64_000);
+
+    assert!(evidence.suspects() <= 4_096);
+    assert_eq!(evidence.answered(), 0);
+    assert_eq!(evidence.confirm(64_000, 0), [set([REQUEST])]);
+}
+
+#[test]
+fn request_that_is_repeated_within_the_millisecond_of_each_crash_is_confirmed() {
+    let mut evidence = Evidence::default();
+
+    for (number, sent_ms, at_ms) in [(1, 1_000, 1_002), (2, 1_002, 1_003), (3, 1_002, 1_003)] {
+        let report = Crash { sent_ms, ..crash(&format!("e{number}"), at_ms) };
+        evidence.record_crash(report, &[REQUEST], at_ms);
+    }
+
+    assert_eq!(evidence.confirm(1_003, 0), [set([REQUEST])]);
+}
+
+/// Guards against a request that takes down all upstreams of a small service at once.
+#[test]
+fn request_without_parts_that_was_alone_at_a_crashed_upstream_is_not_repeated() {
+    let mut evidence = Evidence::default();
+
+    evidence.record_crash(crash("e1", 1_000), &[REQUEST], 1_000);
+
+    assert!(!evidence.may_repeat(&[REQUEST], true, 1_000));
+}
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -152,7 +152,7 @@
         &self.routes
     }
 
-    /// Returns the sets of prompt parts under quarantine.
+    /// Returns the sets of features under quarantine.
     pub fn quarantine(&self) -> &Quarantine {
         &self.quarantine
     }
--- a/components/state/src/quarantine.rs
+++ b/components/state/src/quarantine.rs
@@ -1,7 +1,8 @@
-//! Sets of prompt parts under quarantine.
+//! Sets of features under quarantine.
 
 use std::collections::BTreeMap;
 
+use ::quarantine::{Feature, FeatureSet};
 use schema::{LiftQuarantine, QuarantineParts, QuarantinedParts};
 
 /// Duration of the first quarantine of a set; each further one lasts
@@ -15,16 +16,16 @@
 /// Sets that are kept; beyond it, the quarantine that ends first is dropped.
 const MAX_SETS: usize = 4_096;
 
-/// Sets of prompt parts that are, or were lately, under quarantine.
+/// Sets of features that are, or were lately, under quarantine.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    by_parts: BTreeMap<Vec<u64>, QuarantinedParts>,
+    by_features: BTreeMap<FeatureSet, QuarantinedParts>,
 }
 
 impl Quarantine {
     /// Returns all sets that are, or were lately, under quarantine.
     pub fn iter(&self) -> impl Iterator<Item = &QuarantinedParts> {
-        self.by_parts.values()
+        self.by_features.values()
     }
 
     /// Returns the sets under quarantine at `now_ms`.
@@ -37,59 +38,59 @@
         self.iter().filter(move |set| set.until_ms <= now_ms)
     }
 
-    /// Returns the current or last quarantine of a set, given in ascending order.
-    pub fn get(&self, parts: &[u64]) -> Option<&QuarantinedParts> {
-        self.by_parts.get(parts)
+    /// Returns the current or last quarantine of a set.
+    pub fn get(&self, features: &FeatureSet) -> Option<&QuarantinedParts> {
+        self.by_features.get(features)
     }
 
-    /// Returns whether requests with these parts are rejected at `now_ms`.
-    pub fn rejects(&self, parts: &[u64], now_ms: u64) -> bool {
-        self.active(now_ms).any(|set| is_subset(&set.parts, parts))
+    /// Returns whether requests with these features are rejected at `now_ms`.
+    pub fn rejects(&self, features: &[Feature], now_ms: u64) -> bool {
+        let active = self.by_features.iter().filter(|(_, set)| now_ms < set.until_ms);
+        active.into_iter().any(|(quarantined, _)| quarantined.is_subset_of(features))
     }
 
     pub(crate) fn add(&mut self, command: QuarantineParts, now_ms: u64) {
-        let QuarantineParts { mut parts, operator } = command;
-        parts.sort_unstable();
-        parts.dedup();
-        if parts.is_empty() || self.rejects(&parts, now_ms) {
+        let QuarantineParts { parts, operator, request } = command;
+        let features = FeatureSet::from_ids(&parts, request);
+        if features.is_empty() || self.rejects(features.as_slice(), now_ms) {
             return;
         }
-        self.by_parts.retain(|_, earlier| {
+        self.by_features.retain(|_, earlier| {
             now_ms < earlier.until_ms + MEMORY_FACTOR * (earlier.until_ms - earlier.since_ms)
         });
-        let is_larger = |earlier: &&QuarantinedParts| is_subset(&parts, &earlier.parts);
-        let larger: Vec<QuarantinedParts> = self.iter().filter(is_larger).cloned().collect();
-        self.by_parts.retain(|earlier, _| !is_subset(&parts, earlier));
+        let is_larger = |earlier: &FeatureSet| features.is_subset_of(earlier.as_slice());
+        let larger = self.by_features.iter().filter(|(earlier, _)| is_larger(earlier));
+        let larger: Vec<QuarantinedParts> = larger.map(|(_, set)| set.clone()).collect();
+        self.by_features.retain(|earlier, _| !is_larger(earlier));
+        let (parts, request) = (features.part_ids(), features.request_id());
         let active = larger.iter().filter(|earlier| now_ms < earlier.until_ms);
         let set = match active.max_by_key(|earlier| earlier.until_ms) {
-            Some(active) => QuarantinedParts { parts: parts.clone(), ..active.clone() },
+            Some(active) => QuarantinedParts { parts, request, ..active.clone() },
             None => {
                 let count = larger.iter().map(|earlier| earlier.count).max().unwrap_or_default();
                 let factor = BACKOFF_FACTOR.saturating_pow(count);
                 let duration_ms = BASE_DURATION_MS.saturating_mul(factor).min(MAX_DURATION_MS);
                 QuarantinedParts {
-                    parts: parts.clone(),
+                    parts,
                     since_ms: now_ms,
                     until_ms: now_ms + duration_ms,
                     count: count + 1,
                     operator,
+                    request,
                 }
             }
         };
-        self.by_parts.insert(parts, set);
-        if self.by_parts.len() > MAX_SETS {
-            let first = self.by_parts.values().min_by_key(|set| set.until_ms);
-            if let Some(parts) = first.map(|set| set.parts.clone()) {
-                self.by_parts.remove(&parts);
+        self.by_features.insert(features, set);
+        if self.by_features.len() > MAX_SETS {
+            let first = self.by_features.iter().min_by_key(|(_, set)| set.until_ms);
+            if let Some(features) = first.map(|(features, _)| features.clone()) {
+                self.by_features.remove(&features);
             }
         }
     }
 
     pub(crate) fn lift(&mut self, command: &LiftQuarantine) {
-        let mut parts = command.parts.clone();
-        parts.sort_unstable();
-        parts.dedup();
-        self.by_parts.remove(&parts);
+        self.by_features.remove(&FeatureSet::from_ids(&command.parts, command.request));
     }
 
     pub(crate) fn to_image(&self) -> Vec<QuarantinedParts> {
@@ -97,11 +98,8 @@
     }
 
     pub(crate) fn from_image(image: Vec<QuarantinedParts>) -> Self {
-        let by_parts = image.into_iter().map(|set| (set.parts.clone(), set));
-        Quarantine { by_parts: by_parts.collect() }
+        let by_features =
+            image.into_iter().map(|set| (FeatureSet::from_ids(&set.parts, set.request), set));
+        Quarantine { by_features: by_features.collect() }
     }
 }
-
-fn is_subset(parts: &[u64], of: &[u64]) -> bool {
-    parts.iter().all(|part| of.contains(part))
-}
--- a/components/state/tests/quarantine.rs
+++ b/components/state/tests/quarantine.rs
@@ -1,5 +1,6 @@
-//! Quarantine of sets of prompt parts.
+//! Quarantine of sets of features.
 
+use quarantine::FeatureSet;
 use schema::command::Body;
 use schema::{Command, LiftQuarantine, QuarantineParts};
 use state::{Limits, State};
@@ -7,13 +8,23 @@
 const MINUTE_MS: u64 = 60_000;
 
 fn quarantine(state: &mut State, parts: &[u64], now_ms: u64) {
-    let command = QuarantineParts { parts: parts.to_vec(), operator: String::new() };
+    let command = QuarantineParts { parts: parts.to_vec(), ..QuarantineParts::default() };
     state.apply(Command { now_ms, body: Some(Body::QuarantineParts(command)) });
 }
 
+fn quarantine_request(state: &mut State, request: u64, now_ms: u64) {
+    let command = QuarantineParts { request, ..QuarantineParts::default() };
+    state.apply(Command { now_ms, body: Some(Body::QuarantineParts(command)) });
+}
+
+fn rejects(state: &State, parts: &[u64], request: u64, now_ms: u64) -> bool {
+    let features = FeatureSet::from_ids(parts, request);
+    state.quarantine().rejects(features.as_slice(), now_ms)
+}
+
 /// Returns the end of the quarantine of a set, in milliseconds from its start.
 fn duration_ms(state: &State, parts: &[u64]) -> Option<u64> {
-    let set = state.quarantine().get(parts)?;
+    let set = state.quarantine().get(&FeatureSet::from_ids(parts, 0))?;
     Some(set.until_ms - set.since_ms)
 }
 
@@ -23,10 +34,9 @@
 
     quarantine(&mut state, &[7, 3], MINUTE_MS);
 
-    let rejects = |parts: &[u64], now_ms| state.quarantine().rejects(parts, now_ms);
-    assert!(rejects(&[1, 3, 7], 2 * MINUTE_MS));
-    assert!(!rejects(&[1, 3], 2 * MINUTE_MS));
-    assert!(!rejects(&[3, 7], 3 * MINUTE_MS));
+    assert!(rejects(&state, &[1, 3, 7], 0, 2 * MINUTE_MS));
+    assert!(!rejects(&state, &[1, 3], 0, 2 * MINUTE_MS));
+    assert!(!rejects(&state, &[3, 7], 0, 3 * MINUTE_MS));
 }
 
 #[test]
@@ -81,7 +91,7 @@
     let mut state = State::default();
     quarantine(&mut state, &[7, 3], 0);
 
-    let lift = LiftQuarantine { parts: vec![3, 7] };
+    let lift = LiftQuarantine { parts: vec![3, 7], ..LiftQuarantine::default() };
     state.apply(Command { now_ms: 1, body: Some(Body::LiftQuarantine(lift)) });
 
     assert_eq!(state.quarantine().iter().count(), 0);
@@ -96,7 +106,7 @@
     }
 
     assert_eq!(state.quarantine().iter().count(), 4_096);
-    assert!(state.quarantine().rejects(&[4_999], 5_000));
+    assert!(rejects(&state, &[4_999], 0, 5_000));
 }
 
 #[test]
@@ -106,5 +116,28 @@
 
     let restored = State::from_bytes(&state.to_bytes(), Limits::default()).unwrap();
 
-    assert!(restored.quarantine().rejects(&[3], MINUTE_MS));
+    assert!(rejects(&restored, &[3], 0, MINUTE_MS));
+}
+
+#[test]
+fn quarantined_request_is_rejected_with_any_parts_and_no_other_one_is() {
+    let mut state = State::default();
+
+    quarantine_request(&mut state, 0xf00d, 0);
+    let state = State::from_bytes(&state.to_bytes(), Limits::default()).unwrap();
+
+    assert!(rejects(&state, &[], 0xf00d, MINUTE_MS));
+    assert!(rejects(&state, &[3], 0xf00d, MINUTE_MS));
+    assert!(!rejects(&state, &[3], 0xbad, MINUTE_MS));
+}
+
+#[test]
+fn lifted_request_is_forgotten() {
+    let mut state = State::default();
+    quarantine_request(&mut state, 0xf00d, 0);
+
+    let lift = LiftQuarantine { request: 0xf00d, ..LiftQuarantine::default() };
+    state.apply(Command { now_ms: 1, body: Some(Body::LiftQuarantine(lift)) });
+
+    assert_eq!(state.quarantine().iter().count(), 0);
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -6,7 +6,7 @@
 use bench::{MixName, Policy};
 use bpaf::Bpaf;
 use credentials::Role;
-use quarantine::PartId;
+use quarantine::Feature;
 use units::{Millis, VmName};
 
 /// Operate a shallottray deployment
@@ -88,7 +88,7 @@
         #[bpaf(positional("REPLICA"))]
         replica_id: u64,
     },
-    /// Prompt parts under which upstreams crash; requests with them are rejected
+    /// Prompt parts and requests under which upstreams crash, which are rejected
     #[bpaf(command)]
     Quarantine {
         #[bpaf(external)]
@@ -130,25 +130,27 @@
     pub settings: PathBuf,
 }
 
-/// Quarantine of prompt parts.
+/// Quarantine of prompt parts and requests.
 #[derive(Bpaf, Clone, Debug)]
 pub enum Quarantine {
-    /// List the sets of parts that are, or were lately, under quarantine
+    /// List the sets of features that are, or were lately, under quarantine
     #[bpaf(command)]
     List,
-    /// Reject requests with all of these parts
+    /// Reject requests with all of these features
     #[bpaf(command)]
     Add {
-        /// Hexadecimal ids of the parts
-        #[bpaf(positional("PART"), some("name one part or more"))]
-        parts: Vec<PartId>,
+        /// Hexadecimal ids of prompt parts, or `request:` with the fingerprint of a
+        /// request from the log
+        #[bpaf(positional("FEATURE"), some("name one feature or more"))]
+        features: Vec<Feature>,
     },
-    /// Accept requests with all of these parts again
+    /// Accept requests with all of these features again
     #[bpaf(command)]
     Lift {
-        /// Hexadecimal ids of the parts, as `list` shows them
-        #[bpaf(positional("PART"), some("name one part or more"))]
-        parts: Vec<PartId>,
+        /// Hexadecimal ids of prompt parts, or `request:` with a fingerprint, as `list`
+        /// shows them
+        #[bpaf(positional("FEATURE"), some("name one feature or more"))]
+        features: Vec<Feature>,
     },
 }
 
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -65,10 +65,14 @@
     support::run_async(async {
         let deployment = Deployment::start(3, 1, DeploymentOptions::default()).await;
 
-        let add = QuarantineParts { parts: vec![7, 3], operator: "someone".to_string() };
+        let add = QuarantineParts {
+            parts: vec![7, 3],
+            operator: "someone".to_string(),
+            ..QuarantineParts::default()
+        };
         deployment.call(request::Body::QuarantineParts(add)).await.expect("a reply");
         let sets = quarantined(&deployment).await.expect("a reply");
-        let lift = LiftQuarantine { parts: vec![3, 7] };
+        let lift = LiftQuarantine { parts: vec![3, 7], ..LiftQuarantine::default() };
         deployment.call(request::Body::LiftQuarantine(lift)).await.expect("a reply");
 
         let listed: Vec<_> =
@@ -85,8 +89,8 @@
         let leader = deployment.leader().await;
 
         let report = CrashReport { vm: "another".to_string(), ..CrashReport::default() };
-        let add = QuarantineParts { parts: vec![CRASHING], operator: String::new() };
-        let lift = LiftQuarantine { parts: vec![CRASHING] };
+        let add = QuarantineParts { parts: vec![CRASHING], ..QuarantineParts::default() };
+        let lift = LiftQuarantine { parts: vec![CRASHING], ..LiftQuarantine::default() };
 
         for body in [
             request::Body::Crash(report),
