--- a/components/registry/src/fleet.rs
+++ b/components/registry/src/fleet.rs
@@ -190,7 +190,7 @@
         if record.sequence > self.record.sequence {
             self.record.sequence = record.sequence;
             self.record.version.clone_from(&record.version);
-            self.warm_up_until_ms = now_ms + record.warm_up_ms;
+            self.warm_up_until_ms = now_ms.saturating_add(record.warm_up_ms);
         }
     }
 
@@ -217,7 +217,7 @@
 fn new_upstream(record: UpstreamRecord, address: SocketAddr, now_ms: u64) -> KnownUpstream {
     KnownUpstream {
         address,
-        warm_up_until_ms: now_ms + record.warm_up_ms,
+        warm_up_until_ms: now_ms.saturating_add(record.warm_up_ms),
         reports: SmallVec::new(),
         unreported_since_ms: None,
         unavailable_since_ms: None,
