Take no verdict from a refusal that does not name its request

What callers saw (reported from a system like this one): a faulty engine wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for requests that it had run or was running, or such a request ran at a second engine.

Seen here: a refusal (503 with the not-run header, or 421) without a request id, written while the next request runs, was taken for its response: a booking reached a second engine, and a resumed stream went on at a third one.

Cause: a response without a request id counted as that of the request that waits on the connection. Ruled out, by tests that passed before: refusals with the id of another request, and bytes that arrive while the connection is idle, which end it.

Change: a response that says that its request has not run counts only with the id of that request. Without one the outcome is unknown (502, may-have-run; repeatable requests go on) and the connection is not used again.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -269,7 +269,11 @@
         return ResponseCheck::Mismatched;
     }
     if head.not_run || head.misdirected {
-        return ResponseCheck::Rejected;
+        // Without an id it may be an earlier refusal, written once more.
+        return match head.request_id {
+            Some(_) => ResponseCheck::Rejected,
+            None => ResponseCheck::Mismatched,
+        };
     }
     if head.signed || (head.request_id.is_some() && !status.is_success()) {
         return ResponseCheck::Valid;
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -132,7 +132,7 @@
         if !response.head.status.is_success() || !head.signed || !id_matches {
             let status = response.head.status.as_u16();
             log::warn!(request = self.call.head.id.as_str(), upstream = target.id.as_str(), status, not_run = head.not_run; "engine did not resume the stream");
-            let is_not_run = id_matches && head.not_run;
+            let is_not_run = head.request_id.is_some() && id_matches && head.not_run;
             return Err(if is_not_run { ResumeError::NotRun } else { ResumeError::Failed });
         }
         self.resumed = true;
