Stop sending to upstreams that say in a response that they leave

Nothing read the header, so a gateway whose control was cut off went on sending.

Change: the gateway marks the incarnation as draining with the response that says so, moves its generations, and tells the control processes with its next syncs (to the arbiter at once), which mark it in their registries for all gateways. Later announcements of the incarnation do not make it ready again; those of the next one do.

--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -209,6 +209,11 @@
                 self.origins.record_begun(StreamId(*stream), &origin, now_ms);
             }
         }
+        for leaving in &request.leaving {
+            if self.registry.mark_draining(&leaving.id, leaving.born_ms) {
+                log::info!(upstream = leaving.id.as_str(), born_ms = leaving.born_ms, vm = request.vm.as_str(); "upstream leaves, as it said to a gateway");
+            }
+        }
         self.last_live_ms.insert(vm.clone(), now_ms);
         self.gateways.insert(vm, gateway);
     }
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -236,6 +236,7 @@
         quarantine_digest: quarantine.digest(address),
         limits: if aggregates_load { limits.due_reports(address, now_ms) } else { Vec::new() },
         limits_digest: limits.digest(),
+        leaving: shared.leaving.borrow().reports(),
         begun: shared.origins.borrow().reports_since(cursor.last_stream),
     }
 }
--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -89,6 +89,8 @@
     pub request_id: Option<CompactString>,
     /// Requests that the upstream takes from all gateways together, if it names a limit.
     pub request_limit: Option<RequestRate>,
+    /// The upstream says that it leaves.
+    pub leaving: bool,
 }
 
 /// Command to copy the KV cache of a running generation to another engine.
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
+use crate::notices;
 use crate::pool::Connection;
 use crate::shared::Shared;
 
@@ -153,6 +154,9 @@
     let collecting = Limited::new(body, max_bytes).collect();
     let body = timeout_at(until, collecting).await.map_err(|_| ExchangeError::TimedOut)?;
     let body = body.map_err(|error| ExchangeError::ConnectionLost(error.to_string()))?.to_bytes();
+    if shared.dialect.parse_response(&head).leaving {
+        notices::record_leaving(shared, target);
+    }
     shared.return_connection(target, connection);
     Ok((head.status, body))
 }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -18,7 +18,7 @@
 use crate::crashes;
 use crate::dialect::{ResponseHead, Resume};
 use crate::exchange::{ExchangeError, Target, UpstreamResponse, exchange};
-use crate::limits::record_limit;
+use crate::notices;
 use crate::origins::RETRY_AFTER_LOST_STREAM;
 use crate::place::{Excluded, ReserveError, wait_for_slot};
 use crate::quarantine;
@@ -191,10 +191,10 @@
     };
     let head = shared.dialect.parse_response(&response.head);
     match check_response(&call.head.id, &head, response.head.status) {
-        ResponseCheck::Valid => record_limit(shared, &target, head.request_limit),
+        ResponseCheck::Valid => notices::apply(shared, &target, &head),
         ResponseCheck::Rejected => {
             if !head.misdirected {
-                record_limit(shared, &target, head.request_limit);
+                notices::apply(shared, &target, &head);
             } else {
                 shared.registry.borrow_mut().mark_gone(&target.id, target.born_ms);
                 shared.pool.close_all(&target.id);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -6,8 +6,9 @@
 //! verdict), [`place`] (upstream selection, slot reservation, with the [`limits`] of
 //! upstreams), [`exchange`] and [`pool`] (connections to upstreams) and [`relay`]
 //! (event streams; [`moves`] moves the generation that produces a stream to another
-//! engine). [`crashes`] reports upstreams that crash, and [`quarantine`] rejects prompt
-//! parts under which they do. [`control`] synchronises state with the control
+//! engine). [`crashes`] reports upstreams that crash, and [`quarantine`] rejects requests
+//! under which they do. [`origins`] knows where streams began that callers take up again,
+//! and [`notices`] applies what upstreams say of themselves. [`control`] synchronises state with the control
 //! processes. [`dialect`] abstracts the headers and commands that callers and upstreams
 //! use.
 
@@ -24,6 +25,7 @@
 mod limits;
 mod metrics;
 mod moves;
+mod notices;
 mod origins;
 mod place;
 mod pool;
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -9,8 +9,8 @@
 use crate::dialect::{KvCacheRef, Resume};
 use crate::exchange::{ExchangeError, UpstreamResponse, exchange};
 use crate::forward::{record_failure, record_unreachable};
-use crate::limits::record_limit;
 use crate::moves::{self, CacheCopy};
+use crate::notices;
 use crate::place::{Excluded, ReserveError, wait_for_slot};
 use crate::quarantine;
 use crate::reservation::Reservation;
@@ -127,7 +127,7 @@
         let head = self.shared.dialect.parse_response(&response.head);
         let id_matches = head.request_id.as_deref().is_none_or(|id| id == self.call.head.id);
         if id_matches && !head.misdirected {
-            record_limit(&self.shared, target, head.request_limit);
+            notices::apply(&self.shared, target, &head);
         }
         if !response.head.status.is_success() || !head.signed || !id_matches {
             let status = response.head.status.as_u16();
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -25,6 +25,7 @@
 use crate::exchange::Target;
 use crate::limits::KnownLimits;
 use crate::metrics::Metrics;
+use crate::notices::LeavingUpstreams;
 use crate::origins::LocalOrigins;
 use crate::place::max_in_flight;
 use crate::pool::{Connection, Pool};
@@ -68,6 +69,7 @@
     /// Number of control processes that this gateway knows of.
     pub(crate) control_count: Cell<usize>,
     pub(crate) origins: RefCell<LocalOrigins>,
+    pub(crate) leaving: RefCell<LeavingUpstreams>,
     placements: RefCell<PlacementNumbers>,
     budgets: RefCell<HashMap<CompactString, RetryBudget>>,
     pub(crate) deadlines: RefCell<DeadlineHistory>,
@@ -110,6 +112,7 @@
             control_links: RefCell::default(),
             control_count: Cell::new(0),
             origins: RefCell::default(),
+            leaving: RefCell::default(),
             placements: RefCell::default(),
             budgets: RefCell::default(),
             deadlines: RefCell::default(),
--- a/components/registry/src/fleet.rs
+++ b/components/registry/src/fleet.rs
@@ -159,6 +159,17 @@
         }
     }
 
+    /// Marks the incarnation that started at `born_ms` as draining, because it said so in a
+    /// response; returns whether that is new.
+    pub fn mark_draining(&mut self, id: &str, born_ms: u64) -> bool {
+        let known = self.upstreams.get_mut(id).filter(|u| u.record.born_ms == born_ms);
+        let Some(known) = known.filter(|known| phase_order(&known.record) == 0) else {
+            return false;
+        };
+        known.record.set_phase(UpstreamPhase::Draining);
+        true
+    }
+
     /// Removes upstreams that no control process has reported for several seconds, and
     /// those that have accepted no requests for as long as control processes keep
     /// their records.
--- a/components/registry/src/registry.rs
+++ b/components/registry/src/registry.rs
@@ -82,6 +82,19 @@
         AnnounceOutcome::Changed(self.version)
     }
 
+    /// Marks an incarnation as draining that said so to a gateway before it announced it;
+    /// returns whether the registry changed.
+    pub fn mark_draining(&mut self, id: &str, born_ms: u64) -> bool {
+        let stored = self.by_id.get_mut(id).filter(|stored| stored.record.born_ms == born_ms);
+        let Some(stored) = stored.filter(|stored| phase_order(&stored.record) == 0) else {
+            return false;
+        };
+        self.version += 1;
+        stored.version = self.version;
+        stored.record.set_phase(UpstreamPhase::Draining);
+        true
+    }
+
     /// Marks ready upstreams that missed several announcements as silent and removes
     /// those without an announcement for longer than the tombstone retention;
     /// returns the ids of the newly silent ones.
--- a/components/registry/tests/incarnations.rs
+++ b/components/registry/tests/incarnations.rs
@@ -237,3 +237,33 @@
     assert_eq!(outcome, AnnounceOutcome::Changed(2));
     assert_eq!(known_version(&fleet), "v2");
 }
+
+/// Guards against requests to an upstream that said in a response that it leaves.
+#[test]
+fn upstream_that_said_that_it_leaves_is_draining_whatever_it_announces_after() {
+    let mut registry = Registry::default();
+    let mut fleet = MergedRegistry::default();
+    registry.apply_announcement(record(5, 1, UpstreamPhase::Ready), 0);
+    fleet.apply(source(1), true, registry.changes_since(0).cloned().collect(), 0);
+
+    let marked = (registry.mark_draining("e1", 5), fleet.mark_draining("e1", 5));
+    let again = (registry.mark_draining("e1", 5), fleet.mark_draining("e1", 5));
+    registry.apply_announcement(record(5, 2, UpstreamPhase::Ready), 10);
+    fleet.apply(source(2), true, vec![record(5, 2, UpstreamPhase::Ready)], 10);
+
+    assert_eq!((marked, again), ((true, true), (false, false)));
+    assert_eq!(registry.changes_since(1).next().unwrap().phase(), UpstreamPhase::Draining);
+    assert!(!fleet.get("e1").unwrap().accepts_requests());
+}
+
+#[test]
+fn notice_of_an_earlier_incarnation_does_not_end_the_next_one() {
+    let mut registry = Registry::default();
+    let mut fleet = MergedRegistry::default();
+    registry.apply_announcement(record(9, 1, UpstreamPhase::Ready), 0);
+    fleet.apply(source(1), true, registry.changes_since(0).cloned().collect(), 0);
+
+    assert!(!registry.mark_draining("e1", 5));
+    assert!(!fleet.mark_draining("e1", 5));
+    assert!(fleet.get("e1").unwrap().accepts_requests());
+}
