Leave upstreams alone for the time that they ask for

The users' pages now let an upstream that turns a request away with 503 add `Retry-After`: it wants nothing from that machine for so long, requests, retries, resumptions, copies and checks alike. Nothing read the header; a gateway sent the next request there at once.

Placement offers no paused upstream; if all of a service pause, callers are refused at once with a time after the end of the first pause, spread by up to 30 %. Commands are not sent during a pause either.

--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -1,6 +1,7 @@
 //! Headers and commands of callers and upstreams, behind one trait.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use balance::{RequestRate, TokenCounts};
 use bytes::Bytes;
@@ -91,6 +92,8 @@
     pub request_limit: Option<RequestRate>,
     /// The upstream says that it leaves.
     pub leaving: bool,
+    /// The upstream turns the request away, and wants none from this gateway for so long.
+    pub pause: Option<Duration>,
 }
 
 /// Command to copy the KV cache of a running generation to another engine.
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -149,14 +149,15 @@
     until: Instant,
     max_bytes: usize,
 ) -> Result<(http::StatusCode, Bytes), ExchangeError> {
+    if notices::pause_ms(shared, &target.id, target.born_ms) > 0 {
+        return Err(ExchangeError::NotSent("the upstream wants no requests".to_string()));
+    }
     let UpstreamResponse { head, body, connection } =
         exchange(shared, parent, target, request.map(Full::new), until).await?;
     let collecting = Limited::new(body, max_bytes).collect();
     let body = timeout_at(until, collecting).await.map_err(|_| ExchangeError::TimedOut)?;
     let body = body.map_err(|error| ExchangeError::ConnectionLost(error.to_string()))?.to_bytes();
-    if shared.dialect.parse_response(&head).leaving {
-        notices::record_leaving(shared, target);
-    }
+    notices::apply_to_command(shared, target, &shared.dialect.parse_response(&head));
     shared.return_connection(target, connection);
     Ok((head.status, body))
 }
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -10,7 +10,8 @@
 use balance::{FirstEventTarget, OwnedCandidate, PlacementDemand, sample_size};
 use compact_str::CompactString;
 use lineage::{Origin, StreamId};
-use registry::KnownUpstream;
+use rand::RngExt as _;
+use registry::{KnownUpstream, MergedRegistry};
 use schema::{PlaceCandidate, PlaceRequest, Request, UpstreamPhase, reply, request};
 use smallvec::SmallVec;
 use telemetry::Span;
@@ -21,6 +22,7 @@
 use crate::exchange::Target;
 use crate::forward::elapsed_ms;
 use crate::limits;
+use crate::notices;
 use crate::origins;
 use crate::reservation::{Requirements, Reservation};
 use crate::shared::Shared;
@@ -49,6 +51,9 @@
 /// Requests per slot of a plain service, which queues a few beyond its slots.
 const PLAIN_LOAD_LIMIT: f64 = 4.0;
 
+/// Random part by which callers come back later than the end of an upstream's pause.
+const PAUSE_SPREAD: std::ops::Range<f64> = 0.0..0.3;
+
 /// Extra cost of an upstream in another data centre, as a share of the cost of
 /// a fully loaded one.
 const REMOTE_COST: f64 = 0.06;
@@ -212,6 +217,9 @@
 ) -> Result<Reservation, ReserveError> {
     let eligible = eligible_upstreams(shared, requirements, excluded, params);
     if eligible.is_empty() {
+        if let Some(pause) = shortest_pause(shared, requirements, excluded, params) {
+            return Err(ReserveError::Limited(pause));
+        }
         let gone = params.origin.is_some_and(|origin| !serves(shared, origin));
         return Err(if gone { ReserveError::VersionGone } else { ReserveError::NoUpstream });
     }
@@ -268,6 +276,37 @@
     origin.may_continue_at(&upstream.record.service, &upstream.record.version)
 }
 
+/// Returns the upstreams that could serve a request, whether they want requests or not.
+fn candidates<'a>(
+    registry: &'a MergedRegistry,
+    requirements: &Requirements,
+    excluded: &Excluded,
+    params: &SelectionParams<'_>,
+) -> impl Iterator<Item = &'a KnownUpstream> {
+    registry.iter().filter(move |upstream| {
+        upstream.record.service == requirements.service.as_str()
+            && upstream.accepts_requests()
+            && params.origin.is_none_or(|origin| may_continue(origin, upstream))
+            && !excluded.iter().any(|id| id.as_str() == upstream.record.id)
+    })
+}
+
+/// Returns when the first of the upstreams that want no requests takes some again, with a
+/// random part more, so that callers do not all come back at once; `None` if there are none.
+fn shortest_pause(
+    shared: &Shared,
+    requirements: &Requirements,
+    excluded: &Excluded,
+    params: &SelectionParams<'_>,
+) -> Option<Duration> {
+    let registry = shared.registry.borrow();
+    let candidates = candidates(&registry, requirements, excluded, params);
+    let pauses = candidates
+        .map(|upstream| notices::pause_ms(shared, &upstream.record.id, upstream.record.born_ms));
+    let pause = Duration::from_millis(pauses.min()?);
+    Some(pause + pause.mul_f64(rand::rng().random_range(PAUSE_SPREAD)))
+}
+
 /// Returns the upstreams of the service that accept new requests, and may go on with a
 /// stream that goes on, without those that are excluded or ejected.
 fn eligible_upstreams(
@@ -280,11 +319,9 @@
     let registry = shared.registry.borrow();
     let outliers = shared.outlier_detector.borrow();
     let serving = || {
-        registry.iter().filter(|upstream| {
-            upstream.record.service == requirements.service.as_str()
-                && upstream.accepts_requests()
-                && params.origin.is_none_or(|origin| may_continue(origin, upstream))
-                && !excluded.iter().any(|id| id.as_str() == upstream.record.id)
+        let candidates = candidates(&registry, requirements, excluded, params);
+        candidates.filter(|upstream| {
+            notices::pause_ms(shared, &upstream.record.id, upstream.record.born_ms) == 0
         })
     };
     let healthy = |id: &str| !outliers.is_ejected(id, now_ms);
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use balance::{
-    DeadlineHistory, Loads, OutlierDetector, PrefillRate, RetryBudget, RetryLimits,
+    DeadlineHistory, Loads, OutlierDetector, Pauses, PrefillRate, RetryBudget, RetryLimits,
     max_idle_connections,
 };
 use clock::Clock;
@@ -70,6 +70,8 @@
     pub(crate) control_count: Cell<usize>,
     pub(crate) origins: RefCell<LocalOrigins>,
     pub(crate) leaving: RefCell<LeavingUpstreams>,
+    /// Upstreams that want no requests of this gateway for a time.
+    pub(crate) pauses: RefCell<Pauses>,
     placements: RefCell<PlacementNumbers>,
     budgets: RefCell<HashMap<CompactString, RetryBudget>>,
     pub(crate) deadlines: RefCell<DeadlineHistory>,
@@ -113,6 +115,7 @@
             control_count: Cell::new(0),
             origins: RefCell::default(),
             leaving: RefCell::default(),
+            pauses: RefCell::default(),
             placements: RefCell::default(),
             budgets: RefCell::default(),
             deadlines: RefCell::default(),
