Move the gateway's shared types below the modules that use them

The files of components/gateway that import each other in a circle had become fifteen: the shared state held types of modules that need the shared state. What a gateway knows of upstreams, requests and streams is now in state/, without I/O and without an import of the other modules; targets, failures, capacity shares and elapsed times have modules of their own. The only circle left is relay and relay/resume. No behaviour changes.

--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri, request};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::{Body as _, Incoming};
-use lineage::Origin;
+use lineage::{Origin, StreamId};
 use rand::RngExt as _;
 use routing::{RouteError, RouteTable, pick_weighted_service};
 use schema::{EntryPhase, RepeatKind, RouteRule};
@@ -21,10 +21,10 @@
 
 use crate::answer::{Refusal, strip_hop_by_hop};
 use crate::dialect::{ForwardContext, RequestHead, Resume};
-use crate::exchange::Target;
 use crate::origins::{self, RETRY_AFTER_LOST_STREAM};
 use crate::reservation::Requirements;
 use crate::shared::{BufferReservation, Shared};
+use crate::target::Target;
 
 /// W3C trace context of the caller, which is forwarded unchanged.
 const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
@@ -97,6 +97,14 @@
         }
     }
 
+    /// Returns the id of the stream that begins with the request, unless its caller cannot
+    /// take it up again.
+    pub(crate) fn stream_id(&self) -> Option<StreamId> {
+        let caller = self.workspace.as_deref().unwrap_or_default();
+        let resumable = self.route.kind() == RepeatKind::ResumableStream;
+        resumable.then(|| StreamId::new(caller, &self.head.id))
+    }
+
     /// Draws the `Retry-After` of a request that found all upstreams full or was
     /// rejected by the last upstream that was tried.
     pub(crate) fn retry_after_full(&self) -> Duration {
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -16,8 +16,9 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use wire::{CallError, Endpoint, Link};
 
-use crate::quarantine::{self, AnsweredFeatures};
+use crate::quarantine;
 use crate::shared::Shared;
+use crate::state::AnsweredFeatures;
 
 /// Longest time for which the control process that aggregates upstream load
 /// holds a sync reply back (long poll); limits the age of other gateways' load.
--- a/components/gateway/src/crashes.rs
+++ b/components/gateway/src/crashes.rs
@@ -11,11 +11,11 @@
 use wire::{CallError, Link};
 
 use crate::accept::Call;
-use crate::exchange::Target;
-use crate::forward::elapsed_ms;
 use crate::place::is_draining_or_gone;
-use crate::quarantine::AnsweredFeatures;
 use crate::shared::Shared;
+use crate::state::AnsweredFeatures;
+use crate::target::Target;
+use crate::timing::elapsed_ms;
 
 /// Timeout of the connection that tells a crash from a fault of one request.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -1,17 +1,14 @@
 //! Sends one request to one upstream.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use compact_str::CompactString;
 use displaydoc::Display;
 use http::{Request, response};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
-use lineage::Origin;
 use telemetry::Span;
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
@@ -19,21 +16,11 @@
 use crate::notices;
 use crate::pool::Connection;
 use crate::shared::Shared;
+use crate::target::Target;
 
 /// Informational (1xx) responses that may precede a response.
 const MAX_INFORMATIONAL_RESPONSES: u32 = 16;
 
-/// Incarnation of an upstream that a request is sent to.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) struct Target {
-    pub(crate) id: CompactString,
-    /// Its service and software version.
-    pub(crate) origin: Origin,
-    pub(crate) address: SocketAddr,
-    /// Start time of the incarnation, in Unix milliseconds.
-    pub(crate) born_ms: u64,
-}
-
 /// Upstream response whose body has not been read yet.
 #[derive(Debug)]
 pub(crate) struct UpstreamResponse {
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -17,7 +17,8 @@
 use crate::attempts::{Attempt, Attempts};
 use crate::crashes;
 use crate::dialect::{ResponseHead, Resume};
-use crate::exchange::{ExchangeError, Target, UpstreamResponse, exchange};
+use crate::exchange::{ExchangeError, UpstreamResponse, exchange};
+use crate::health::{record_failure, record_unreachable};
 use crate::notices;
 use crate::origins::RETRY_AFTER_LOST_STREAM;
 use crate::place::{Excluded, ReserveError, wait_for_slot};
@@ -25,6 +26,8 @@
 use crate::relay;
 use crate::reservation::Reservation;
 use crate::shared::{InFlightGuard, Shared};
+use crate::target::Target;
+use crate::timing::elapsed_ms;
 
 /// Share of a route's target latency for which a request may queue for a slot,
 /// counted from its arrival.
@@ -304,25 +307,3 @@
         }
     }
 }
-
-pub(crate) fn record_unreachable(shared: &Shared, target: &Target) {
-    let now_ms = shared.now_ms();
-    let ejected_ms = shared.outlier_detector.borrow_mut().record_unreachable(&target.id, now_ms);
-    log_ejection(target, ejected_ms, "unreachable");
-}
-
-pub(crate) fn record_failure(shared: &Shared, target: &Target, reason: &str) {
-    let now_ms = shared.now_ms();
-    let ejected_ms = shared.outlier_detector.borrow_mut().record_failure(&target.id, now_ms);
-    log_ejection(target, ejected_ms, reason);
-}
-
-fn log_ejection(target: &Target, ejected_ms: Option<u64>, reason: &str) {
-    if let Some(ejected_ms) = ejected_ms {
-        log::warn!(upstream = target.id.as_str(), service = target.origin.service.as_str(), ejected_ms, reason; "upstream ejected");
-    }
-}
-
-pub(crate) fn elapsed_ms(since: Instant) -> u64 {
-    u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
-}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod accept;
 mod answer;
 mod attempts;
+mod capacity;
 mod control;
 mod crashes;
 mod dialect;
@@ -22,6 +23,7 @@
 mod events;
 mod exchange;
 mod forward;
+mod health;
 mod limits;
 mod metrics;
 mod moves;
@@ -35,7 +37,10 @@
 mod reservation;
 mod server;
 mod shared;
+mod state;
 mod status;
+mod target;
+mod timing;
 
 pub use balance::{RequestRate, TokenCounts};
 pub use dialect::{
--- a/components/gateway/src/moves.rs
+++ b/components/gateway/src/moves.rs
@@ -16,10 +16,11 @@
 
 use crate::accept::Call;
 use crate::dialect::{KvCacheRef, MoveCommand, MoveResult};
-use crate::exchange::{Target, send_command};
+use crate::exchange::send_command;
 use crate::place::{Excluded, reserve_for_move};
 use crate::reservation::Reservation;
 use crate::shared::Shared;
+use crate::target::Target;
 
 /// Largest response to a move or free command.
 const MAX_RESPONSE_BYTES: usize = 4_096;
--- a/components/gateway/src/origins.rs
+++ b/components/gateway/src/origins.rs
@@ -1,22 +1,18 @@
 //! Streams that callers take up again: where they began, and so may go on.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
-use lineage::{Origin, OriginLog, Origins, RecordedOrigin, StreamId};
-use schema::{
-    FindOriginRequest, OriginReply, OriginState, RepeatKind, Request, StreamOrigins, reply, request,
-};
+use lineage::{Origin, RecordedOrigin, StreamId};
+use schema::{FindOriginRequest, OriginReply, OriginState, Request, reply, request};
 use tokio::time::{Instant, sleep};
 use wire::Link;
 
-use crate::accept::Call;
 use crate::answer::Refusal;
 use crate::dialect::RequestHead;
-use crate::exchange::Target;
 use crate::shared::Shared;
 
 /// Timeout of a look-up at one control process.
@@ -29,51 +25,6 @@
 /// `Retry-After` of a stream that cannot go on: its caller may begin a new one at once.
 pub(crate) const RETRY_AFTER_LOST_STREAM: Duration = Duration::from_millis(50);
 
-/// Streams that began at this gateway.
-#[derive(Debug, Default)]
-pub(crate) struct LocalOrigins {
-    origins: Origins,
-    log: OriginLog,
-}
-
-impl LocalOrigins {
-    /// Returns the streams after the one with this number, for a control process.
-    pub(crate) fn reports_since(&self, number: u64) -> Vec<StreamOrigins> {
-        let mut by_origin: HashMap<&Origin, Vec<u64>> = HashMap::new();
-        for (stream, origin) in self.log.since(number) {
-            by_origin.entry(origin).or_default().push(stream.0);
-        }
-        let reports = by_origin.into_iter().map(|(origin, streams)| StreamOrigins {
-            service: origin.service.to_string(),
-            version: origin.version.to_string(),
-            streams,
-        });
-        reports.collect()
-    }
-
-    /// Returns the number of the last stream that began.
-    pub(crate) fn last_number(&self) -> u64 {
-        self.log.last_number()
-    }
-}
-
-/// Returns the id of the stream that begins with a request, unless its caller cannot take
-/// it up again.
-pub(crate) fn stream_id(call: &Call) -> Option<StreamId> {
-    let caller = call.workspace.as_deref().unwrap_or_default();
-    let resumable = call.route.kind() == RepeatKind::ResumableStream;
-    resumable.then(|| StreamId::new(caller, &call.head.id))
-}
-
-/// Records that a stream began at an upstream.
-pub(crate) fn record_begun(shared: &Shared, call: &Call, target: &Target) {
-    let Some(stream) = stream_id(call) else { return };
-    let now_ms = shared.now_ms();
-    let mut local = shared.origins.borrow_mut();
-    local.origins.record_begun(stream, &target.origin, now_ms);
-    local.log.record(stream, target.origin.clone(), now_ms);
-}
-
 /// Returns the origin of the stream that a request takes up again, if it does; refuses it
 /// if that is not known.
 pub(crate) async fn resolve(
@@ -103,7 +54,7 @@
 
 /// Looks a stream up here and at all control processes.
 async fn find(shared: &Shared, stream: StreamId) -> RecordedOrigin {
-    let mut recorded = shared.origins.borrow().origins.find(stream);
+    let mut recorded = shared.origins.borrow().find(stream);
     if recorded != RecordedOrigin::Unknown {
         return recorded;
     }
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -19,13 +19,13 @@
 use wire::CallError;
 
 use crate::accept::Call;
-use crate::exchange::Target;
-use crate::forward::elapsed_ms;
+use crate::capacity::{ENGINE_LOAD_LIMIT, MOVE_LOAD_LIMIT, PLAIN_LOAD_LIMIT};
 use crate::limits;
 use crate::notices;
-use crate::origins;
 use crate::reservation::{Requirements, Reservation};
 use crate::shared::Shared;
+use crate::target::Target;
+use crate::timing::elapsed_ms;
 
 /// Interval at which a queued request checks for free capacity without the
 /// arbiter.
@@ -43,14 +43,6 @@
 /// Extra cost of an upstream that is still warming up, as a share of the cost
 /// of a fully loaded one.
 const WARM_UP_COST: f64 = 0.3;
-/// Share of an engine's slots and KV cache that new requests may commit.
-const ENGINE_LOAD_LIMIT: f64 = 1.0;
-/// Share of an engine's slots and KV cache that moved generations may commit:
-/// they cannot wait.
-const MOVE_LOAD_LIMIT: f64 = 1.1;
-/// Requests per slot of a plain service, which queues a few beyond its slots.
-const PLAIN_LOAD_LIMIT: f64 = 4.0;
-
 /// Random part by which callers come back later than the end of an upstream's pause.
 const PAUSE_SPREAD: std::ops::Range<f64> = 0.0..0.3;
 
@@ -69,12 +61,6 @@
 /// Jitter for moved generations, for which all gateways choose at the same time.
 const MOVE_COST_JITTER: f64 = 0.5;
 
-/// Returns the maximum number of requests placed at an upstream with `slots`.
-pub(crate) fn max_in_flight(slots: u32, engine: bool) -> u32 {
-    let load_limit = if engine { MOVE_LOAD_LIMIT } else { PLAIN_LOAD_LIMIT };
-    (f64::from(slots) * load_limit).ceil() as u32
-}
-
 /// Upstreams that are not to be selected, such as those already tried.
 pub(crate) type Excluded = SmallVec<[CompactString; 4]>;
 
@@ -138,7 +124,7 @@
     let span = shared.spans.start_client_span("place", &call.span);
     let params = SelectionParams {
         origin,
-        stream: origins::stream_id(call),
+        stream: call.stream_id(),
         local_data_centre: shared.config.data_centre.as_str(),
         remote_cost: REMOTE_COST,
         load_limit: if requirements.engine.is_some() {
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -22,14 +22,14 @@
 use crate::crashes;
 use crate::events::{EventKind, EventSplitter, StreamProgress};
 use crate::exchange::UpstreamResponse;
-use crate::forward::{elapsed_ms, record_failure, record_unreachable};
+use crate::health::{record_failure, record_unreachable};
 use crate::moves::{self, CacheCopy, MoveEvent, MoveState, StopResult};
-use crate::origins;
 use crate::place::is_draining_or_gone;
 use crate::pool::Connection;
 use crate::quarantine;
 use crate::reservation::Reservation;
 use crate::shared::{InFlightGuard, Shared};
+use crate::timing::elapsed_ms;
 
 /// Time without an event after which the engine is probed for reachability:
 /// several times the gap between events that callers count as late.
@@ -96,7 +96,10 @@
 ) -> Response<Body> {
     // Engines send the head together with the first token.
     reservation.record_first_event();
-    origins::record_begun(shared, call, &reservation.target);
+    if let Some(stream) = call.stream_id() {
+        let origin = &reservation.target.origin;
+        shared.origins.borrow_mut().record_begun(stream, origin, shared.now_ms());
+    }
     let UpstreamResponse { mut head, body, connection } = response;
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -8,7 +8,7 @@
 use crate::crashes;
 use crate::dialect::{KvCacheRef, Resume};
 use crate::exchange::{ExchangeError, UpstreamResponse, exchange};
-use crate::forward::{record_failure, record_unreachable};
+use crate::health::{record_failure, record_unreachable};
 use crate::moves::{self, CacheCopy};
 use crate::notices;
 use crate::place::{Excluded, ReserveError, wait_for_slot};
--- a/components/gateway/src/reservation.rs
+++ b/components/gateway/src/reservation.rs
@@ -7,9 +7,9 @@
 use schema::EngineCapacity;
 use tokio::time::Instant;
 
-use crate::exchange::Target;
-use crate::forward::elapsed_ms;
 use crate::shared::Shared;
+use crate::target::Target;
+use crate::timing::elapsed_ms;
 
 /// Service and capacity that a request requires of an upstream.
 #[derive(Clone, Debug)]
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -21,15 +21,12 @@
 use tokio::time::Instant;
 use wire::Link;
 
+use crate::capacity::max_in_flight;
 use crate::dialect::Dialect;
-use crate::exchange::Target;
-use crate::limits::KnownLimits;
 use crate::metrics::Metrics;
-use crate::notices::LeavingUpstreams;
-use crate::origins::LocalOrigins;
-use crate::place::max_in_flight;
 use crate::pool::{Connection, Pool};
-use crate::quarantine::Quarantine;
+use crate::state::{KnownLimits, LeavingUpstreams, LocalOrigins, Quarantine};
+use crate::target::Target;
 
 /// Time for which the arbiter is not used after a failed request to it.
 const ARBITER_BACKOFF: Duration = Duration::from_secs(1);
