--- /dev/null
+++ b/components/gateway/src/eligibility.rs
@@ -0,0 +1,110 @@
+//! Upstreams that may serve a request.
+
+use std::time::Duration;
+
+use balance::OwnedCandidate;
+use compact_str::CompactString;
+use lineage::Origin;
+use rand::RngExt as _;
+use registry::{KnownUpstream, MergedRegistry};
+use smallvec::SmallVec;
+
+use crate::notices;
+use crate::reservation::Requirements;
+use crate::shared::Shared;
+
+/// Extra cost of an upstream that is still warming up, as a share of the cost
+/// of a fully loaded one.
+const WARM_UP_COST: f64 = 0.3;
+/// Random part by which callers come back later than the end of an upstream's pause.
+const PAUSE_SPREAD: std::ops::Range<f64> = 0.0..0.3;
+
+/// Upstreams that are not to be selected, such as those already tried.
+pub(crate) type Excluded = SmallVec<[CompactString; 4]>;
+
+/// What decides which upstreams may serve a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Eligibility<'a> {
+    pub(crate) requirements: &'a Requirements,
+    /// Where the stream began, if it goes on: it may go on there only.
+    pub(crate) origin: Option<&'a Origin>,
+    pub(crate) excluded: &'a Excluded,
+    /// Data centre whose upstreams have no extra cost.
+    pub(crate) local_data_centre: &'a str,
+    pub(crate) remote_cost: f64,
+}
+
+impl<'a> Eligibility<'a> {
+    /// Returns the upstreams that accept the request, without those that are ejected or
+    /// want no requests.
+    pub(crate) fn upstreams(&self, shared: &Shared) -> Vec<OwnedCandidate> {
+        let now_ms = shared.now_ms();
+        let registry = shared.registry.borrow();
+        let outliers = shared.outlier_detector.borrow();
+        let takes_requests = |upstream: &&KnownUpstream| pause_ms(shared, upstream) == 0;
+        let serving = || self.candidates(&registry).filter(takes_requests);
+        let healthy = |id: &str| !outliers.is_ejected(id, now_ms);
+        // If all upstreams are ejected, the ejections are ignored.
+        let any_healthy = serving().any(|upstream| healthy(&upstream.record.id));
+        let eligible = serving().filter(|upstream| !any_healthy || healthy(&upstream.record.id));
+        eligible.map(|upstream| self.to_candidate(upstream, now_ms)).collect()
+    }
+
+    /// Returns when the first of the upstreams that want no requests takes some again, with
+    /// a random part more, so that callers do not all come back at once; `None` if there are
+    /// none.
+    pub(crate) fn shortest_pause(&self, shared: &Shared) -> Option<Duration> {
+        let registry = shared.registry.borrow();
+        let pauses = self.candidates(&registry).map(|upstream| pause_ms(shared, upstream));
+        let pause = Duration::from_millis(pauses.min()?);
+        Some(pause + pause.mul_f64(rand::rng().random_range(PAUSE_SPREAD)))
+    }
+
+    /// Returns whether a stream goes on, and no upstream of its origin accepts requests,
+    /// excluded ones included.
+    pub(crate) fn is_origin_gone(&self, shared: &Shared) -> bool {
+        let registry = shared.registry.borrow();
+        let serves = |origin| {
+            let mut upstreams = registry.iter().filter(|upstream| upstream.accepts_requests());
+            upstreams.any(|upstream| may_continue(origin, upstream))
+        };
+        self.origin.is_some_and(|origin| !serves(origin))
+    }
+
+    /// Returns the upstreams that accept the request, whether they want requests or not.
+    fn candidates<'r>(
+        &self,
+        registry: &'r MergedRegistry,
+    ) -> impl Iterator<Item = &'r KnownUpstream> + use<'r, 'a> {
+        let Eligibility { requirements, origin, excluded, .. } = *self;
+        registry.iter().filter(move |upstream| {
+            upstream.record.service == requirements.service.as_str()
+                && upstream.accepts_requests()
+                && origin.is_none_or(|origin| may_continue(origin, upstream))
+                && !excluded.iter().any(|id| id.as_str() == upstream.record.id)
+        })
+    }
+
+    fn to_candidate(self, upstream: &KnownUpstream, now_ms: u64) -> OwnedCandidate {
+        let remote = upstream.record.data_centre != self.local_data_centre;
+        let warming_up = now_ms < upstream.warm_up_until_ms;
+        let engine = self.requirements.engine.as_ref();
+        OwnedCandidate {
+            id: upstream.record.id.as_str().into(),
+            slots: upstream.record.slots,
+            cache_tokens: engine.map_or(0, |engine| engine.cache_tokens),
+            extra_cost: if remote { self.remote_cost } else { 0.0 }
+                + if warming_up { WARM_UP_COST } else { 0.0 },
+        }
+    }
+}
+
+/// Returns whether a stream of this origin may go on at an upstream.
+pub(crate) fn may_continue(origin: &Origin, upstream: &KnownUpstream) -> bool {
+    origin.may_continue_at(&upstream.record.service, &upstream.record.version)
+}
+
+/// Returns for how long an upstream wants no requests; 0 if it takes them.
+fn pause_ms(shared: &Shared, upstream: &KnownUpstream) -> u64 {
+    notices::pause_ms(shared, &upstream.record.id, upstream.record.born_ms)
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -3,14 +3,15 @@
 //!
 //! A request passes through [`server`] (connections of callers), [`accept`]
 //! (routing, request body), [`forward`] and [`attempts`] (attempts, retries,
-//! verdict), [`place`] (upstream selection, slot reservation, with the [`limits`] of
-//! upstreams), [`exchange`] and [`pool`] (connections to upstreams) and [`relay`]
+//! verdict), [`eligibility`] and [`place`] (upstream selection, slot reservation, with the
+//! [`limits`] of upstreams), [`exchange`] and [`pool`] (connections to upstreams) and [`relay`]
 //! (event streams; [`moves`] moves the generation that produces a stream to another
 //! engine). [`crashes`] reports upstreams that crash, and [`quarantine`] rejects requests
 //! under which they do. [`origins`] knows where streams began that callers take up again,
-//! and [`notices`] applies what upstreams say of themselves. [`control`] synchronises state with the control
-//! processes. [`dialect`] abstracts the headers and commands that callers and upstreams
-//! use.
+//! and [`notices`] applies what upstreams say of themselves. [`control`] synchronises state
+//! with the control processes. [`dialect`] abstracts the headers and commands that callers
+//! and upstreams use. [`state`] holds what the gateway knows; nothing in it imports the
+//! other modules.
 
 mod accept;
 mod answer;
@@ -19,6 +20,7 @@
 mod control;
 mod crashes;
 mod dialect;
+mod eligibility;
 mod error;
 mod events;
 mod exchange;
--- a/components/gateway/src/moves.rs
+++ b/components/gateway/src/moves.rs
@@ -16,8 +16,9 @@
 
 use crate::accept::Call;
 use crate::dialect::{KvCacheRef, MoveCommand, MoveResult};
+use crate::eligibility::Excluded;
 use crate::exchange::send_command;
-use crate::place::{Excluded, reserve_for_move};
+use crate::place::reserve_for_move;
 use crate::reservation::Reservation;
 use crate::shared::Shared;
 use crate::target::Target;
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -10,18 +10,15 @@
 use balance::{FirstEventTarget, OwnedCandidate, PlacementDemand, sample_size};
 use compact_str::CompactString;
 use lineage::{Origin, StreamId};
-use rand::RngExt as _;
-use registry::{KnownUpstream, MergedRegistry};
 use schema::{PlaceCandidate, PlaceRequest, Request, UpstreamPhase, reply, request};
-use smallvec::SmallVec;
 use telemetry::Span;
 use tokio::time::{Instant, sleep};
 use wire::CallError;
 
 use crate::accept::Call;
 use crate::capacity::{ENGINE_LOAD_LIMIT, MOVE_LOAD_LIMIT, PLAIN_LOAD_LIMIT};
+use crate::eligibility::{Eligibility, Excluded, may_continue};
 use crate::limits;
-use crate::notices;
 use crate::reservation::{Requirements, Reservation};
 use crate::shared::Shared;
 use crate::target::Target;
@@ -40,12 +37,6 @@
 /// Time for which a moved generation asks for capacity: its copy is repeated until
 /// its engine is gone.
 const MOVE_QUEUE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Extra cost of an upstream that is still warming up, as a share of the cost
-/// of a fully loaded one.
-const WARM_UP_COST: f64 = 0.3;
-/// Random part by which callers come back later than the end of an upstream's pause.
-const PAUSE_SPREAD: std::ops::Range<f64> = 0.0..0.3;
-
 /// Extra cost of an upstream in another data centre, as a share of the cost of
 /// a fully loaded one.
 const REMOTE_COST: f64 = 0.06;
@@ -61,9 +52,6 @@
 /// Jitter for moved generations, for which all gateways choose at the same time.
 const MOVE_COST_JITTER: f64 = 0.5;
 
-/// Upstreams that are not to be selected, such as those already tried.
-pub(crate) type Excluded = SmallVec<[CompactString; 4]>;
-
 /// Why no slot can be reserved for a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ReserveError {
@@ -201,13 +189,20 @@
     since: Instant,
     wait: Duration,
 ) -> Result<Reservation, ReserveError> {
-    let eligible = eligible_upstreams(shared, requirements, excluded, params);
+    let eligibility = Eligibility {
+        requirements,
+        origin: params.origin,
+        excluded,
+        local_data_centre: params.local_data_centre,
+        remote_cost: params.remote_cost,
+    };
+    let eligible = eligibility.upstreams(shared);
     if eligible.is_empty() {
-        if let Some(pause) = shortest_pause(shared, requirements, excluded, params) {
-            return Err(ReserveError::Limited(pause));
-        }
-        let gone = params.origin.is_some_and(|origin| !serves(shared, origin));
-        return Err(if gone { ReserveError::VersionGone } else { ReserveError::NoUpstream });
+        return Err(match eligibility.shortest_pause(shared) {
+            Some(pause) => ReserveError::Limited(pause),
+            None if eligibility.is_origin_gone(shared) => ReserveError::VersionGone,
+            None => ReserveError::NoUpstream,
+        });
     }
     let needs_grant = requirements.engine.is_some() || limits::any_limited(shared, &eligible);
     if needs_grant && let Some(arbiter) = shared.arbiter() {
@@ -251,84 +246,6 @@
     reserve_at(shared, requirements, params, &selected).ok_or(ReserveError::Full)
 }
 
-/// Returns whether any upstream of this service and software version accepts requests.
-fn serves(shared: &Shared, origin: &Origin) -> bool {
-    let registry = shared.registry.borrow();
-    registry.iter().any(|upstream| upstream.accepts_requests() && may_continue(origin, upstream))
-}
-
-/// Returns whether a stream of this origin may go on at an upstream.
-fn may_continue(origin: &Origin, upstream: &KnownUpstream) -> bool {
-    origin.may_continue_at(&upstream.record.service, &upstream.record.version)
-}
-
-/// Returns the upstreams that could serve a request, whether they want requests or not.
-fn candidates<'a>(
-    registry: &'a MergedRegistry,
-    requirements: &Requirements,
-    excluded: &Excluded,
-    params: &SelectionParams<'_>,
-) -> impl Iterator<Item = &'a KnownUpstream> {
-    registry.iter().filter(move |upstream| {
-        upstream.record.service == requirements.service.as_str()
-            && upstream.accepts_requests()
-            && params.origin.is_none_or(|origin| may_continue(origin, upstream))
-            && !excluded.iter().any(|id| id.as_str() == upstream.record.id)
-    })
-}
-
-/// Returns when the first of the upstreams that want no requests takes some again, with a
-/// random part more, so that callers do not all come back at once; `None` if there are none.
-fn shortest_pause(
-    shared: &Shared,
-    requirements: &Requirements,
-    excluded: &Excluded,
-    params: &SelectionParams<'_>,
-) -> Option<Duration> {
-    let registry = shared.registry.borrow();
-    let candidates = candidates(&registry, requirements, excluded, params);
-    let pauses = candidates
-        .map(|upstream| notices::pause_ms(shared, &upstream.record.id, upstream.record.born_ms));
-    let pause = Duration::from_millis(pauses.min()?);
-    Some(pause + pause.mul_f64(rand::rng().random_range(PAUSE_SPREAD)))
-}
-
-/// Returns the upstreams of the service that accept new requests, and may go on with a
-/// stream that goes on, without those that are excluded or ejected.
-fn eligible_upstreams(
-    shared: &Shared,
-    requirements: &Requirements,
-    excluded: &Excluded,
-    params: &SelectionParams<'_>,
-) -> Vec<OwnedCandidate> {
-    let now_ms = shared.now_ms();
-    let registry = shared.registry.borrow();
-    let outliers = shared.outlier_detector.borrow();
-    let serving = || {
-        let candidates = candidates(&registry, requirements, excluded, params);
-        candidates.filter(|upstream| {
-            notices::pause_ms(shared, &upstream.record.id, upstream.record.born_ms) == 0
-        })
-    };
-    let healthy = |id: &str| !outliers.is_ejected(id, now_ms);
-    // If all upstreams are ejected, the ejections are ignored.
-    let any_healthy = serving().any(|upstream| healthy(&upstream.record.id));
-    let eligible = serving().filter(|upstream| !any_healthy || healthy(&upstream.record.id));
-    eligible
-        .map(|upstream| {
-            let remote = upstream.record.data_centre != params.local_data_centre;
-            let warming_up = now_ms < upstream.warm_up_until_ms;
-            OwnedCandidate {
-                id: upstream.record.id.as_str().into(),
-                slots: upstream.record.slots,
-                cache_tokens: requirements.engine.as_ref().map_or(0, |engine| engine.cache_tokens),
-                extra_cost: if remote { params.remote_cost } else { 0.0 }
-                    + if warming_up { WARM_UP_COST } else { 0.0 },
-            }
-        })
-        .collect()
-}
-
 /// Selects by the load that this gateway knows of, without the arbiter.
 fn select_locally(
     shared: &Shared,
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -7,11 +7,12 @@
 use crate::attempts::{MAX_SENDS, MAX_UNREACHABLE};
 use crate::crashes;
 use crate::dialect::{KvCacheRef, Resume};
+use crate::eligibility::Excluded;
 use crate::exchange::{ExchangeError, UpstreamResponse, exchange};
 use crate::health::{record_failure, record_unreachable};
 use crate::moves::{self, CacheCopy};
 use crate::notices;
-use crate::place::{Excluded, ReserveError, wait_for_slot};
+use crate::place::{ReserveError, wait_for_slot};
 use crate::quarantine;
 use crate::reservation::Reservation;
 
