--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -11,6 +11,8 @@
 use wire::CallError;
 
 const CRASHING: u64 = 0xdead;
+/// Fingerprint of a request without prompt parts.
+const CRASHING_REQUEST: u64 = 0xf00d;
 
 async fn quarantined(deployment: &Deployment) -> Option<Vec<QuarantinedParts>> {
     let body = request::Body::GetQuarantine(GetQuarantineRequest {});
@@ -60,6 +62,40 @@
     });
 }
 
+/// Guards against a request that crashes upstreams again once control was restored.
+#[test]
+fn request_quarantined_at_a_follower_survives_the_loss_of_all_control_processes() {
+    support::run_async(async {
+        let mut deployment = Deployment::start(3, 1, DeploymentOptions::default()).await;
+        let follower = (deployment.leader().await + 1) % 3;
+        let is_listed = |sets: Option<Vec<QuarantinedParts>>| {
+            let sets = sets.unwrap_or_default();
+            sets.iter().any(|set| set.request == CRASHING_REQUEST && set.parts.is_empty())
+        };
+
+        for upstream in ["e1", "e2", "e3"] {
+            let report = CrashReport {
+                vm: entry_vm(0),
+                upstream: upstream.to_string(),
+                request: CRASHING_REQUEST,
+                ..CrashReport::default()
+            };
+            let reply = deployment.call_as_entry(0, follower, request::Body::Crash(report)).await;
+            assert!(matches!(reply, Ok(reply::Body::Crash(_))), "{reply:?}");
+        }
+        eventually("it is quarantined", || async { is_listed(quarantined(&deployment).await) })
+            .await;
+        for index in 0..3 {
+            deployment.kill_control(index).await;
+        }
+        for index in 0..3 {
+            deployment.start_control(index).await;
+        }
+
+        eventually("it is restored", || async { is_listed(quarantined(&deployment).await) }).await;
+    });
+}
+
 #[test]
 fn operator_adds_and_lifts_a_quarantine() {
     support::run_async(async {
