Compute hashes over several fields in one place

The idempotency records of entries, the fingerprints of requests and the ids of streams each had the same loop over length-prefixed fields; the last one left out the second length. The new component hashing has it once. Stored idempotency fingerprints keep their values; stream ids live in memory only.

--- a/components/entry/src/records.rs
+++ b/components/entry/src/records.rs
@@ -15,7 +15,6 @@
     AwaitRecordRequest, BeginRecord, FinishRecord, RecordKey, RecordOutcome, ReleaseRecord,
     StoredAnswer, Unknown, finish_record, reply, request,
 };
-use sha2::{Digest as _, Sha256};
 use telemetry::Span;
 use tokio::time::{Instant, sleep};
 use verdict::{Code, Failure};
@@ -54,12 +53,8 @@
 
 /// Returns a hash of a request, to detect another request under the same key.
 pub(crate) fn fingerprint(method: &str, path: &str, body: &[u8]) -> Bytes {
-    let mut hasher = Sha256::new();
-    for part in [method.as_bytes(), path.as_bytes(), body] {
-        hasher.update((part.len() as u64).to_le_bytes());
-        hasher.update(part);
-    }
-    Bytes::copy_from_slice(&hasher.finalize())
+    let hash = hashing::sha256([method.as_bytes(), path.as_bytes(), body]);
+    Bytes::copy_from_slice(&hash)
 }
 
 impl AtMostOnceCall {
--- a/components/lineage/src/stream_id.rs
+++ b/components/lineage/src/stream_id.rs
@@ -2,8 +2,6 @@
 
 use std::fmt;
 
-use sha2::{Digest as _, Sha256};
-
 /// Id of a stream: SHA-256 over its caller and the id of the request that began it, cut
 /// to 64 bits; never 0.
 ///
@@ -21,13 +19,7 @@
 impl StreamId {
     /// Computes the id of the stream that the request `request_id` of `caller` began.
     pub fn new(caller: &str, request_id: &str) -> Self {
-        let mut hasher = Sha256::new();
-        hasher.update((caller.len() as u64).to_le_bytes());
-        hasher.update(caller);
-        hasher.update(request_id);
-        let hash = hasher.finalize();
-        let first = hash.first_chunk().copied().unwrap_or_default();
-        StreamId(u64::from_le_bytes(first).max(1))
+        StreamId(hashing::id64([caller.as_bytes(), request_id.as_bytes()]))
     }
 }
 
--- a/components/quarantine/src/fingerprint.rs
+++ b/components/quarantine/src/fingerprint.rs
@@ -4,8 +4,6 @@
 use std::num::ParseIntError;
 use std::str::FromStr;
 
-use sha2::{Digest as _, Sha256};
-
 /// Fields of a request that make it the same as an earlier one.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RequestIdentity<'a> {
@@ -37,15 +35,8 @@
     /// Computes the fingerprint of a request.
     pub fn of(request: &RequestIdentity<'_>) -> Self {
         let RequestIdentity { caller, host, method, path, body } = request;
-        let mut hasher = Sha256::new();
-        for field in [caller.as_bytes(), host.as_bytes(), method.as_bytes(), path.as_bytes(), body]
-        {
-            hasher.update((field.len() as u64).to_le_bytes());
-            hasher.update(field);
-        }
-        let hash = hasher.finalize();
-        let first = hash.first_chunk().copied().unwrap_or_default();
-        Fingerprint(u64::from_le_bytes(first).max(1))
+        let texts = [caller, host, method, path].map(|text| text.as_bytes());
+        Fingerprint(hashing::id64(texts.into_iter().chain([*body])))
     }
 }
 
