Keep the sets of the quarantine as sets, and answers on one path

The replicated quarantine is keyed by sets of features, but handed out messages that the control process turned into sets again, three times in each refresh. It now returns its keys. Answers on parts and on requests took two paths, the second of which recorded each answer twice; both now look the feature up among those of listed sets first, so that the common case is one look-up and no scan. The replicated rules are the same.

--- a/components/control/src/replica/quarantine.rs
+++ b/components/control/src/replica/quarantine.rs
@@ -46,8 +46,8 @@
     uncommitted: BTreeMap<FeatureSet, Uncommitted>,
     /// Sets that gateways have to reject.
     active: BTreeSet<FeatureSet>,
-    /// Requests that are, or were lately, under quarantine.
-    listed_requests: HashSet<Feature>,
+    /// Features of sets that are, or were lately, under quarantine.
+    listed: HashSet<Feature>,
     /// Sets whose requests gateways hold back until they are quarantined or cleared.
     pending: BTreeSet<FeatureSet>,
     digest: u64,
@@ -60,7 +60,7 @@
             evidence: Evidence::new(CONFIRMATION_MS),
             uncommitted: BTreeMap::new(),
             active: BTreeSet::new(),
-            listed_requests: HashSet::new(),
+            listed: HashSet::new(),
             pending: BTreeSet::new(),
             digest: 0,
             next_refresh_ms: 0,
@@ -80,6 +80,7 @@
         sets.any(|set| set.is_subset_of(features.as_slice()))
     }
 
+    /// Returns the list for the gateways.
     pub(super) fn to_message(&self) -> Vec<schema::FeatureSet> {
         let active = self.active.iter().map(|set| (set, false));
         let pending = self.pending.iter().map(|set| (set, true));
@@ -127,22 +128,19 @@
 
     /// Records the prompt parts and requests on which answers began at a gateway.
     pub(super) fn record_answers(&mut self, parts: &[u64], requests: &[u64], now_ms: u64) {
-        for part in parts {
-            self.record_answer(Feature::Part(PartId(*part)), now_ms);
-        }
-        for request in requests.iter().map(|request| Feature::Request(Fingerprint(*request))) {
-            self.quarantine.evidence.record_answer(request, now_ms);
-            if self.quarantine.listed_requests.contains(&request) {
-                self.record_answer(request, now_ms);
-                self.lift_ended(request, now_ms);
+        let parts = parts.iter().map(|part| Feature::Part(PartId(*part)));
+        let requests = requests.iter().map(|request| Feature::Request(Fingerprint(*request)));
+        for feature in parts.chain(requests) {
+            self.quarantine.evidence.record_answer(feature, now_ms);
+            if self.quarantine.listed.contains(&feature) {
+                self.clear_quarantine(feature, now_ms);
             }
         }
     }
 
-    /// Records an answer on a feature. A confirmed set with it is reduced to the others,
-    /// or lifted.
-    fn record_answer(&mut self, feature: Feature, now_ms: u64) {
-        self.quarantine.evidence.record_answer(feature, now_ms);
+    /// Reduces the active sets with a feature on which an answer began to their other
+    /// features, or lifts them.
+    fn clear_quarantine(&mut self, feature: Feature, now_ms: u64) {
         let active = self.quarantine.active.iter();
         let cleared = active.filter(|set| set.contains(feature) && !self.is_from_operator(set));
         for set in cleared.cloned().collect::<Vec<_>>() {
@@ -153,6 +151,9 @@
                 self.start_quarantine(rest, now_ms);
             }
         }
+        if let Feature::Request(_) = feature {
+            self.lift_ended(feature, now_ms);
+        }
     }
 
     /// Forgets the ended quarantine of a request that was answered: a later crash does
@@ -161,7 +162,7 @@
         let set = FeatureSet::new([request]);
         let quarantined = self.state.quarantine().get(&set);
         if quarantined.is_some_and(|quarantined| quarantined.until_ms <= now_ms) {
-            self.quarantine.listed_requests.remove(&request);
+            self.quarantine.listed.remove(&request);
             self.lift_answered(&set);
         }
     }
@@ -192,13 +193,13 @@
     /// Renews the quarantine of sets under which an upstream crashed once more after its
     /// end, unless an answer began on them since.
     fn renew_quarantine(&mut self, features: &[Feature], now_ms: u64) {
-        let ended = self.state.quarantine().ended(now_ms).map(to_set);
         let evidence = &self.quarantine.evidence;
-        let is_suspect = |set: &FeatureSet| {
+        let is_suspect = |set: &&FeatureSet| {
             set.is_subset_of(features)
                 && !set.iter().any(|feature| evidence.has_answered(feature, now_ms))
         };
-        for set in ended.filter(is_suspect).collect::<Vec<_>>() {
+        let ended = self.state.quarantine().ended(now_ms);
+        for set in ended.filter(is_suspect).cloned().collect::<Vec<_>>() {
             self.start_quarantine(set, now_ms);
         }
     }
@@ -268,13 +269,11 @@
         let committed = self.state.quarantine();
         let uncommitted = &mut self.quarantine.uncommitted;
         uncommitted.retain(|set, _| !committed.rejects(set.as_slice(), now_ms));
-        let sets = committed.active(now_ms).map(to_set);
-        let active: BTreeSet<FeatureSet> = sets.chain(uncommitted.keys().cloned()).collect();
+        let active = committed.active(now_ms).chain(uncommitted.keys());
+        let active: BTreeSet<FeatureSet> = active.cloned().collect();
         let pending: BTreeSet<FeatureSet> = self.quarantine.evidence.pending().collect();
-        let listed = committed.iter().map(to_set).chain(uncommitted.keys().cloned());
-        let is_request = |feature: &Feature| matches!(feature, Feature::Request(_));
-        let features = listed.flat_map(|set| set.iter().collect::<Vec<_>>());
-        self.quarantine.listed_requests = features.filter(is_request).collect();
+        let listed = committed.sets().chain(uncommitted.keys());
+        self.quarantine.listed = listed.flat_map(FeatureSet::iter).collect();
         if active != self.quarantine.active || pending != self.quarantine.pending {
             self.quarantine.digest = digest(&active, &pending);
             self.metrics.quarantined.set(i64::try_from(active.len()).unwrap_or(i64::MAX));
@@ -334,7 +333,3 @@
     (active, pending).hash(&mut hasher);
     hasher.finish().max(1)
 }
-
-fn to_set(set: &QuarantinedParts) -> FeatureSet {
-    FeatureSet::from_ids(&set.parts, set.request)
-}
--- a/components/quarantine/src/evidence.rs
+++ b/components/quarantine/src/evidence.rs
@@ -191,10 +191,10 @@
     ///
     /// A set holds features that came together in all of the requests, of which at least
     /// one is the cause: only requests with all of them have to be rejected. If it was
-    /// the same request each time, the set is that request alone. Crashes
-    /// under a confirmed set no longer count against other features. `reported_ms` is the
-    /// time until which all entries have reported their answers: what was pending before
-    /// needs no more time.
+    /// the same request each time, the set is that request alone. Crashes under a
+    /// confirmed set no longer count against other features. `reported_ms` is the time
+    /// until which all entries have reported their answers: what was pending before needs
+    /// no more time.
     pub fn confirm(&mut self, now_ms: u64, reported_ms: u64) -> Vec<FeatureSet> {
         let is_due =
             |since_ms: u64| now_ms >= since_ms + self.confirmation_ms || since_ms < reported_ms;
--- a/components/state/src/quarantine.rs
+++ b/components/state/src/quarantine.rs
@@ -28,14 +28,21 @@
         self.by_features.values()
     }
 
+    /// Returns the features of all sets that are, or were lately, under quarantine.
+    pub fn sets(&self) -> impl Iterator<Item = &FeatureSet> {
+        self.by_features.keys()
+    }
+
     /// Returns the sets under quarantine at `now_ms`.
-    pub fn active(&self, now_ms: u64) -> impl Iterator<Item = &QuarantinedParts> {
-        self.iter().filter(move |set| now_ms < set.until_ms)
+    pub fn active(&self, now_ms: u64) -> impl Iterator<Item = &FeatureSet> {
+        let active = self.by_features.iter().filter(move |(_, set)| now_ms < set.until_ms);
+        active.map(|(features, _)| features)
     }
 
     /// Returns the sets whose quarantine ended before `now_ms`.
-    pub fn ended(&self, now_ms: u64) -> impl Iterator<Item = &QuarantinedParts> {
-        self.iter().filter(move |set| set.until_ms <= now_ms)
+    pub fn ended(&self, now_ms: u64) -> impl Iterator<Item = &FeatureSet> {
+        let ended = self.by_features.iter().filter(move |(_, set)| set.until_ms <= now_ms);
+        ended.map(|(features, _)| features)
     }
 
     /// Returns the current or last quarantine of a set.
@@ -45,8 +52,7 @@
 
     /// Returns whether requests with these features are rejected at `now_ms`.
     pub fn rejects(&self, features: &[Feature], now_ms: u64) -> bool {
-        let active = self.by_features.iter().filter(|(_, set)| now_ms < set.until_ms);
-        active.into_iter().any(|(quarantined, _)| quarantined.is_subset_of(features))
+        self.active(now_ms).any(|quarantined| quarantined.is_subset_of(features))
     }
 
     pub(crate) fn add(&mut self, command: QuarantineParts, now_ms: u64) {
