Keep once what a gateway knows of a request and of its streams

Placement passed the service, the excluded upstreams and the place of a request beside a copy of them, and tested a second time by hand whether an upstream may serve it; the parameters now hold the Eligibility, whose predicate serves both. The id of a stream was hashed at each placement and again when it began; it is part of the accepted request, as is the set of its features, which was sorted anew for each crash. Streams that began here were kept in a map and in a log; the log alone serves look-ups, which are rare. Limits and answered features are no longer reached into, or rebuilt from messages.

A look-up here goes back a minute, as the log does, instead of one to two; older streams are asked of the control processes, as those of other gateways are. Tests of platform, gateway and lineage pass; one for the look-up in the log is new.

--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ::quarantine::{Feature, Fingerprint, RequestIdentity};
+use ::quarantine::{Feature, FeatureSet, Fingerprint, RequestIdentity};
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::header::{CONTENT_LENGTH, EXPECT, HeaderName};
@@ -15,7 +15,6 @@
 use rand::RngExt as _;
 use routing::{RouteError, RouteTable, pick_weighted_service};
 use schema::{EntryPhase, RepeatKind, RouteRule};
-use smallvec::SmallVec;
 use telemetry::Span;
 use tokio::time::{Instant, timeout_at};
 
@@ -54,9 +53,6 @@
 /// bodies is used up.
 pub(crate) const RETRY_AFTER_NO_UPSTREAM: Duration = Duration::from_millis(300);
 
-/// Features of one request.
-pub(crate) type Features = SmallVec<[Feature; 4]>;
-
 /// Accepted request of a caller, from which each attempt is built.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -79,8 +75,10 @@
     pub(crate) requirements: Requirements,
     /// Where the stream began that the caller takes up again.
     pub(crate) origin: Option<Origin>,
+    /// Stream that begins with the request, if its caller may take it up again.
+    pub(crate) stream: Option<StreamId>,
     /// What the request has in common with others that may crash upstreams.
-    pub(crate) features: Features,
+    pub(crate) features: FeatureSet,
     pub(crate) arrived: Instant,
     /// When the response, or the first event of a stream, is due for its full value.
     pub(crate) first_event_due: Instant,
@@ -97,14 +95,6 @@
         }
     }
 
-    /// Returns the id of the stream that begins with the request, unless its caller cannot
-    /// take it up again.
-    pub(crate) fn stream_id(&self) -> Option<StreamId> {
-        let caller = self.workspace.as_deref().unwrap_or_default();
-        let resumable = self.route.kind() == RepeatKind::ResumableStream;
-        resumable.then(|| StreamId::new(caller, &self.head.id))
-    }
-
     /// Draws the `Retry-After` of a request that found all upstreams full or was
     /// rejected by the last upstream that was tried.
     pub(crate) fn retry_after_full(&self) -> Duration {
@@ -202,18 +192,20 @@
     span.set_attribute("request", request_head.id.to_string());
     span.set_attribute("route", routed.route.name.clone());
     let uri = origin_form(&head.uri);
+    let caller = workspace.unwrap_or_default();
+    let resumable = routed.route.kind() == RepeatKind::ResumableStream;
     let identity = RequestIdentity {
-        caller: workspace.unwrap_or_default(),
+        caller,
         host: &request_head.host,
         method: head.method.as_str(),
         path: uri.path_and_query().map_or("/", PathAndQuery::as_str),
         body: &body,
     };
     let parts = request_head.prompt_parts.iter().copied().map(Feature::Part);
-    let features = parts.chain([Feature::Request(Fingerprint::of(&identity))]).collect();
     Ok(Call {
         span,
-        features,
+        stream: resumable.then(|| StreamId::new(caller, &request_head.id)),
+        features: FeatureSet::new(parts.chain([Feature::Request(Fingerprint::of(&identity))])),
         origin,
         requirements: Requirements::new(service, engine, request_head.token_counts),
         head: request_head,
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use wire::{CallError, Endpoint, Link};
 
+use crate::origins;
 use crate::quarantine;
 use crate::shared::Shared;
 use crate::state::AnsweredFeatures;
@@ -238,7 +239,7 @@
         limits: if aggregates_load { limits.due_reports(address, now_ms) } else { Vec::new() },
         limits_digest: limits.digest(),
         leaving: shared.leaving.borrow().reports(),
-        begun: shared.origins.borrow().reports_since(cursor.last_stream),
+        begun: origins::reports_since(shared, cursor.last_stream),
     }
 }
 
--- a/components/gateway/src/crashes.rs
+++ b/components/gateway/src/crashes.rs
@@ -39,8 +39,7 @@
 }
 
 impl CrashedRequest {
-    fn to_report(&self, shared: &Shared) -> CrashReport {
-        let answered = shared.quarantine.borrow_mut().take_answered();
+    fn to_report(&self, shared: &Shared, answered: AnsweredFeatures) -> CrashReport {
         CrashReport {
             vm: shared.config.vm.to_string(),
             upstream: self.target.id.to_string(),
@@ -57,11 +56,8 @@
 
     /// Sends the report to the arbiter; returns whether the request may be repeated.
     async fn report(&self, shared: &Shared, arbiter: &Link) -> Result<bool, CallError> {
-        let report = self.to_report(shared);
-        let answered = AnsweredFeatures {
-            parts: report.answered_parts.clone(),
-            requests: report.answered_requests.clone(),
-        };
+        let answered = shared.quarantine.borrow_mut().take_answered();
+        let report = self.to_report(shared, answered.clone());
         let body = Some(request::Body::Crash(report));
         let request = Request { traceparent: self.traceparent.clone(), body };
         let replied = arbiter.call(request, REPORT_TIMEOUT).await;
@@ -85,25 +81,24 @@
     sent: Instant,
 ) -> bool {
     let noticed = Instant::now();
-    let features = FeatureSet::new(call.features.iter().copied());
     // An upstream that leaves may close connections and stop listening.
     let leaving = is_draining_or_gone(shared, target);
     let alone = shared.loads.borrow().total(&target.id).running == 0;
     let crashed = !leaving && refuses_connections(target.address).await;
-    log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(), born_ms = target.born_ms, features = features.to_string().as_str(), leaving, alone, crashed; "upstream broke off before an answer began");
+    log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(), born_ms = target.born_ms, features = call.features.to_string().as_str(), leaving, alone, crashed; "upstream broke off before an answer began");
     if !crashed {
         return true;
     }
     let crash = CrashedRequest {
         target: target.clone(),
-        features,
+        features: call.features.clone(),
         alone,
         traceparent: call.span.traceparent(),
         sent,
         noticed,
     };
     let may_repeat = report_crash(shared, crash).await;
-    may_repeat && shared.quarantine.borrow().find(&call.features).is_none()
+    may_repeat && shared.quarantine.borrow().find(call.features.as_slice()).is_none()
 }
 
 /// Returns whether nothing listens at the address any more.
--- a/components/gateway/src/eligibility.rs
+++ b/components/gateway/src/eligibility.rs
@@ -71,18 +71,22 @@
         self.origin.is_some_and(|origin| !serves(origin))
     }
 
-    /// Returns the upstreams that accept the request, whether they want requests or not.
+    /// Returns whether an upstream accepts the request, whether it wants requests or not.
+    pub(crate) fn allows(&self, upstream: &KnownUpstream) -> bool {
+        upstream.record.service == self.requirements.service.as_str()
+            && upstream.accepts_requests()
+            && self.origin.is_none_or(|origin| may_continue(origin, upstream))
+            && !self.excluded.iter().any(|id| id.as_str() == upstream.record.id)
+    }
+
+    /// Returns the upstreams that the request may be sent to, whether they want requests
+    /// or not.
     fn candidates<'r>(
         &self,
         registry: &'r MergedRegistry,
     ) -> impl Iterator<Item = &'r KnownUpstream> + use<'r, 'a> {
-        let Eligibility { requirements, origin, excluded, .. } = *self;
-        registry.iter().filter(move |upstream| {
-            upstream.record.service == requirements.service.as_str()
-                && upstream.accepts_requests()
-                && origin.is_none_or(|origin| may_continue(origin, upstream))
-                && !excluded.iter().any(|id| id.as_str() == upstream.record.id)
-        })
+        let eligibility = *self;
+        registry.iter().filter(move |upstream| eligibility.allows(upstream))
     }
 
     fn to_candidate(self, upstream: &KnownUpstream, now_ms: u64) -> OwnedCandidate {
@@ -100,7 +104,7 @@
 }
 
 /// Returns whether a stream of this origin may go on at an upstream.
-pub(crate) fn may_continue(origin: &Origin, upstream: &KnownUpstream) -> bool {
+fn may_continue(origin: &Origin, upstream: &KnownUpstream) -> bool {
     origin.may_continue_at(&upstream.record.service, &upstream.record.version)
 }
 
--- a/components/gateway/src/limits.rs
+++ b/components/gateway/src/limits.rs
@@ -11,16 +11,8 @@
 
 /// Records the limit, if any, in the head of a response of an upstream.
 pub(crate) fn record_limit(shared: &Shared, target: &Target, rate: Option<RequestRate>) {
-    let now_ms = shared.now_ms();
-    let mut limits = shared.limits.borrow_mut();
-    let previous = limits.observed.get(&target.id).copied();
-    if rate.is_none() && previous.is_none() {
-        return;
-    }
-    let limit = ObservedLimit { born_ms: target.born_ms, rate, observed_ms: now_ms };
-    limits.observed.insert(target.id.clone(), limit);
-    let previous_rate = previous.and_then(|previous| previous.rate);
-    if previous_rate != rate {
+    let limit = ObservedLimit { born_ms: target.born_ms, rate, observed_ms: shared.now_ms() };
+    if shared.limits.borrow_mut().observe(&target.id, limit) {
         let limit = rate.map(|rate| rate.to_string()).unwrap_or_default();
         log::info!(upstream = target.id.as_str(), service = target.origin.service.as_str(), limit = limit.as_str(); "request limit of upstream changed");
         shared.urgent_syncs.send_modify(|count| *count += 1);
@@ -37,10 +29,7 @@
 /// Takes the share of this gateway of a request to the upstream while there is no
 /// arbiter; returns whether the limit allows it.
 pub(crate) fn try_take_fallback(shared: &Shared, id: &str) -> bool {
-    let now_ms = shared.now_ms();
-    let mut limits = shared.limits.borrow_mut();
-    let Some(per_second) = limits.per_second(id, now_ms) else { return true };
     let draw = rand::rng().random::<f64>();
-    let tokens = limits.fallback.entry(id.into()).or_default();
-    tokens.try_take(per_second, shared.gateway_count.get(), now_ms, draw)
+    let (gateways, now_ms) = (shared.gateway_count.get(), shared.now_ms());
+    shared.limits.borrow_mut().try_take_fallback(id, gateways, now_ms, draw)
 }
--- a/components/gateway/src/origins.rs
+++ b/components/gateway/src/origins.rs
@@ -1,13 +1,13 @@
 //! Streams that callers take up again: where they began, and so may go on.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
 use lineage::{Origin, RecordedOrigin, StreamId};
-use schema::{FindOriginRequest, OriginReply, OriginState, Request, reply, request};
+use schema::{FindOriginRequest, OriginReply, OriginState, Request, StreamOrigins, reply, request};
 use tokio::time::{Instant, sleep};
 use wire::Link;
 
@@ -52,6 +52,21 @@
     }
 }
 
+/// Returns the streams that began here after the one with this number, for a control process.
+pub(crate) fn reports_since(shared: &Shared, number: u64) -> Vec<StreamOrigins> {
+    let log = shared.origins.borrow();
+    let mut by_origin: HashMap<&Origin, Vec<u64>> = HashMap::new();
+    for (stream, origin) in log.since(number) {
+        by_origin.entry(origin).or_default().push(stream.0);
+    }
+    let reports = by_origin.into_iter().map(|(origin, streams)| StreamOrigins {
+        service: origin.service.to_string(),
+        version: origin.version.to_string(),
+        streams,
+    });
+    reports.collect()
+}
+
 /// Looks a stream up here and at all control processes.
 async fn find(shared: &Shared, stream: StreamId) -> RecordedOrigin {
     let mut recorded = shared.origins.borrow().find(stream);
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -17,9 +17,9 @@
 
 use crate::accept::Call;
 use crate::capacity::{ENGINE_LOAD_LIMIT, MOVE_LOAD_LIMIT, PLAIN_LOAD_LIMIT};
-use crate::eligibility::{Eligibility, Excluded, may_continue};
+use crate::eligibility::{Eligibility, Excluded};
 use crate::limits;
-use crate::reservation::{Requirements, Reservation};
+use crate::reservation::Reservation;
 use crate::shared::Shared;
 use crate::target::Target;
 use crate::timing::elapsed_ms;
@@ -70,13 +70,9 @@
 /// Parameters of the selection for one request.
 #[derive(Clone, Copy, Debug)]
 struct SelectionParams<'a> {
-    /// Where the stream began, if it goes on: it may go on there only.
-    origin: Option<&'a Origin>,
+    eligibility: Eligibility<'a>,
     /// Stream that begins with the request, if its caller may take it up again.
     stream: Option<StreamId>,
-    /// Data centre whose upstreams have no extra cost.
-    local_data_centre: &'a str,
-    remote_cost: f64,
     load_limit: f64,
     jitter: f64,
     /// Ranks of the workspace and of the route.
@@ -111,10 +107,14 @@
     let requirements = &call.requirements;
     let span = shared.spans.start_client_span("place", &call.span);
     let params = SelectionParams {
-        origin,
-        stream: call.stream_id(),
-        local_data_centre: shared.config.data_centre.as_str(),
-        remote_cost: REMOTE_COST,
+        eligibility: Eligibility {
+            requirements,
+            origin,
+            excluded,
+            local_data_centre: shared.config.data_centre.as_str(),
+            remote_cost: REMOTE_COST,
+        },
+        stream: call.stream,
         load_limit: if requirements.engine.is_some() {
             ENGINE_LOAD_LIMIT
         } else {
@@ -134,7 +134,7 @@
     let since = Instant::now();
     loop {
         let wait = until.saturating_duration_since(Instant::now()).min(ARBITER_MAX_WAIT);
-        match try_reserve(shared, requirements, excluded, &params, since, wait).await {
+        match try_reserve(shared, &params, since, wait).await {
             Ok(reservation) => return Ok(reservation),
             Err(
                 error @ (ReserveError::VersionGone | ReserveError::Shed | ReserveError::Limited(_)),
@@ -165,10 +165,14 @@
         .get(&source.id)
         .map(|upstream| upstream.record.data_centre.clone());
     let params = SelectionParams {
-        origin: Some(&source.origin),
+        eligibility: Eligibility {
+            requirements,
+            origin: Some(&source.origin),
+            excluded,
+            local_data_centre: source_data_centre.as_deref().unwrap_or_default(),
+            remote_cost: MOVE_REMOTE_COST,
+        },
         stream: None,
-        local_data_centre: source_data_centre.as_deref().unwrap_or_default(),
-        remote_cost: MOVE_REMOTE_COST,
         load_limit: MOVE_LOAD_LIMIT,
         jitter: MOVE_COST_JITTER,
         ranks: MOVE_RANKS,
@@ -178,24 +182,16 @@
         queue_until: Instant::now() + MOVE_QUEUE_TIMEOUT,
         span: &span,
     };
-    try_reserve(shared, requirements, excluded, &params, Instant::now(), Duration::ZERO).await
+    try_reserve(shared, &params, Instant::now(), Duration::ZERO).await
 }
 
 async fn try_reserve(
     shared: &Rc<Shared>,
-    requirements: &Requirements,
-    excluded: &Excluded,
     params: &SelectionParams<'_>,
     since: Instant,
     wait: Duration,
 ) -> Result<Reservation, ReserveError> {
-    let eligibility = Eligibility {
-        requirements,
-        origin: params.origin,
-        excluded,
-        local_data_centre: params.local_data_centre,
-        remote_cost: params.remote_cost,
-    };
+    let eligibility = &params.eligibility;
     let eligible = eligibility.upstreams(shared);
     if eligible.is_empty() {
         return Err(match eligibility.shortest_pause(shared) {
@@ -204,20 +200,13 @@
             None => ReserveError::NoUpstream,
         });
     }
-    let needs_grant = requirements.engine.is_some() || limits::any_limited(shared, &eligible);
+    let has_engines = eligibility.requirements.engine.is_some();
+    let needs_grant = has_engines || limits::any_limited(shared, &eligible);
     if needs_grant && let Some(arbiter) = shared.arbiter() {
         // The number stays pending until the slot is part of the load that this
         // gateway reports.
         let pending = shared.start_placement();
-        let place = to_place_request(
-            shared,
-            &requirements.service,
-            &eligible,
-            params,
-            pending.number(),
-            since,
-            wait,
-        );
+        let place = to_place_request(shared, &eligible, params, pending.number(), since, wait);
         let body = request::Body::Place(place);
         let request = Request { traceparent: params.span.traceparent(), body: Some(body) };
         match arbiter.call(request, wait + ARBITER_REPLY_TIMEOUT).await {
@@ -231,8 +220,7 @@
                 return Err(ReserveError::Full);
             }
             Ok(reply::Body::Place(place)) => {
-                return reserve_at(shared, requirements, params, &place.id)
-                    .ok_or(ReserveError::Full);
+                return reserve_at(shared, params, &place.id).ok_or(ReserveError::Full);
             }
             failed => {
                 let error = failed.err().unwrap_or(CallError::UnexpectedReply).to_string();
@@ -241,19 +229,19 @@
             }
         }
     }
-    let selected = select_locally(shared, requirements, &eligible, params);
+    let selected = select_locally(shared, &eligible, params);
     let selected = selected.ok_or(ReserveError::Full)?;
-    reserve_at(shared, requirements, params, &selected).ok_or(ReserveError::Full)
+    reserve_at(shared, params, &selected).ok_or(ReserveError::Full)
 }
 
 /// Selects by the load that this gateway knows of, without the arbiter.
 fn select_locally(
     shared: &Shared,
-    requirements: &Requirements,
     eligible: &[OwnedCandidate],
     params: &SelectionParams<'_>,
 ) -> Option<CompactString> {
-    let arrivals = shared.arrival_rate_per_ms(&requirements.service) * LOAD_PROPAGATION_MS;
+    let service = &params.eligibility.requirements.service;
+    let arrivals = shared.arrival_rate_per_ms(service) * LOAD_PROPAGATION_MS;
     let sample = sample_size(eligible.len(), arrivals);
     let demand = PlacementDemand {
         cache_tokens: params.cache_tokens,
@@ -274,7 +262,6 @@
 
 fn to_place_request(
     shared: &Shared,
-    service: &str,
     eligible: &[OwnedCandidate],
     params: &SelectionParams<'_>,
     number: u64,
@@ -316,28 +303,20 @@
         stream: params.stream.map_or(0, |stream| stream.0),
         versions,
         waited_ms: elapsed_ms(since),
-        service: service.to_string(),
+        service: params.eligibility.requirements.service.to_string(),
         queue_timeout_ms: u64::try_from(queue_timeout.as_millis()).unwrap_or(u64::MAX),
     }
 }
 
 /// Reserves a slot at the selected upstream; `None` if it no longer accepts
 /// requests.
-fn reserve_at(
-    shared: &Rc<Shared>,
-    requirements: &Requirements,
-    params: &SelectionParams<'_>,
-    id: &str,
-) -> Option<Reservation> {
+fn reserve_at(shared: &Rc<Shared>, params: &SelectionParams<'_>, id: &str) -> Option<Reservation> {
     let registry = shared.registry.borrow();
-    let upstream = registry.get(id).filter(|upstream| {
-        upstream.accepts_requests()
-            && params.origin.is_none_or(|origin| may_continue(origin, upstream))
-    })?;
+    let upstream = registry.get(id).filter(|upstream| params.eligibility.allows(upstream))?;
     let version = upstream.record.version.as_str().into();
     let target = Target {
         id: id.into(),
-        origin: Origin { service: requirements.service.clone(), version },
+        origin: Origin { service: params.eligibility.requirements.service.clone(), version },
         address: upstream.address,
         born_ms: upstream.record.born_ms,
     };
--- a/components/gateway/src/quarantine.rs
+++ b/components/gateway/src/quarantine.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ::quarantine::{Feature, FeatureSet};
+use ::quarantine::FeatureSet;
 use tokio::time::{Instant, sleep};
 
 use crate::accept::Call;
@@ -15,15 +15,16 @@
 const RETRY_AFTER_QUARANTINED: Duration = Duration::from_secs(120);
 /// Interval at which a request that waits looks at the quarantine again.
 const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Records that the answer to a request began.
-pub(crate) fn record_answer(shared: &Shared, features: &[Feature]) {
+pub(crate) fn record_answer(shared: &Shared, features: &FeatureSet) {
     shared.quarantine.borrow_mut().record_answer(features, shared.now_ms());
 }
 
 /// Waits while the features of a request are pending, and rejects it once they are
 /// quarantined.
 pub(crate) async fn admit(shared: &Shared, call: &Call) -> Result<(), Refusal> {
-    let features = &call.features;
+    let features = call.features.as_slice();
     let until = (Instant::now() + MAX_HOLD).min(call.until);
     while shared.quarantine.borrow().is_pending(features) && Instant::now() < until {
         sleep(HOLD_POLL_INTERVAL).await;
@@ -35,7 +36,7 @@
 pub(crate) async fn wait_for_quarantine(shared: &Shared, call: &Call) -> &'static str {
     let mut changes = shared.quarantine_changes.subscribe();
     loop {
-        if let Some(set) = shared.quarantine.borrow().find(&call.features) {
+        if let Some(set) = shared.quarantine.borrow().find(call.features.as_slice()) {
             return reason(set);
         }
         // Fails only once `shared` is gone.
@@ -63,7 +64,7 @@
 /// Rejects a request that has all features of a quarantined set.
 fn check(shared: &Shared, call: &Call) -> Result<(), Refusal> {
     let quarantine = shared.quarantine.borrow();
-    let Some(set) = quarantine.find(&call.features) else { return Ok(()) };
+    let Some(set) = quarantine.find(call.features.as_slice()) else { return Ok(()) };
     log::info!(request = call.head.id.as_str(), features = set.to_string().as_str(); "request rejected: upstreams crash under it");
     shared.metrics.quarantine_rejections.inc();
     Err(Refusal::unavailable(reason(set), RETRY_AFTER_QUARANTINED))
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -96,9 +96,9 @@
 ) -> Response<Body> {
     // Engines send the head together with the first token.
     reservation.record_first_event();
-    if let Some(stream) = call.stream_id() {
-        let origin = &reservation.target.origin;
-        shared.origins.borrow_mut().record_begun(stream, origin, shared.now_ms());
+    if let Some(stream) = call.stream {
+        let origin = reservation.target.origin.clone();
+        shared.origins.borrow_mut().record(stream, origin, shared.now_ms());
     }
     let UpstreamResponse { mut head, body, connection } = response;
     strip_hop_by_hop(&mut head.headers);
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -12,6 +12,7 @@
 };
 use clock::Clock;
 use compact_str::CompactString;
+use lineage::OriginLog;
 use registry::{MergedRegistry, UpstreamChange};
 use routing::RouteTable;
 use schema::{EntryPhase, RouteRule};
@@ -25,7 +26,7 @@
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 use crate::pool::{Connection, Pool};
-use crate::state::{KnownLimits, LeavingUpstreams, LocalOrigins, Quarantine};
+use crate::state::{KnownLimits, LeavingUpstreams, Quarantine};
 use crate::target::Target;
 
 /// Time for which the arbiter is not used after a failed request to it.
@@ -65,7 +66,8 @@
     pub(crate) control_links: RefCell<BTreeMap<SocketAddr, Link>>,
     /// Number of control processes that this gateway knows of.
     pub(crate) control_count: Cell<usize>,
-    pub(crate) origins: RefCell<LocalOrigins>,
+    /// Streams that began at this gateway.
+    pub(crate) origins: RefCell<OriginLog>,
     pub(crate) leaving: RefCell<LeavingUpstreams>,
     /// Upstreams that want no requests of this gateway for a time.
     pub(crate) pauses: RefCell<Pauses>,
--- a/components/gateway/src/state/limits.rs
+++ b/components/gateway/src/state/limits.rs
@@ -24,13 +24,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct KnownLimits {
     /// In the last responses to this gateway.
-    pub(crate) observed: HashMap<CompactString, ObservedLimit>,
+    observed: HashMap<CompactString, ObservedLimit>,
     reports: HashMap<CompactString, Report>,
     /// In the list of the arbiter, which it last confirmed at `listed_ms`.
     listed: HashMap<CompactString, ObservedLimit>,
     listed_ms: u64,
     digest: u64,
-    pub(crate) fallback: HashMap<CompactString, FallbackTokens>,
+    fallback: HashMap<CompactString, FallbackTokens>,
 }
 
 impl KnownLimits {
@@ -47,6 +47,31 @@
         limit?.per_second(now_ms)
     }
 
+    /// Records the limit, if any, in a response; returns whether it changed.
+    pub(crate) fn observe(&mut self, id: &CompactString, limit: ObservedLimit) -> bool {
+        let previous = self.observed.get(id);
+        if limit.rate.is_none() && previous.is_none() {
+            return false;
+        }
+        let changed = previous.and_then(|previous| previous.rate) != limit.rate;
+        self.observed.insert(id.clone(), limit);
+        changed
+    }
+
+    /// Takes the share of one of `gateways` gateways of a request to the upstream; returns
+    /// whether the limit allows it. `draw` is random, from 0 to 1.
+    pub(crate) fn try_take_fallback(
+        &mut self,
+        id: &str,
+        gateways: u32,
+        now_ms: u64,
+        draw: f64,
+    ) -> bool {
+        let Some(per_second) = self.per_second(id, now_ms) else { return true };
+        let tokens = self.fallback.entry(id.into()).or_default();
+        tokens.try_take(per_second, gateways, now_ms, draw)
+    }
+
     /// Returns the digest of the list that the arbiter last sent.
     pub(crate) fn digest(&self) -> u64 {
         self.digest
--- a/components/gateway/src/state/mod.rs
+++ b/components/gateway/src/state/mod.rs
@@ -2,10 +2,8 @@
 
 mod leaving;
 mod limits;
-mod origins;
 mod quarantine;
 
 pub(crate) use leaving::LeavingUpstreams;
 pub(crate) use limits::KnownLimits;
-pub(crate) use origins::LocalOrigins;
 pub(crate) use quarantine::{AnsweredFeatures, MAX_HOLD, Quarantine};
--- a/components/gateway/src/state/quarantine.rs
+++ b/components/gateway/src/state/quarantine.rs
@@ -30,9 +30,6 @@
 
     /// Returns a set all of whose features are among `features`.
     fn find(&self, features: &[Feature]) -> Option<&FeatureSet> {
-        if self.0.is_empty() {
-            return None;
-        }
         let sets = features.iter().filter_map(|feature| self.0.get(feature)).flatten();
         sets.into_iter().find(|set| set.is_subset_of(features))
     }
@@ -160,11 +157,11 @@
     }
 
     /// Records that the answer to a request with these features began.
-    pub(crate) fn record_answer(&mut self, features: &[Feature], now_ms: u64) {
-        for feature in features {
-            self.evidence.record_answer(*feature, now_ms);
+    pub(crate) fn record_answer(&mut self, features: &FeatureSet, now_ms: u64) {
+        for feature in features.iter() {
+            self.evidence.record_answer(feature, now_ms);
             if self.answered.len() < MAX_ANSWERED {
-                self.answered.insert(*feature);
+                self.answered.insert(feature);
             }
         }
     }
--- a/components/lineage/src/report.rs
+++ b/components/lineage/src/report.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use crate::origin::Origin;
+use crate::origin::{Origin, RecordedOrigin};
 use crate::stream_id::StreamId;
 
 /// Time for which a stream is reported to processes that start.
@@ -18,7 +18,7 @@
     origin: Origin,
 }
 
-/// Streams that began at this process, in their order, for at least a minute. Each
+/// Streams that began at this process, in their order, for a minute. Each
 /// receiver has a cursor: the number up to which it has received them.
 ///
 /// ```
@@ -51,6 +51,13 @@
         self.last_number
     }
 
+    /// Returns what is recorded about a stream.
+    pub fn find(&self, stream: StreamId) -> RecordedOrigin {
+        let entries = self.entries.iter().filter(|entry| entry.stream == stream);
+        let begun = entries.map(|entry| RecordedOrigin::Begun(entry.origin.clone()));
+        begun.fold(RecordedOrigin::Unknown, RecordedOrigin::merge)
+    }
+
     /// Iterates over the streams after the one with this number.
     pub fn since(&self, number: u64) -> impl Iterator<Item = (StreamId, &Origin)> {
         let start = self.entries.partition_point(|entry| entry.number <= number);
--- a/components/lineage/tests/origins.rs
+++ b/components/lineage/tests/origins.rs
@@ -107,6 +107,18 @@
     assert_eq!(all, 2);
 }
 
+#[test]
+fn log_finds_where_its_streams_began() {
+    let mut log = OriginLog::default();
+    log.record(STREAM, origin("llm", "v1"), 1_000);
+    log.record(StreamId(8), origin("llm", "v1"), 1_000);
+    log.record(StreamId(8), origin("llm", "v2"), 2_000);
+
+    assert_eq!(log.find(STREAM), RecordedOrigin::Begun(origin("llm", "v1")));
+    assert_eq!(log.find(StreamId(8)), RecordedOrigin::Conflicting);
+    assert_eq!(log.find(StreamId(9)), RecordedOrigin::Unknown);
+}
+
 /// Holders of records: the arbiter and other control processes.
 const HOLDERS: usize = 3;
 
