--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -22,78 +22,51 @@
     }
 }
 
-async fn wait_until_quarantined(deployment: &Deployment, parts: &[u64]) {
-    let is_listed = || async {
-        let sets = quarantined(deployment).await.unwrap_or_default();
-        sets.iter().any(|set| set.parts == parts)
-    };
-    eventually(&format!("{parts:x?} is quarantined"), is_listed).await;
+/// Reports crashes of three upstreams under these features to a control process that does
+/// not lead, then kills all control processes and starts them again.
+async fn quarantine_survives_the_loss_of_control(parts: Vec<u64>, request: u64) {
+    let mut deployment = Deployment::start(3, 1, DeploymentOptions::default()).await;
+    let follower = (deployment.leader().await + 1) % 3;
+
+    for upstream in ["e1", "e2", "e3"] {
+        let report = CrashReport {
+            vm: entry_vm(0),
+            upstream: upstream.to_string(),
+            parts: parts.clone(),
+            request,
+            ..CrashReport::default()
+        };
+        let reply = deployment.call_as_entry(0, follower, request::Body::Crash(report)).await;
+        assert!(matches!(reply, Ok(reply::Body::Crash(_))), "{reply:?}");
+    }
+    wait_until_quarantined(&deployment, &parts, request).await;
+    for index in 0..3 {
+        deployment.kill_control(index).await;
+    }
+    for index in 0..3 {
+        deployment.start_control(index).await;
+    }
+
+    wait_until_quarantined(&deployment, &parts, request).await;
 }
 
-async fn report_crash(deployment: &Deployment, control: usize, upstream: &str) {
-    let report = CrashReport {
-        vm: entry_vm(0),
-        upstream: upstream.to_string(),
-        parts: vec![CRASHING],
-        ..CrashReport::default()
+async fn wait_until_quarantined(deployment: &Deployment, parts: &[u64], request: u64) {
+    let is_listed = || async {
+        let sets = quarantined(deployment).await.unwrap_or_default();
+        sets.iter().any(|set| set.parts == parts && set.request == request)
     };
-    let reply = deployment.call_as_entry(0, control, request::Body::Crash(report)).await;
-    assert!(matches!(reply, Ok(reply::Body::Crash(_))), "{reply:?}");
+    eventually(&format!("{parts:x?}, request {request:x} is quarantined"), is_listed).await;
 }
 
 #[test]
 fn parts_quarantined_at_a_follower_survive_the_loss_of_all_control_processes() {
-    support::run_async(async {
-        let mut deployment = Deployment::start(3, 1, DeploymentOptions::default()).await;
-        let follower = (deployment.leader().await + 1) % 3;
-
-        for upstream in ["e1", "e2", "e3"] {
-            report_crash(&deployment, follower, upstream).await;
-        }
-        wait_until_quarantined(&deployment, &[CRASHING]).await;
-        for index in 0..3 {
-            deployment.kill_control(index).await;
-        }
-        for index in 0..3 {
-            deployment.start_control(index).await;
-        }
-
-        wait_until_quarantined(&deployment, &[CRASHING]).await;
-    });
+    support::run_async(quarantine_survives_the_loss_of_control(vec![CRASHING], 0));
 }
 
 /// Guards against a request that crashes upstreams again once control was restored.
 #[test]
 fn request_quarantined_at_a_follower_survives_the_loss_of_all_control_processes() {
-    support::run_async(async {
-        let mut deployment = Deployment::start(3, 1, DeploymentOptions::default()).await;
-        let follower = (deployment.leader().await + 1) % 3;
-        let is_listed = |sets: Option<Vec<QuarantinedParts>>| {
-            let sets = sets.unwrap_or_default();
-            sets.iter().any(|set| set.request == CRASHING_REQUEST && set.parts.is_empty())
-        };
-
-        for upstream in ["e1", "e2", "e3"] {
-            let report = CrashReport {
-                vm: entry_vm(0),
-                upstream: upstream.to_string(),
-                request: CRASHING_REQUEST,
-                ..CrashReport::default()
-            };
-            let reply = deployment.call_as_entry(0, follower, request::Body::Crash(report)).await;
-            assert!(matches!(reply, Ok(reply::Body::Crash(_))), "{reply:?}");
-        }
-        eventually("it is quarantined", || async { is_listed(quarantined(&deployment).await) })
-            .await;
-        for index in 0..3 {
-            deployment.kill_control(index).await;
-        }
-        for index in 0..3 {
-            deployment.start_control(index).await;
-        }
-
-        eventually("it is restored", || async { is_listed(quarantined(&deployment).await) }).await;
-    });
+    support::run_async(quarantine_survives_the_loss_of_control(Vec::new(), CRASHING_REQUEST));
 }
 
 #[test]
