--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -44,7 +44,7 @@
         };
         let quarantine_rejections = IntCounter::new(
             "shallottray_gateway_quarantine_rejections_total",
-            "Requests rejected for a quarantined part of their prompt.",
+            "Requests rejected because they, or a part of their prompt, are quarantined.",
         )?;
         registry.register(Box::new(quarantine_rejections.clone()))?;
         let latency = HistogramOpts::new(
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -63,7 +63,7 @@
     VersionGone,
     /// The upstreams will not have capacity in time, or never enough for this request.
     Shed,
-    /// All upstreams name limits, which allow the request after this time.
+    /// All upstreams name limits or want no requests; one may take it after this time.
     Limited(Duration),
 }
 
--- a/components/lineage/src/report.rs
+++ b/components/lineage/src/report.rs
@@ -1,11 +1,11 @@
-//! Streams that began at one process, to be reported to others.
+//! Streams that began at one process: looked up there, and reported to others.
 
 use std::collections::VecDeque;
 
 use crate::origin::{Origin, RecordedOrigin};
 use crate::stream_id::StreamId;
 
-/// Time for which a stream is reported to processes that start.
+/// Time for which a stream is found, and reported to processes that start.
 const RETENTION_MS: u64 = 60_000;
 /// Streams that are kept; beyond it, the oldest ones are dropped.
 const MAX_STREAMS: usize = 65_536;
@@ -18,8 +18,8 @@
     origin: Origin,
 }
 
-/// Streams that began at this process, in their order, for a minute. Each
-/// receiver has a cursor: the number up to which it has received them.
+/// Streams that began at this process in the last minute, in their order. Each receiver has
+/// a cursor: the number up to which it has received them.
 ///
 /// ```
 /// use lineage::{Origin, OriginLog, StreamId};
