Add a review case: bodies in chunks take a gateway beyond its memory

Cause: the gateway reserves 64 KiB for a body of unknown length and then reads up to the limit of the configuration, so its bound on all bodies does not hold.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -7,6 +7,7 @@
 
 mod announcer;
 mod attempts;
+mod bodies;
 mod client;
 mod draining;
 mod http;
@@ -35,6 +36,7 @@
         exit(2);
     });
     let result = std::panic::catch_unwind(|| match case.as_str() {
+        "bodies" => bodies::run(&record, trouble),
         "draining" => draining::run(&record, trouble),
         "moves-twice" => moves::run_twice(&record, trouble),
         "moves-mixed" => moves::run_mixed(&record, trouble),
--- a/review/harness/world.rs
+++ b/review/harness/world.rs
@@ -41,6 +41,23 @@
     }
 }
 
+/// Ends one process that was started.
+pub fn end(pid: u32) {
+    let mut children = CHILDREN.lock().unwrap();
+    if let Some(child) = children.iter_mut().find(|child| child.id() == pid) {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+    children.retain(|child| child.id() != pid);
+}
+
+/// Returns the memory that a process uses.
+pub fn memory_kb(pid: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
 pub struct World {
     pub record: Record,
     network: [u8; 2],
@@ -86,16 +103,17 @@
         (0..self.controls).map(|number| self.control(number)).collect()
     }
 
-    pub fn start_control(&self, number: u8) -> Result<(), String> {
+    pub fn start_control(&self, number: u8) -> Result<u32, String> {
         self.start_process("control", &format!("core-{number}"), 10 + number)
     }
 
-    pub fn start_gateway(&self, number: u8) -> Result<(), String> {
+    /// Starts a gateway; returns its process id.
+    pub fn start_gateway(&self, number: u8) -> Result<u32, String> {
         self.start_process("gateway", &format!("front-{number}"), 20 + number)
     }
 
     /// Renders the template of a role and starts its command.
-    fn start_process(&self, role: &str, name: &str, octet: u8) -> Result<(), String> {
+    fn start_process(&self, role: &str, name: &str, octet: u8) -> Result<u32, String> {
         let read =
             |path: &str| fs::read_to_string(path).map_err(|error| format!("{path}: {error}"));
         let deploy = read("deploy/system.toml")?;
@@ -156,9 +174,10 @@
             .stdout(log)
             .spawn()
             .map_err(|error| format!("{program}: {error}"))?;
-        self.record.say(&format!("started {name}, process {}", child.id()));
+        let pid = child.id();
+        self.record.say(&format!("started {name}, process {pid}"));
         CHILDREN.lock().unwrap().push(child);
-        Ok(())
+        Ok(pid)
     }
 
     /// Sends the configuration until it is acknowledged, as the operator does.
