--- a/review/harness/moves.rs
+++ b/review/harness/moves.rs
@@ -108,12 +108,15 @@
         let last = body.contains("\"Last\":true");
         let (name, stop) = (&self.announcer.id, if last { ", Last" } else { "" });
         self.record.line(&format!("{name}: kv-move of {id} to {to}{stop}"));
+        // Echoes the id of the call, if it has one.
+        let echo = message.header("X-Request-Id");
+        let echo = echo.map_or(String::new(), |id| format!("X-Request-Id: {id}\r\n"));
         let run = self.runs.lock().unwrap().get(&id).cloned();
         let Some(run) = run.filter(|run| !run.lock().unwrap().ended) else {
-            return connection.respond("404 Not Found", "", "{}");
+            return connection.respond("404 Not Found", &echo, "{}");
         };
         let Some(target) = self.engines.lock().unwrap().get(&to).cloned() else {
-            return connection.respond("503 Service Unavailable", "", "{}");
+            return connection.respond("503 Service Unavailable", &echo, "{}");
         };
         if last {
             run.lock().unwrap().stop = true;
@@ -134,8 +137,8 @@
         let handle = format!("h-{id}");
         target.copies.lock().unwrap().insert(handle.clone(), (id.clone(), events));
         self.record.line(&format!("{name}: memory of {id} copied up to event {events}"));
-        let answer =
-            http::response("200 OK", "", &format!(r#"{{"Handle":"{handle}","made":{events}}}"#));
+        let body = format!(r#"{{"Handle":"{handle}","made":{events}}}"#);
+        let answer = http::response("200 OK", &echo, &body);
         if !last && self.may_copy_late() {
             connection.late_copy = Some(answer.clone());
         }
