--- a/review/harness/world.rs
+++ b/review/harness/world.rs
@@ -51,10 +51,11 @@
     children.retain(|child| child.id() != pid);
 }
 
-/// Returns the memory that a process uses.
+/// Returns the memory that a process uses, without the pages of its program file.
 pub fn memory_kb(pid: u32) -> u64 {
     let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let value = |key| status.lines().find_map(|line| line.strip_prefix(key));
+    let line = value("RssAnon:").or_else(|| value("VmRSS:"));
     line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
 }
 
