Send gateways what changed of a set of routes, in chunks

Cause: each control process put the whole set, rules and document, into the sync reply to each gateway, with no bound on the replies under way. Over a link of 10 Mbit/s such a reply needs longer than the 1.2 s of a sync, so it was asked for again from its beginning, at five control processes. Beside it, sets were replicated as one message of 3 MB, in front of heartbeats: the leader lost its quorum.

Change: a gateway fetches the change from the set that it serves, in chunks of 64 KiB, from one control process (new component `distribution`). Control processes keep hashes of earlier sets and few encoded changes, shared by all gateways. Registries are sent in parts of 256 records, large replies and pending proposals have budgets, sets are packed (LZ4) in the log. Reads at a follower ask the leader for the number only.

--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -2,14 +2,14 @@
 
 use std::net::SocketAddr;
 
-use actix::Addr;
+use actix::{Addr, MailboxError};
+use bytes::Bytes;
 use displaydoc::Display;
 use schema::{
-    ErrorCode, ErrorReply, GetRoutesRequest, PublishRoutes, Reply, RouteSet, UpstreamRecord, reply,
-    request,
+    ErrorCode, ErrorReply, PublishRoutes, Reply, RouteSet, UpstreamRecord, reply, request,
 };
 
-use crate::replica::{Announce, GatewayAddresses, LocalRequest, Replica};
+use crate::replica::{Announce, GatewayAddresses, LocalRequest, ReadDocument, Replica};
 
 /// Why a request to a control process failed.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
@@ -36,17 +36,19 @@
     /// Publishes a set of routes. Once this set, or one with a greater number,
     /// is durable on a quorum, returns the number of the set in force.
     pub async fn publish_routes(&self, set: RouteSet) -> Result<u64, RequestError> {
-        let publish = PublishRoutes { set: Some(set) };
+        let publish =
+            PublishRoutes { packed_set: state::pack_set(&set), ..PublishRoutes::default() };
         match self.send(request::Body::PublishRoutes(publish)).await? {
             reply::Body::PublishRoutes(outcome) => Ok(outcome.number),
             _ => Err(unexpected_reply()),
         }
     }
 
-    /// Returns the newest set of routes by a linearizable read.
-    pub async fn routes(&self) -> Result<Option<RouteSet>, RequestError> {
-        match self.send(request::Body::GetRoutes(GetRoutesRequest {})).await? {
-            reply::Body::GetRoutes(routes) => Ok(routes.set),
+    /// Returns the document of the newest set of routes by a linearizable read; `None` if no
+    /// set was published.
+    pub async fn document(&self) -> Result<Option<Bytes>, RequestError> {
+        match to_body(self.replica.send(ReadDocument).await)? {
+            reply::Body::GetRoutes(read) => Ok((read.number > 0).then_some(read.document)),
             _ => Err(unexpected_reply()),
         }
     }
@@ -66,13 +68,16 @@
     }
 
     async fn send(&self, body: request::Body) -> Result<reply::Body, RequestError> {
-        let stopped = |error: actix::MailboxError| RequestError::Unavailable(error.to_string());
-        let Reply { body } = self.replica.send(LocalRequest(body)).await.map_err(stopped)?;
-        match body {
-            Some(reply::Body::Error(error)) => Err(to_request_error(error)),
-            Some(body) => Ok(body),
-            None => Err(unexpected_reply()),
-        }
+        to_body(self.replica.send(LocalRequest(body)).await)
+    }
+}
+
+fn to_body(reply: Result<Reply, MailboxError>) -> Result<reply::Body, RequestError> {
+    let reply = reply.map_err(|error| RequestError::Unavailable(error.to_string()))?;
+    match reply.body {
+        Some(reply::Body::Error(error)) => Err(to_request_error(error)),
+        Some(body) => Ok(body),
+        None => Err(unexpected_reply()),
     }
 }
 
--- a/components/control/src/replica/drive.rs
+++ b/components/control/src/replica/drive.rs
@@ -6,8 +6,8 @@
 use consensus::{Batch, CommittedChange, LogPosition};
 use prost::Message as _;
 use quarantine::FeatureSet;
-use schema::{Command, ConsensusMessage, Snapshot, command};
-use state::State;
+use schema::{Command, ConsensusMessage, PublishRoutes, Snapshot, command};
+use state::{State, UnpackError};
 
 use super::{Replica, state_limits};
 use crate::storage::Job;
@@ -32,8 +32,14 @@
         &mut self,
         body: command::Body,
     ) -> Result<LogPosition, consensus::ProposeError> {
+        let command = self.encode_command(body);
+        self.node.propose(command)
+    }
+
+    /// Encodes a command with the time of this replica's clock.
+    pub(super) fn encode_command(&self, body: command::Body) -> Bytes {
         let command = Command { now_ms: self.clock.now_ms(), body: Some(body) };
-        self.node.propose(Bytes::from(command.encode_to_vec()))
+        Bytes::from(command.encode_to_vec())
     }
 
     pub(super) fn send_messages(&mut self, messages: Vec<ConsensusMessage>) {
@@ -129,6 +135,13 @@
                 return;
             }
         };
+        let command = match unpack_command(command) {
+            Ok(command) => command,
+            Err(error) => {
+                self.fail(&format!("the set at index {} cannot be unpacked: {error}", at.index));
+                return;
+            }
+        };
         let lifted = match &command.body {
             Some(command::Body::LiftQuarantine(lift)) => {
                 FeatureSet::from_ids(&lift.parts, lift.request)
@@ -197,3 +210,23 @@
         metrics.members.set(gauge_value(self.state.members().iter().count() as u64));
     }
 }
+
+/// Replaces a packed set of routes by the set.
+fn unpack_command(command: Command) -> Result<Command, UnpackError> {
+    let body = match command.body {
+        Some(command::Body::PublishRoutes(publish)) => {
+            Some(command::Body::PublishRoutes(unpack_publication(publish)?))
+        }
+        body => body,
+    };
+    Ok(Command { body, ..command })
+}
+
+/// Returns the publication with its set unpacked.
+pub(super) fn unpack_publication(publish: PublishRoutes) -> Result<PublishRoutes, UnpackError> {
+    if publish.packed_set.is_empty() {
+        return Ok(publish);
+    }
+    let set = Some(state::unpack_set(&publish.packed_set)?);
+    Ok(PublishRoutes { set, ..PublishRoutes::default() })
+}
--- a/components/control/src/replica/local.rs
+++ b/components/control/src/replica/local.rs
@@ -5,15 +5,17 @@
 use std::time::Duration;
 
 use actix::{Context, Handler, Message, ResponseFuture};
+use bytes::Bytes;
 use credentials::{Identity, Role};
 use registry::AnnounceOutcome;
 use schema::{
-    ErrorCode, GetRoutesReply, PublishRoutes, Reply, Request, UpstreamPhase, UpstreamRecord,
-    command, reply, request,
+    ErrorCode, GetRoutesReply, GetRoutesRequest, PublishRoutes, Reply, Request, UpstreamPhase,
+    UpstreamRecord, command, reply, request,
 };
 use wire::error_reply;
 
 use super::Replica;
+use super::drive::unpack_publication;
 use super::requests::ready;
 
 /// Timeout of a request forwarded to the leader; shorter than the second after
@@ -33,25 +35,31 @@
     type Result = ResponseFuture<Reply>;
 
     fn handle(&mut self, LocalRequest(body): LocalRequest, _: &mut Context<Self>) -> Self::Result {
-        let request = Request { traceparent: String::new(), body: Some(body) };
-        if self.node.is_leader() {
-            let own_identity = Identity { role: Role::Control, name: self.config.vm.clone() };
-            let reply = self.handle_request(&own_identity, request);
-            self.drive();
-            return reply;
-        }
-        let Ok(leader) = self.leader_address().parse() else {
-            return ready(error_reply(ErrorCode::NotLeader, "no leader is known"));
-        };
-        let link = self.link(leader);
+        self.request_from_leader(body)
+    }
+}
+
+/// Linearizable read of the document of the set of routes in force.
+#[derive(Debug, Message)]
+#[rtype(result = "Reply")]
+pub(crate) struct ReadDocument;
+
+impl Handler<ReadDocument> for Replica {
+    type Result = ResponseFuture<Reply>;
+
+    fn handle(&mut self, _: ReadDocument, _: &mut Context<Self>) -> Self::Result {
+        let held = self.state.routes().current();
+        let (known_number, document) = (held.number, held.document.clone());
+        let reply =
+            self.request_from_leader(request::Body::GetRoutes(GetRoutesRequest { known_number }));
         Box::pin(async move {
-            match link.call(request, LEADER_FORWARD_TIMEOUT).await {
-                Ok(body) => Reply { body: Some(body) },
-                Err(wire::CallError::Refused(error)) => {
-                    Reply { body: Some(reply::Body::Error(error)) }
-                }
-                Err(error) => error_reply(ErrorCode::UnknownOutcome, error.to_string()),
+            let mut reply = reply.await;
+            if let Some(reply::Body::GetRoutes(read)) = &mut reply.body
+                && read.number <= known_number
+            {
+                read.document = document;
             }
+            reply
         })
     }
 }
@@ -112,17 +120,44 @@
         }
     }
 
+    /// Handles a request of this process if it leads, and forwards it to the leader if not.
+    fn request_from_leader(&mut self, body: request::Body) -> ResponseFuture<Reply> {
+        let request = Request { traceparent: String::new(), body: Some(body) };
+        if self.node.is_leader() {
+            let own_identity = Identity { role: Role::Control, name: self.config.vm.clone() };
+            let reply = self.handle_request(&own_identity, request);
+            self.drive();
+            return reply;
+        }
+        let Ok(leader) = self.leader_address().parse() else {
+            return ready(error_reply(ErrorCode::NotLeader, "no leader is known"));
+        };
+        let link = self.link(leader);
+        Box::pin(async move {
+            match link.call(request, LEADER_FORWARD_TIMEOUT).await {
+                Ok(body) => Reply { body: Some(body) },
+                Err(wire::CallError::Refused(error)) => {
+                    Reply { body: Some(reply::Body::Error(error)) }
+                }
+                Err(error) => error_reply(ErrorCode::UnknownOutcome, error.to_string()),
+            }
+        })
+    }
+
     pub(super) fn publish_routes(&mut self, publish: PublishRoutes) -> ResponseFuture<Reply> {
-        let set = publish.set.clone().unwrap_or_default();
+        let set = match unpack_publication(publish.clone()) {
+            Ok(unpacked) => unpacked.set.unwrap_or_default(),
+            Err(error) => return ready(error_reply(ErrorCode::Invalid, error.to_string())),
+        };
+        let number = set.number;
         if let Err(problem) = routing::validate_route_set(&set) {
-            log::info!(number = set.number, problem = problem.to_string().as_str(); "set of routes refused");
+            log::info!(number, problem = problem.to_string().as_str(); "set of routes refused");
             return ready(error_reply(ErrorCode::Invalid, problem.to_string()));
         }
         if !self.can_accept_routes() {
             let message = "the group is forming; too few voters to keep a set";
             return ready(error_reply(ErrorCode::Overloaded, message));
         }
-        let number = set.number;
         let committed = self.commit(command::Body::PublishRoutes(publish));
         Box::pin(async move {
             let reply = committed.await;
@@ -142,11 +177,14 @@
         voters >= needed || self.state.routes().current().number > 0
     }
 
-    pub(super) fn get_routes(&mut self) -> ResponseFuture<Reply> {
-        self.linearizable_read(|replica| {
+    /// Reads the document in force, without its bytes if the asking process holds it.
+    pub(super) fn get_routes(&mut self, known_number: u64) -> ResponseFuture<Reply> {
+        self.linearizable_read(move |replica| {
             let current = replica.state.routes().current();
-            let set = (current.number > 0).then(|| current.clone());
-            Reply { body: Some(reply::Body::GetRoutes(GetRoutesReply { set })) }
+            let is_known = current.number <= known_number;
+            let document = if is_known { Bytes::new() } else { current.document.clone() };
+            let read = GetRoutesReply { number: current.number, document };
+            Reply { body: Some(reply::Body::GetRoutes(read)) }
         })
     }
 }
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -33,6 +33,7 @@
 use clock::Clock;
 use consensus::{Node, Options, PersistedState};
 use credentials::Identity;
+use distribution::RouteSource;
 use journal::{Journal, RecoveredState};
 use schema::{ConsensusMessage, Reply, Request};
 use settings::ControlConfig;
@@ -56,7 +57,7 @@
 use waiters::RecordWaiters;
 
 pub(crate) use join::UpdateSeeds;
-pub(crate) use local::{Announce, GatewayAddresses, LocalRequest};
+pub(crate) use local::{Announce, GatewayAddresses, LocalRequest, ReadDocument};
 
 const MAILBOX_CAPACITY: usize = 65_536;
 /// Divisor of `snapshot_entries` that gives the number of log entries kept in
@@ -88,6 +89,7 @@
     set_deltas: RefCell<SetDeltaCache>,
     join_state: JoinState,
     gateway_syncs: GatewaySyncs,
+    route_source: RouteSource,
     quarantine: QuarantineState,
     was_leader: bool,
     next_record_expiry_ms: u64,
@@ -142,6 +144,7 @@
             set_deltas: RefCell::default(),
             join_state: JoinState::default(),
             gateway_syncs: GatewaySyncs::default(),
+            route_source: RouteSource::default(),
             quarantine: QuarantineState::default(),
             was_leader: false,
             next_record_expiry_ms: 0,
--- a/components/control/src/replica/proposals.rs
+++ b/components/control/src/replica/proposals.rs
@@ -6,6 +6,9 @@
 use state::Outcome;
 use tokio::sync::oneshot;
 
+/// Limit on the size of all pending commands.
+const MAX_PENDING_BYTES: usize = 16 << 20;
+
 /// Result of a proposal.
 #[derive(Debug)]
 pub(crate) enum Proposed {
@@ -20,6 +23,7 @@
 
 struct Pending {
     term: u64,
+    size_bytes: usize,
     proposed_ms: u64,
     result: oneshot::Sender<Proposed>,
 }
@@ -28,20 +32,32 @@
 pub(crate) struct Proposals {
     pending: BTreeMap<u64, Pending>,
     limit: usize,
+    /// Size of the pending commands.
+    pending_bytes: usize,
 }
 
 impl Proposals {
     pub(crate) fn new(limit: usize) -> Self {
-        Proposals { pending: BTreeMap::new(), limit }
+        Proposals { pending: BTreeMap::new(), limit, pending_bytes: 0 }
     }
 
-    pub(crate) fn is_full(&self) -> bool {
-        self.pending.len() >= self.limit
+    /// Returns whether a command of `size_bytes` may be proposed. One that is larger than
+    /// the limit may if nothing is pending.
+    pub(crate) fn has_room_for(&self, size_bytes: usize) -> bool {
+        let fits = self.pending_bytes == 0 || self.pending_bytes + size_bytes <= MAX_PENDING_BYTES;
+        fits && self.pending.len() < self.limit
     }
 
-    pub(crate) fn add(&mut self, at: LogPosition, now_ms: u64) -> oneshot::Receiver<Proposed> {
+    pub(crate) fn add(
+        &mut self,
+        at: LogPosition,
+        size_bytes: usize,
+        now_ms: u64,
+    ) -> oneshot::Receiver<Proposed> {
         let (result, receiver) = oneshot::channel();
-        self.pending.insert(at.index, Pending { term: at.term, proposed_ms: now_ms, result });
+        let pending = Pending { term: at.term, size_bytes, proposed_ms: now_ms, result };
+        self.pending_bytes += size_bytes;
+        self.pending.insert(at.index, pending);
         receiver
     }
 
@@ -54,6 +70,7 @@
         now_ms: u64,
     ) -> Option<u64> {
         let pending = self.pending.remove(&at.index)?;
+        self.pending_bytes -= pending.size_bytes;
         let is_own = pending.term == at.term;
         let result = if is_own { Proposed::Applied(outcome) } else { Proposed::Superseded };
         let _ = pending.result.send(result);
@@ -62,6 +79,7 @@
 
     /// Resolves all proposals as [`Proposed::Unknown`] when leadership ends.
     pub(crate) fn abandon_all(&mut self) {
+        self.pending_bytes = 0;
         for (_, pending) in std::mem::take(&mut self.pending) {
             let _ = pending.result.send(Proposed::Unknown);
         }
--- a/components/control/src/replica/requests.rs
+++ b/components/control/src/replica/requests.rs
@@ -51,12 +51,13 @@
             Body::Place(place) => self.reserve_slot(peer, place),
             Body::Crash(report) => self.report_crash(peer, report),
             Body::FindOrigin(find) => ready(self.find_origin(find)),
+            Body::FetchRoutes(fetch) => ready(self.fetch_routes(&fetch)),
             _ if !self.node.is_leader() => ready(self.not_leader()),
             Body::Join(join) => ready(self.join(peer, join)),
             Body::Replace(replace) => ready(self.remove_replica(&replace)),
             Body::Publish(publish) => self.publish(peer, publish),
             Body::PublishRoutes(publish) => self.publish_routes(publish),
-            Body::GetRoutes(_) => self.get_routes(),
+            Body::GetRoutes(get) => self.get_routes(get.known_number),
             Body::GetSet(get) => self.get_set(get),
             Body::QuarantineParts(command) => self.quarantine_parts(peer, command),
             Body::LiftQuarantine(command) => self.lift_quarantine(command),
@@ -95,14 +96,16 @@
     }
 
     fn submit(&mut self, body: command::Body) -> Result<oneshot::Receiver<Proposed>, Box<Reply>> {
-        if self.proposals.is_full() {
+        let command = self.encode_command(body);
+        let size_bytes = command.len();
+        if !self.proposals.has_room_for(size_bytes) {
             return Err(Box::new(error_reply(
                 ErrorCode::Overloaded,
                 "too many proposals are waiting",
             )));
         }
-        match self.propose(body) {
-            Ok(at) => Ok(self.proposals.add(at, self.clock.now_ms())),
+        match self.node.propose(command) {
+            Ok(at) => Ok(self.proposals.add(at, size_bytes, self.clock.now_ms())),
             Err(ProposeError::NotLeader | ProposeError::Transferring) => {
                 Err(Box::new(self.not_leader()))
             }
@@ -269,6 +272,7 @@
         | Body::Place(_)
         | Body::Crash(_)
         | Body::FindOrigin(_)
+        | Body::FetchRoutes(_)
         | Body::Confirm(_) => role == Role::Entry,
     }
 }
@@ -300,6 +304,7 @@
         Body::Place(_) => "place",
         Body::Crash(_) => "crash",
         Body::FindOrigin(_) => "find_origin",
+        Body::FetchRoutes(_) => "fetch_routes",
         Body::QuarantineParts(_) => "quarantine_parts",
         Body::LiftQuarantine(_) => "lift_quarantine",
         Body::GetQuarantine(_) => "get_quarantine",
--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -1,9 +1,11 @@
-//! Sync of gateways by long polling: upstreams, their load and the set of routes.
+//! Sync of gateways by long polling: upstreams, their load and the number of the set of
+//! routes.
 //!
 //! A gateway keeps one sync request open with each control process. The reply is
 //! held until an upstream or the set of routes changes or the wait times out, so
 //! such a change reaches all gateways within a round trip; their next sync
-//! confirms it. A change of the load alone does not end the wait.
+//! confirms it. A change of the load alone does not end the wait. The set itself is fetched
+//! in chunks, from one control process.
 
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
@@ -16,7 +18,8 @@
 use lineage::{Origin, Origins, StreamId};
 use registry::Registry;
 use schema::{
-    EntryPhase, ErrorCode, Reply, SyncReply, SyncRequest, UpstreamLimit, UpstreamUse, reply,
+    EntryPhase, ErrorCode, FetchRoutesRequest, Reply, SyncReply, SyncRequest, UpstreamLimit,
+    UpstreamUse, reply,
 };
 use tokio::sync::oneshot;
 use wire::error_reply;
@@ -38,6 +41,10 @@
 /// connected to another arbiter.
 const LIMIT_MEMBER_MS: u64 = 30_000;
 
+/// Most records of upstreams in one reply, so that many gateways that connect at once do not
+/// have the complete registry encoded for each of them.
+const MAX_REPLY_UPSTREAMS: usize = 256;
+
 /// Interval at which limits are checked for their end.
 const LIMITS_INTERVAL_MS: u64 = 20;
 
@@ -304,6 +311,7 @@
         let limits_digest = syncs.limit_list.digest;
         let (version, epoch) = (syncs.registry.version(), syncs.registry_epoch);
         let number = self.state.routes().current().number;
+        self.route_source.record(self.state.routes().current());
         let quarantine_digest = self.quarantine.digest();
         let is_due = |sync: &OpenSync| {
             let request = &sync.request;
@@ -333,18 +341,19 @@
         } else {
             0
         };
-        let set = Some(self.state.routes().current()).filter(|set| set.number > request.set_number);
         let others =
             if request.wants_use { syncs.load_of_other_gateways(&request.vm) } else { Vec::new() };
         let quarantine = &self.quarantine;
         let limits_changed = request.limits_digest != syncs.limit_list.digest;
         let quarantine_changed = request.quarantine_digest != quarantine.digest();
         let members = self.node.configuration().replicas.iter();
+        let changes = syncs.registry.changes_since(known_version, MAX_REPLY_UPSTREAMS);
         SyncReply {
             registry_epoch: syncs.registry_epoch,
-            registry_version: syncs.registry.version(),
-            upstreams: syncs.registry.changes_since(known_version).cloned().collect(),
-            set: set.cloned(),
+            registry_version: changes.version,
+            upstreams: changes.records.into_iter().cloned().collect(),
+            set_number: self.state.routes().current().number,
+            data_centre: self.config.data_centre.to_string(),
             r#use: others,
             entries: u32::try_from(syncs.gateways.len()).unwrap_or(u32::MAX),
             limits_digest: syncs.limit_list.digest,
@@ -355,6 +364,12 @@
         }
     }
 
+    /// Returns the next chunk of the change to the set in force.
+    pub(super) fn fetch_routes(&mut self, fetch: &FetchRoutesRequest) -> Reply {
+        let reply = self.route_source.next_chunk(fetch, self.state.routes().current());
+        Reply { body: Some(reply::Body::FetchRoutes(reply)) }
+    }
+
     fn resolve_due_confirmations(&mut self, now_ms: u64) {
         let syncs = &mut self.gateway_syncs;
         if syncs.confirmations.is_empty() {
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -7,11 +7,7 @@
 use std::time::Duration;
 
 use balance::UpstreamLoad;
-use routing::RouteTable;
-use schema::{
-    EntryPhase, Request, RouteSet, SyncReply, SyncRequest, UpstreamLimit, UpstreamUse, reply,
-    request,
-};
+use schema::{Request, SyncReply, SyncRequest, UpstreamLimit, UpstreamUse, reply, request};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until};
 use wire::{CallError, Endpoint, Link};
@@ -95,6 +91,7 @@
                 log::info!(control = address.to_string().as_str(); "control process left the group");
                 self.shared.registry.borrow_mut().remove_source(*address);
                 self.shared.quarantine.borrow_mut().remove_source(*address);
+                self.shared.route_offers.send_modify(|offers| offers.remove(*address));
                 self.set_connected(*address, None);
                 task.abort();
             }
@@ -110,6 +107,8 @@
     registry_epoch: u64,
     /// Registry version that this gateway applied.
     registry_version: u64,
+    /// Number of the set of routes that the process last reported.
+    set_number: u64,
     /// Number of the last stream that the process knows to have begun here.
     last_stream: u64,
 }
@@ -191,6 +190,7 @@
                     links.set_connected(address, None);
                     shared.registry.borrow_mut().remove_source(address);
                     shared.quarantine.borrow_mut().disconnect(address);
+                    shared.route_offers.send_modify(|offers| offers.remove(address));
                     cursor = Cursor::default();
                 }
                 shared.quarantine.borrow_mut().restore_answered(&reports.answered);
@@ -226,7 +226,7 @@
         data_centre: config.data_centre.to_string(),
         caller_address: config.caller_address.to_string(),
         phase: (*shared.phase.borrow()).into(),
-        set_number: shared.table.borrow().number(),
+        set_number: cursor.set_number,
         registry_epoch: cursor.registry_epoch,
         registry_version: cursor.registry_version,
         r#use: own.collect(),
@@ -256,9 +256,9 @@
         shared.registry.borrow_mut().apply(address, full_registry, reply.upstreams, now_ms);
     shared.apply_changes(&changes);
     quarantine::apply(shared, address, reply.quarantine_digest, &reply.quarantine);
-    if let Some(set) = reply.set {
-        activate_set(shared, set, address);
-    }
+    shared.route_offers.send_if_modified(|offers| {
+        offers.record(address, reply.set_number, &reply.data_centre, now_ms)
+    });
     if links.aggregates_load(address) {
         let mut limits = shared.limits.borrow_mut();
         limits.apply(reply.limits_digest, &reply.limits, now_ms);
@@ -276,32 +276,7 @@
     Cursor {
         registry_epoch: reply.registry_epoch,
         registry_version: reply.registry_version,
+        set_number: reply.set_number,
         ..cursor
     }
 }
-
-fn timeouts_by_route(set: &RouteSet) -> HashMap<String, u64> {
-    set.routes.iter().map(|route| (route.name.clone(), route.timeout_ms)).collect()
-}
-
-/// Puts a set of routes in force if its number is greater than the current one.
-fn activate_set(shared: &Shared, set: RouteSet, address: SocketAddr) {
-    let number = set.number;
-    if number <= shared.table.borrow().number() {
-        return;
-    }
-    log::info!(number, routes = set.routes.len(), control = address.to_string().as_str(); "set of routes activated");
-    let timeouts_ms = timeouts_by_route(&set);
-    let previous_ms = timeouts_by_route(shared.table().set());
-    let is_unchanged = |route: &str| timeouts_ms.get(route) == previous_ms.get(route);
-    shared.deadlines.borrow_mut().retain_routes(is_unchanged);
-    *shared.table.borrow_mut() = Rc::new(RouteTable::new(set));
-    shared.metrics.set_number.set(i64::try_from(number).unwrap_or(i64::MAX));
-    shared.phase.send_if_modified(|phase| {
-        let starting = *phase == EntryPhase::Starting;
-        if starting {
-            *phase = EntryPhase::Ready;
-        }
-        starting
-    });
-}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -9,7 +9,7 @@
 //! engine). [`crashes`] reports upstreams that crash, and [`quarantine`] rejects requests
 //! under which they do. [`origins`] knows where streams began that callers take up again,
 //! and [`notices`] applies what upstreams say of themselves. [`control`] synchronises state
-//! with the control processes. [`dialect`] abstracts the headers and commands that callers
+//! with the control processes, and [`route_sets`] fetches the routes from them. [`dialect`] abstracts the headers and commands that callers
 //! and upstreams use. [`state`] holds what the gateway knows; nothing in it imports the
 //! other modules.
 
@@ -37,6 +37,7 @@
 mod quarantine;
 mod relay;
 mod reservation;
+mod route_sets;
 mod server;
 mod shared;
 mod state;
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -18,6 +18,7 @@
 use crate::dialect::Dialect;
 use crate::error::StartError;
 use crate::metrics::Metrics;
+use crate::route_sets;
 use crate::server;
 use crate::shared::Shared;
 use crate::status::{self, Page};
@@ -58,6 +59,7 @@
         actix_rt::spawn(server::serve(shared.clone(), caller_listener, is_closing));
         actix_rt::spawn(status::serve(shared.clone(), ready_listener, Page::Readiness));
         actix_rt::spawn(status::serve(shared.clone(), metrics_listener, Page::Metrics));
+        actix_rt::spawn(route_sets::fetch_sets(shared.clone()));
         actix_rt::spawn(run_maintenance(shared.clone()));
         Ok(Gateway { shared, endpoint, links, closing })
     }
--- /dev/null
+++ b/components/gateway/src/route_sets.rs
@@ -0,0 +1,155 @@
+//! Fetches sets of routes from the control processes, in chunks, and puts them in force.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use displaydoc::Display;
+use distribution::{Assembly, ChangeError, Fingerprint, apply_change};
+use routing::RouteTable;
+use schema::{EntryPhase, Request, RouteChangeId, RouteSet, RouteSetChange, reply, request};
+use wire::CallError;
+
+use crate::shared::Shared;
+use crate::state::NextFetch;
+
+/// Timeout of the request for one chunk.
+const CHUNK_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Why a chunk could not be fetched or applied.
+#[derive(Debug, Display)]
+enum FetchError {
+    /// the control process is not connected
+    NotConnected,
+    /// the request failed: {0}
+    Call(CallError),
+    /// the control process has no newer set
+    NothingNewer,
+    /// the change is not usable: {0}
+    Change(ChangeError),
+}
+
+/// Set that the gateway serves, and the change that it receives.
+#[derive(Debug, Default)]
+struct Fetcher {
+    served: Fingerprint,
+    /// The last change could not be applied to the set that is served.
+    needs_complete_set: bool,
+    assembly: Assembly,
+}
+
+/// Fetches each newer set that a control process reports.
+pub(crate) async fn fetch_sets(shared: Rc<Shared>) {
+    let mut offers = shared.route_offers.subscribe();
+    let mut fetcher = Fetcher::default();
+    let mut source = None;
+    loop {
+        if source.is_none() {
+            let config = &shared.config;
+            let now_ms = shared.now_ms();
+            let next = offers.borrow_and_update().next_fetch(
+                config.vm.as_str(),
+                config.data_centre.as_str(),
+                now_ms,
+            );
+            match next {
+                NextFetch::From(address) => source = Some(address),
+                // `changed` fails only once the gateway has ended.
+                NextFetch::Nothing => _ = offers.changed().await,
+                NextFetch::WaitUntil(at_ms) => {
+                    let wait = Duration::from_millis(at_ms.saturating_sub(now_ms));
+                    let _ = tokio::time::timeout(wait, offers.changed()).await;
+                }
+            }
+        }
+        let Some(address) = source else { continue };
+        match fetcher.fetch_chunk(&shared, address).await {
+            Ok(None) => {}
+            Ok(Some(set)) => {
+                activate_set(&shared, set, address);
+                source = None;
+            }
+            Err(error) => {
+                log::warn!(control = address.to_string().as_str(), error = error.to_string().as_str(); "set of routes not fetched");
+                fetcher.needs_complete_set |= matches!(error, FetchError::Change(_));
+                let now_ms = shared.now_ms();
+                shared.route_offers.send_modify(|offers| offers.suspend(address, now_ms));
+                source = None;
+            }
+        }
+    }
+}
+
+impl Fetcher {
+    /// Fetches one chunk; returns the new set once it is complete.
+    async fn fetch_chunk(
+        &mut self,
+        shared: &Shared,
+        address: SocketAddr,
+    ) -> Result<Option<RouteSet>, FetchError> {
+        let link = shared.control_links.borrow().get(&address).cloned();
+        let link = link.ok_or(FetchError::NotConnected)?;
+        let base_number = if self.needs_complete_set { 0 } else { self.served.number() };
+        let fetch = self.assembly.next_request(base_number);
+        let body = Some(request::Body::FetchRoutes(fetch));
+        let request = Request { traceparent: String::new(), body };
+        let reply = match link.call(request, CHUNK_TIMEOUT).await {
+            Ok(reply::Body::FetchRoutes(reply)) => reply,
+            Ok(_) => return Err(FetchError::Call(CallError::UnexpectedReply)),
+            Err(error) => return Err(FetchError::Call(error)),
+        };
+        if reply.change.is_none() {
+            return Err(FetchError::NothingNewer);
+        }
+        match self.assembly.add(reply).map_err(FetchError::Change)? {
+            Some((id, change)) => self.apply(shared, id, change).map(Some),
+            None => Ok(None),
+        }
+    }
+
+    fn apply(
+        &mut self,
+        shared: &Shared,
+        id: RouteChangeId,
+        change: RouteSetChange,
+    ) -> Result<RouteSet, FetchError> {
+        let table = shared.table();
+        let applied = match id.base_number {
+            0 => apply_change(&RouteSet::default(), &Fingerprint::default(), change),
+            base if base == self.served.number() => apply_change(table.set(), &self.served, change),
+            _ => Err(ChangeError::WrongBase),
+        };
+        let (set, fingerprint) = applied.map_err(FetchError::Change)?;
+        log::info!(number = set.number, base = id.base_number, bytes = id.size_bytes; "set of routes fetched");
+        self.served = fingerprint;
+        self.needs_complete_set = false;
+        Ok(set)
+    }
+}
+
+fn timeouts_by_route(set: &RouteSet) -> HashMap<String, u64> {
+    set.routes.iter().map(|route| (route.name.clone(), route.timeout_ms)).collect()
+}
+
+/// Puts a set of routes in force. The gateway is ready once it has the newest set that its
+/// control processes report.
+fn activate_set(shared: &Shared, set: RouteSet, address: SocketAddr) {
+    let number = set.number;
+    log::info!(number, routes = set.routes.len(), control = address.to_string().as_str(); "set of routes activated");
+    let timeouts_ms = timeouts_by_route(&set);
+    let previous_ms = timeouts_by_route(shared.table().set());
+    let is_unchanged = |route: &str| timeouts_ms.get(route) == previous_ms.get(route);
+    shared.deadlines.borrow_mut().retain_routes(is_unchanged);
+    *shared.table.borrow_mut() = Rc::new(RouteTable::new(set));
+    shared.metrics.set_number.set(i64::try_from(number).unwrap_or(i64::MAX));
+    shared.route_offers.send_modify(|offers| offers.set_served(number));
+    let is_newest = number >= shared.route_offers.borrow().newest();
+    shared.phase.send_if_modified(|phase| {
+        let starting = *phase == EntryPhase::Starting && is_newest;
+        if starting {
+            *phase = EntryPhase::Ready;
+        }
+        starting
+    });
+}
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -26,7 +26,7 @@
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 use crate::pool::{Connection, Pool};
-use crate::state::{KnownLimits, LeavingUpstreams, Quarantine};
+use crate::state::{KnownLimits, LeavingUpstreams, Quarantine, RouteOffers};
 use crate::target::Target;
 
 /// Time for which the arbiter is not used after a failed request to it.
@@ -43,6 +43,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) spans: Spans,
     pub(crate) table: RefCell<Rc<RouteTable>>,
+    /// Sets of routes that the control processes have in force.
+    pub(crate) route_offers: watch::Sender<RouteOffers>,
     pub(crate) registry: RefCell<MergedRegistry>,
     pub(crate) loads: RefCell<Loads>,
     pub(crate) outlier_detector: RefCell<OutlierDetector>,
@@ -98,6 +100,7 @@
             metrics,
             spans,
             table: RefCell::default(),
+            route_offers: watch::Sender::default(),
             registry: RefCell::default(),
             loads: RefCell::default(),
             outlier_detector: RefCell::default(),
--- a/components/gateway/src/state/mod.rs
+++ b/components/gateway/src/state/mod.rs
@@ -2,8 +2,10 @@
 
 mod leaving;
 mod limits;
+mod offers;
 mod quarantine;
 
 pub(crate) use leaving::LeavingUpstreams;
 pub(crate) use limits::KnownLimits;
+pub(crate) use offers::{NextFetch, RouteOffers};
 pub(crate) use quarantine::{AnsweredFeatures, MAX_HOLD, Quarantine};
--- a/components/registry/src/registry.rs
+++ b/components/registry/src/registry.rs
@@ -26,6 +26,15 @@
     Changed(u64),
 }
 
+/// Records that changed after a version of the registry.
+#[derive(Debug)]
+pub struct RegistryChanges<'a> {
+    /// Version up to which `records` has all changes.
+    pub version: u64,
+    /// Changed records.
+    pub records: Vec<&'a UpstreamRecord>,
+}
+
 #[derive(Debug)]
 struct RegisteredUpstream {
     record: UpstreamRecord,
@@ -116,9 +125,18 @@
         silent
     }
 
-    /// Returns the records that changed after `version`.
-    pub fn changes_since(&self, version: u64) -> impl Iterator<Item = &UpstreamRecord> {
-        self.by_id.values().filter(move |s| s.version > version).map(|s| &s.record)
+    /// Returns the records that changed after `version`, in the order of their changes and at
+    /// most `max_records` of them.
+    pub fn changes_since(&self, version: u64, max_records: usize) -> RegistryChanges<'_> {
+        let mut changed: Vec<_> = self.by_id.values().filter(|s| s.version > version).collect();
+        changed.sort_unstable_by_key(|stored| stored.version);
+        let is_complete = changed.len() <= max_records;
+        changed.truncate(max_records);
+        let last = changed.last().filter(|_| !is_complete);
+        RegistryChanges {
+            version: last.map_or(self.version, |stored| stored.version),
+            records: changed.into_iter().map(|stored| &stored.record).collect(),
+        }
     }
 }
 
--- a/components/registry/tests/incarnations.rs
+++ b/components/registry/tests/incarnations.rs
@@ -30,6 +30,11 @@
     &fleet.get("e1").expect("the upstream is known").record.version
 }
 
+/// Records that changed after a version.
+fn changes(registry: &Registry, version: u64) -> Vec<UpstreamRecord> {
+    registry.changes_since(version, usize::MAX).records.into_iter().cloned().collect()
+}
+
 fn source(last: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 1, last], 7_200))
 }
@@ -53,7 +58,7 @@
     let again = registry.apply_announcement(record(5, 2, UpstreamPhase::Ready), 10);
 
     assert_eq!(again, AnnounceOutcome::Unchanged);
-    assert_eq!(registry.changes_since(0).next().unwrap().phase(), UpstreamPhase::Draining);
+    assert_eq!(changes(&registry, 0)[0].phase(), UpstreamPhase::Draining);
 }
 
 #[test]
@@ -146,7 +151,7 @@
     registry.apply_announcement(record(5, 2, UpstreamPhase::Ready), 5_100);
 
     assert!(silent.is_empty());
-    assert_eq!(registry.changes_since(0).next().unwrap().phase(), UpstreamPhase::Draining);
+    assert_eq!(changes(&registry, 0)[0].phase(), UpstreamPhase::Draining);
 }
 
 #[test]
@@ -159,7 +164,7 @@
     registry.apply_announcement(warming(1, 4_000), 0);
 
     let shorter = registry.apply_announcement(warming(2, 3_000), 1_000);
-    let kept_ms = registry.changes_since(0).next().unwrap().warm_up_ms;
+    let kept_ms = changes(&registry, 0)[0].warm_up_ms;
     let cold_again = registry.apply_announcement(warming(3, 6_000), 2_000);
 
     assert_eq!((shorter, kept_ms), (AnnounceOutcome::Unchanged, 3_000));
@@ -229,10 +234,10 @@
     let mut registry = Registry::default();
     let mut fleet = MergedRegistry::default();
     registry.apply_announcement(versioned(5, 1, "v1"), 0);
-    fleet.apply(source(1), true, registry.changes_since(0).cloned().collect(), 0);
+    fleet.apply(source(1), true, changes(&registry, 0), 0);
 
     let outcome = registry.apply_announcement(versioned(5, 2, "v2"), 10);
-    fleet.apply(source(1), false, registry.changes_since(1).cloned().collect(), 10);
+    fleet.apply(source(1), false, changes(&registry, 1), 10);
 
     assert_eq!(outcome, AnnounceOutcome::Changed(2));
     assert_eq!(known_version(&fleet), "v2");
@@ -244,7 +249,7 @@
     let mut registry = Registry::default();
     let mut fleet = MergedRegistry::default();
     registry.apply_announcement(record(5, 1, UpstreamPhase::Ready), 0);
-    fleet.apply(source(1), true, registry.changes_since(0).cloned().collect(), 0);
+    fleet.apply(source(1), true, changes(&registry, 0), 0);
 
     let marked = (registry.mark_draining("e1", 5), fleet.mark_draining("e1", 5));
     let again = (registry.mark_draining("e1", 5), fleet.mark_draining("e1", 5));
@@ -252,7 +257,7 @@
     fleet.apply(source(2), true, vec![record(5, 2, UpstreamPhase::Ready)], 10);
 
     assert_eq!((marked, again), ((true, true), (false, false)));
-    assert_eq!(registry.changes_since(1).next().unwrap().phase(), UpstreamPhase::Draining);
+    assert_eq!(changes(&registry, 1)[0].phase(), UpstreamPhase::Draining);
     assert!(!fleet.get("e1").unwrap().accepts_requests());
 }
 
@@ -261,9 +266,41 @@
     let mut registry = Registry::default();
     let mut fleet = MergedRegistry::default();
     registry.apply_announcement(record(9, 1, UpstreamPhase::Ready), 0);
-    fleet.apply(source(1), true, registry.changes_since(0).cloned().collect(), 0);
+    fleet.apply(source(1), true, changes(&registry, 0), 0);
 
     assert!(!registry.mark_draining("e1", 5));
     assert!(!fleet.mark_draining("e1", 5));
     assert!(fleet.get("e1").unwrap().accepts_requests());
 }
+
+/// Hundreds of gateways connect at once to a process that knows thousands of upstreams: each
+/// gets the registry in parts, in the order of the changes.
+#[test]
+fn registry_is_sent_in_parts_that_add_up() {
+    const PART: usize = 256;
+    let mut registry = Registry::default();
+    for index in 0..1_900 {
+        let id = format!("e{index:04}");
+        let upstream = UpstreamRecord { id, ..record(5, 1, UpstreamPhase::Ready) };
+        registry.apply_announcement(upstream, 0);
+    }
+    registry.apply_announcement(
+        UpstreamRecord { id: "e0003".into(), ..record(5, 2, UpstreamPhase::Draining) },
+        10,
+    );
+    let mut fleet = MergedRegistry::default();
+    let mut version = 0;
+    let mut parts = 0;
+
+    while version < registry.version() {
+        let changes = registry.changes_since(version, PART);
+        assert!(changes.records.len() <= PART && changes.version > version);
+        version = changes.version;
+        let records = changes.records.into_iter().cloned().collect();
+        fleet.apply(source(1), parts == 0, records, 20);
+        parts += 1;
+    }
+
+    assert_eq!((fleet.iter().count(), parts), (1_900, 8));
+    assert_eq!(fleet.get("e0003").map(|u| u.accepts_requests()), Some(false));
+}
--- a/components/settings/src/control.rs
+++ b/components/settings/src/control.rs
@@ -213,7 +213,7 @@
         snapshot_log_bytes: checker.number(
             "limits.snapshot_log_bytes",
             limits.snapshot_log_bytes,
-            64 * MIB,
+            32 * MIB,
             64 << 10,
             64 << 30,
         ),
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -4,6 +4,7 @@
 //! replicas with equal limits that apply equal logs reach equal states.
 
 mod members;
+mod packed;
 mod publications;
 mod quarantine;
 mod records;
@@ -16,6 +17,7 @@
 };
 
 pub use members::Members;
+pub use packed::{UnpackError, pack_set, unpack_set};
 pub use publications::Publications;
 pub use quarantine::Quarantine;
 pub use records::Records;
--- a/components/wire/src/link.rs
+++ b/components/wire/src/link.rs
@@ -75,6 +75,7 @@
         let (mut send, mut receive) =
             connection.open_bi().await.map_err(|error| CallError::Connect(error.to_string()))?;
         let bytes = Bytes::from(request.encode_to_vec());
+        drop(request);
         traffic::count_sent(bytes.len());
         send.write_chunk(bytes).await.map_err(|error| lost(&error))?;
         send.finish().map_err(|error| lost(&error))?;
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -9,6 +9,7 @@
 use quinn::{Connection, RecvStream, SendStream};
 use rustls::pki_types::CertificateDer;
 use schema::{ConsensusMessage, ErrorCode, ErrorReply, Reply, Request, reply};
+use tokio::sync::Semaphore;
 
 use crate::{MAX_MESSAGE_BYTES, frame, traffic};
 
@@ -36,13 +37,22 @@
     Reply { body: Some(reply::Body::Error(error)) }
 }
 
+/// Size of large replies that may be encoded and not acknowledged at once, for all
+/// connections.
+const REPLY_BUDGET_BYTES: usize = 16 << 20;
+/// Replies up to this size do not wait for the budget, so that bulk transfers do not delay
+/// them.
+const SMALL_REPLY_BYTES: usize = 16 << 10;
+
 pub(crate) async fn serve(endpoint: &quinn::Endpoint, handler: Arc<impl Handler>) {
+    let budget = Arc::new(Semaphore::new(REPLY_BUDGET_BYTES));
     while let Some(incoming) = endpoint.accept().await {
         let handler = handler.clone();
+        let budget = budget.clone();
         let address = incoming.remote_address();
         tokio::spawn(async move {
             match incoming.await {
-                Ok(connection) => serve_connection(connection, handler).await,
+                Ok(connection) => serve_connection(connection, handler, budget).await,
                 Err(error) => {
                     log::warn!(peer = address.to_string().as_str(), error = error.to_string().as_str(); "QUIC handshake with incoming peer failed");
                 }
@@ -51,7 +61,11 @@
     }
 }
 
-async fn serve_connection(connection: Connection, handler: Arc<impl Handler>) {
+async fn serve_connection(
+    connection: Connection,
+    handler: Arc<impl Handler>,
+    budget: Arc<Semaphore>,
+) {
     let address = connection.remote_address().to_string();
     let Some(identity) = peer_identity(&connection) else {
         log::warn!(peer = address.as_str(); "peer connection closed: certificate names no role");
@@ -62,7 +76,8 @@
         tokio::select! {
             stream = connection.accept_bi() => {
                 let Ok((send, receive)) = stream else { return };
-                tokio::spawn(serve_request(send, receive, identity.clone(), handler.clone()));
+                let (handler, budget) = (handler.clone(), budget.clone());
+                tokio::spawn(serve_request(send, receive, identity.clone(), handler, budget));
             }
             stream = connection.accept_uni() => {
                 let Ok(receive) = stream else { return };
@@ -77,6 +92,7 @@
     mut receive: RecvStream,
     peer: Identity,
     handler: Arc<impl Handler>,
+    budget: Arc<Semaphore>,
 ) {
     let Ok(bytes) = receive.read_to_end(MAX_MESSAGE_BYTES).await else { return };
     traffic::count_received(bytes.len());
@@ -84,11 +100,19 @@
         Ok(request) => handler.handle(peer, request).await,
         Err(error) => error_reply(ErrorCode::Invalid, error.to_string()),
     };
+    let size = reply.encoded_len();
+    // Held until the peer has the reply or the connection is lost. The semaphore is never
+    // closed.
+    let reserved = match u32::try_from(size.min(REPLY_BUDGET_BYTES)) {
+        Ok(permits) if size > SMALL_REPLY_BYTES => budget.acquire_many(permits).await.ok(),
+        _ => None,
+    };
     let bytes = Bytes::from(reply.encode_to_vec());
+    drop(reply);
     traffic::count_sent(bytes.len());
     let sent = send.write_chunk(bytes).await;
-    if sent.is_ok() {
-        let _ = send.finish();
+    if sent.is_ok() && send.finish().is_ok() && reserved.is_some() {
+        let _ = send.stopped().await;
     }
 }
 
