--- a/components/consensus/src/log.rs
+++ b/components/consensus/src/log.rs
@@ -82,6 +82,26 @@
         slice
     }
 
+    /// Returns the bytes of commands from the index `first` up to `last`.
+    pub(crate) fn command_bytes(&self, first: u64, last: u64) -> usize {
+        (first..=last).filter_map(|index| self.get(index)).map(payload_bytes).sum()
+    }
+
+    /// Returns the lowest index, at least `first`, after which the entries up to `last` hold
+    /// at most `max_bytes` of commands.
+    pub(crate) fn start_of_tail(&self, first: u64, last: u64, max_bytes: usize) -> u64 {
+        let mut start = last;
+        let mut bytes = 0;
+        while start > first {
+            bytes += self.get(start).map_or(0, payload_bytes);
+            if bytes > max_bytes {
+                break;
+            }
+            start -= 1;
+        }
+        start
+    }
+
     /// Returns the index before the first entry of the term that `index` is in, as
     /// far as the log is not compacted.
     pub(crate) fn last_index_before_term_of(&self, index: u64) -> u64 {
--- a/components/consensus/src/node/leader.rs
+++ b/components/consensus/src/node/leader.rs
@@ -309,10 +309,18 @@
             }
             return;
         }
-        let in_flight = progress.next_index - 1 - progress.match_index.min(progress.next_index - 1);
-        let max_entries = options.max_inflight_entries.saturating_sub(in_flight);
         let previous_index = progress.next_index - 1;
-        let entries = self.log.slice(progress.next_index, max_entries, options.max_append_bytes);
+        let in_flight = previous_index.saturating_sub(progress.match_index);
+        let max_entries = options.max_inflight_entries.saturating_sub(in_flight);
+        let in_flight_bytes = self.log.command_bytes(progress.first_unanswered(), previous_index);
+        let max_bytes = options.max_inflight_bytes.saturating_sub(in_flight_bytes);
+        let next_bytes = self.log.command_bytes(progress.next_index, progress.next_index);
+        let is_next_too_large = in_flight_bytes > 0 && next_bytes > max_bytes;
+        let entries = self.log.slice(
+            progress.next_index,
+            if is_next_too_large { 0 } else { max_entries },
+            options.max_append_bytes.min(max_bytes),
+        );
         if entries.is_empty() && !heartbeat {
             return;
         }
--- a/components/consensus/src/node/mod.rs
+++ b/components/consensus/src/node/mod.rs
@@ -308,10 +308,11 @@
     }
 
     /// Compacts the log up to a durable `snapshot`. The last `keep_entries` entries
-    /// before it are kept, so that replicas that lag by less than that catch up
-    /// from the log instead of a snapshot.
+    /// before it are kept, up to [`Options::max_kept_bytes`], so that replicas that lag by
+    /// less than that catch up from the log instead of a snapshot.
     pub fn compact(&mut self, snapshot: Snapshot, keep_entries: u64) {
-        let index = snapshot.index.saturating_sub(keep_entries);
+        let first = snapshot.index.saturating_sub(keep_entries).max(self.log.compacted().index);
+        let index = self.log.start_of_tail(first, snapshot.index, self.options.max_kept_bytes);
         if let Some(term) = self.log.term(index) {
             self.configurations.compact(index);
             self.log.compact(LogPosition { term, index });
@@ -390,6 +391,11 @@
         self.log.term(index)
     }
 
+    /// Returns the bytes of all commands that are in memory.
+    pub fn log_bytes(&self) -> usize {
+        self.log.command_bytes(self.log.compacted().index + 1, self.log.last().index)
+    }
+
     /// Returns the entry at `index`, unless it is compacted away or not in the log.
     pub fn entry(&self, index: u64) -> Option<&LogEntry> {
         self.log.get(index)
--- a/components/consensus/src/options.rs
+++ b/components/consensus/src/options.rs
@@ -16,6 +16,11 @@
     /// Maximum number of entries in flight to a replica, that is, sent but not
     /// acknowledged.
     pub max_inflight_entries: u64,
+    /// Maximum bytes of commands in flight to a replica. A larger command is sent when
+    /// nothing else is in flight.
+    pub max_inflight_bytes: usize,
+    /// Maximum bytes of compacted commands that stay in memory for replicas that lag.
+    pub max_kept_bytes: usize,
 }
 
 impl Default for Options {
@@ -25,6 +30,8 @@
             election_ms: 1_000,
             max_append_bytes: 1 << 20,
             max_inflight_entries: 4_096,
+            max_inflight_bytes: 8 << 20,
+            max_kept_bytes: 8 << 20,
         }
     }
 }
--- a/components/consensus/src/progress.rs
+++ b/components/consensus/src/progress.rs
@@ -11,6 +11,8 @@
     pub(crate) match_index: u64,
     /// Next index to send.
     pub(crate) next_index: u64,
+    /// First index that may have been sent since the replica is tracked.
+    first_sent_index: u64,
     /// Time of the last reply in this term; before the first one, the time at which
     /// the leader began to track the replica.
     pub(crate) last_reply_ms: u64,
@@ -25,6 +27,7 @@
         Progress {
             match_index: 0,
             next_index,
+            first_sent_index: next_index,
             last_reply_ms: now_ms,
             read_sequence: 0,
             snapshot_sent_ms: None,
@@ -44,8 +47,14 @@
     /// not match, but not to an acknowledged entry.
     pub(crate) fn record_rejected(&mut self, hint_index: u64) {
         self.next_index = self.next_index.min(hint_index + 1).max(self.match_index + 1);
+        self.first_sent_index = self.first_sent_index.min(self.next_index);
         self.snapshot_sent_ms = None;
     }
+
+    /// Returns the first index that may have been sent and is not acknowledged.
+    pub(crate) fn first_unanswered(&self) -> u64 {
+        self.first_sent_index.max(self.match_index + 1)
+    }
 }
 
 /// Progress of all replicas of a configuration.
--- a/components/consensus/tests/explore/cluster.rs
+++ b/components/consensus/tests/explore/cluster.rs
@@ -50,7 +50,14 @@
 }
 
 fn options() -> Options {
-    Options { heartbeat_ms: 40, election_ms: 200, max_append_bytes: 64, max_inflight_entries: 8 }
+    Options {
+        heartbeat_ms: 40,
+        election_ms: 200,
+        max_append_bytes: 64,
+        max_inflight_entries: 8,
+        max_inflight_bytes: 128,
+        max_kept_bytes: 64,
+    }
 }
 
 fn replica(id: u64, voter: bool) -> Replica {
--- a/components/consensus/tests/rules.rs
+++ b/components/consensus/tests/rules.rs
@@ -338,3 +338,72 @@
 
     assert_eq!(node.take_messages().len(), 0);
 }
+
+const LARGE_BYTES: usize = 3 << 20;
+
+fn large_command() -> Bytes {
+    Bytes::from(vec![0; LARGE_BYTES])
+}
+
+/// Returns the bytes of commands in the append requests among `messages` to one replica.
+fn sent_bytes(messages: &[ConsensusMessage], to: u64) -> usize {
+    let size = |entry: &LogEntry| match &entry.payload {
+        Some(Payload::Command(command)) => command.len(),
+        _ => 0,
+    };
+    let entries = |message: &ConsensusMessage| match &message.body {
+        Some(Body::AppendRequest(request)) => request.entries.iter().map(size).sum(),
+        _ => 0,
+    };
+    messages.iter().filter(|message| message.to == to).map(entries).sum()
+}
+
+/// Large sets are published faster than a follower takes them: the leader holds back what
+/// exceeds the limit, and sends it once the follower replies.
+#[test]
+fn large_commands_in_flight_to_a_slow_replica_are_bounded() {
+    let mut node = restore_replica(1, Vec::new());
+    let now_ms = elect(&mut node, 0);
+    node.take_messages();
+    let mut sent = 0;
+    for _ in 0..20 {
+        node.propose(large_command()).expect("it leads");
+        sent += sent_bytes(&node.take_messages(), 3);
+    }
+    assert!(sent <= Options::default().max_inflight_bytes, "{sent} bytes are in flight");
+    assert!(sent >= LARGE_BYTES);
+
+    let last = node.last().index;
+    let mut acknowledged = last - 20;
+    while acknowledged < last {
+        acknowledged += 1;
+        node.step(now_ms, message(3, node.term(), accepted(acknowledged)));
+        sent += sent_bytes(&node.take_messages(), 3);
+    }
+
+    assert_eq!(sent, 20 * LARGE_BYTES);
+}
+
+/// Hundreds of large sets stay far below the number of entries that are kept for replicas
+/// that lag.
+#[test]
+fn commands_kept_after_a_compaction_are_bounded_by_their_size() {
+    let mut node = restore_replica(1, Vec::new());
+    let now_ms = elect(&mut node, 0);
+    for _ in 0..20 {
+        node.propose(large_command()).expect("it leads");
+    }
+    persist(&mut node);
+    let last = node.last();
+    node.step(now_ms, message(2, node.term(), accepted(last.index)));
+    node.take_committed();
+    let configuration = Some(voters(&[1, 2, 3]));
+    let snapshot =
+        Snapshot { index: last.index, term: last.term, configuration, data: Bytes::new() };
+
+    node.compact(snapshot, 2_000);
+
+    assert!(node.log_bytes() <= Options::default().max_kept_bytes);
+    assert_eq!(node.log_bytes(), 2 * LARGE_BYTES);
+    assert_eq!(node.last(), last);
+}
