Tell engines to stop generations before these go on elsewhere

Cause: stopping a generation and copying the rest of its cache are one command, whose response waits for the link. Where the link was busy the gateway went on from the first copy without that command, and after a broken connection as well.

Change: a planned move always stops the generation; with a busy link the end of its stream is awaited instead of the rest of the cache. After a broken connection the engine is told to stop, and the generation goes on once it says so or after 250 ms; the command is repeated until it is confirmed.

--- a/components/gateway/src/moves.rs
+++ b/components/gateway/src/moves.rs
@@ -3,8 +3,10 @@
 //! The KV cache is copied while the generation still runs on the source engine.
 //! Shortly before the source exits, the generation is stopped there, the part
 //! of the cache that was added since is copied, and the generation resumes on
-//! the other engine. The first copy is also used if the source exits early.
+//! the other engine. The first copy is also used if the source exits early. No generation
+//! goes on before its source was told to stop it.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,7 +19,7 @@
 use crate::accept::Call;
 use crate::dialect::{KvCacheRef, MoveCommand, MoveResult};
 use crate::eligibility::Excluded;
-use crate::exchange::send_command;
+use crate::exchange::{ExchangeError, send_command};
 use crate::place::reserve_for_move;
 use crate::reservation::Reservation;
 use crate::shared::Shared;
@@ -32,6 +34,10 @@
 const COPY_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Longest wait for the result of a stop command after the stream ended.
 const STOP_RESULT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest wait for an engine to confirm that a generation has ended there, before it goes
+/// on elsewhere from an earlier copy. The engine has the command to stop by then, if it is
+/// reachable at all.
+const END_CONFIRM_TIMEOUT: Duration = Duration::from_millis(250);
 /// Latest planned stop of the generation, counted from the start of the copy;
 /// engines announce their exit at least 1.5 s in advance.
 const MAX_STOP_DELAY: Duration = Duration::from_millis(1_150);
@@ -55,7 +61,11 @@
     /// There was nothing to stop: the generation ended, or is queued to
     /// recompute its prefill.
     NotRunning,
-    /// The copy is not up to date; the generation may have stopped.
+    /// The generation is stopped, but its copy is not up to date.
+    Kept,
+    /// The engine accepts no command.
+    Unreachable,
+    /// The generation may still run.
     Failed,
 }
 
@@ -93,8 +103,8 @@
 pub(crate) struct StopPlan {
     pub(crate) at: Instant,
     /// The source's link will still be transferring other generations at that
-    /// time: the generation resumes from its first copy, and the other engine
-    /// recomputes what the copy lacks.
+    /// time: the generation resumes from its first copy once it has stopped, and the
+    /// other engine recomputes what the copy lacks.
     pub(crate) link_saturated: bool,
 }
 
@@ -109,7 +119,7 @@
     /// The copy is complete; the generation is to be stopped as planned.
     Copied(CacheCopy, StopPlan),
     /// The generation is being stopped and the rest of its KV cache copied.
-    Stopping(CacheCopy, PendingTask<StopResult>),
+    Stopping { copy: CacheCopy, result: PendingTask<StopResult>, link_saturated: bool },
     /// The generation is stopped and its KV cache is copied.
     Stopped(CacheCopy),
 }
@@ -132,34 +142,108 @@
                 tokio::time::sleep_until(plan.at).await;
                 MoveEvent::StopDue
             }
-            MoveState::Stopping(_, pending) => {
-                MoveEvent::Stopped(pending.wait().await.unwrap_or(StopResult::Failed))
+            MoveState::Stopping { result, .. } => {
+                MoveEvent::Stopped(result.wait().await.unwrap_or(StopResult::Failed))
             }
         }
     }
+}
+
+/// Returns the copy to resume from, once the generation is known to have ended at its source
+/// or the wait for that is over. If the stream ended normally (`interrupted` is false), it
+/// resumes only if the generation may have been stopped for the move.
+pub(crate) async fn take_copy(
+    shared: &Rc<Shared>,
+    call: &Rc<Call>,
+    source: &Target,
+    state: MoveState,
+    interrupted: bool,
+) -> Option<CacheCopy> {
+    let (copy, sent, limit) = match state {
+        MoveState::Idle | MoveState::Copying(..) => return None,
+        MoveState::Copied(..) if !interrupted => {
+            discard(shared, call, source, state);
+            return None;
+        }
+        MoveState::Copied(copy, _) => (copy, None, END_CONFIRM_TIMEOUT),
+        MoveState::Stopped(copy) => return Some(copy),
+        MoveState::Stopping { copy, result, link_saturated } => {
+            // The rest of the cache waits for other copies.
+            let is_first_copy_due = interrupted && link_saturated;
+            let limit = if is_first_copy_due { END_CONFIRM_TIMEOUT } else { STOP_RESULT_TIMEOUT };
+            (copy, Some(result), limit)
+        }
+    };
+    resume_from_ended(shared, call, source, copy, sent, limit, interrupted).await
+}
 
-    /// Returns the copy to resume from. If the stream ended normally
-    /// (`interrupted` is false), it resumes only if the generation may have been
-    /// stopped for the move.
-    pub(crate) async fn take_copy(&mut self, interrupted: bool) -> Option<CacheCopy> {
-        match std::mem::take(self) {
-            MoveState::Idle | MoveState::Copying(..) => None,
-            MoveState::Copied(copy, _) => interrupted.then_some(copy),
-            MoveState::Stopped(copy) => Some(copy),
-            MoveState::Stopping(mut copy, mut pending) => {
-                match timeout(STOP_RESULT_TIMEOUT, pending.wait()).await {
-                    Ok(Some(StopResult::Copied(handle))) => {
-                        copy.cache.handle = handle;
-                        Some(copy)
-                    }
-                    Ok(Some(StopResult::NotRunning)) if !interrupted => None,
-                    _ => Some(copy),
+/// Waits up to `limit` until the generation is known to have ended at its source. An engine
+/// need not drop a generation whose connection closes, so it is told to stop.
+async fn resume_from_ended(
+    shared: &Rc<Shared>,
+    call: &Rc<Call>,
+    source: &Target,
+    mut copy: CacheCopy,
+    sent: Option<PendingTask<StopResult>>,
+    limit: Duration,
+    interrupted: bool,
+) -> Option<CacheCopy> {
+    let to = copy.reservation.target.address;
+    let (ending_shared, ending_call, engine) = (shared.clone(), call.clone(), source.clone());
+    let mut ending = PendingTask::spawn(async move {
+        stop_until_known(&ending_shared, &ending_call, &engine, to, sent).await
+    });
+    match timeout(limit, ending.wait()).await {
+        Ok(Some(StopResult::Copied(handle))) => {
+            copy.cache.handle = handle;
+            Some(copy)
+        }
+        Ok(Some(StopResult::NotRunning)) if !interrupted => {
+            free_later(shared, call, source, copy.cache.handle);
+            None
+        }
+        Ok(_) => Some(copy),
+        Err(_) => {
+            log::info!(request = call.head.id.as_str(), upstream = source.id.as_str(), limit_ms = limit.as_millis(); "going on before the engine confirmed that the generation has ended");
+            let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
+            let used = copy.cache.handle.clone();
+            actix_rt::spawn(async move {
+                if let Some(StopResult::Copied(handle)) = ending.wait().await
+                    && handle != used
+                {
+                    free(&shared, &call, &source, &handle).await;
                 }
-            }
+            });
+            Some(copy)
         }
     }
 }
 
+/// Tells the engine to stop the generation until it says that it has, does not know the
+/// generation or accepts no connection; starts with the result of a command that was `sent`
+/// before.
+async fn stop_until_known(
+    shared: &Shared,
+    call: &Call,
+    source: &Target,
+    to: SocketAddr,
+    sent: Option<PendingTask<StopResult>>,
+) -> StopResult {
+    let until = Instant::now() + COPY_TIMEOUT;
+    let mut result = match sent {
+        Some(mut sent) => sent.wait().await.unwrap_or(StopResult::Failed),
+        None => send_stop(shared, call, source, to).await,
+    };
+    while matches!(result, StopResult::Failed) && Instant::now() < until {
+        sleep(RETRY_DELAY).await;
+        result = send_stop(shared, call, source, to).await;
+    }
+    if matches!(result, StopResult::Failed) {
+        log::warn!(request = call.head.id.as_str(), upstream = source.id.as_str(); "the engine did not confirm that the generation has ended");
+    }
+    result
+}
+
 /// Starts to copy the KV cache of a generation that keeps running.
 /// `events` is the number of events that it has produced.
 pub(crate) fn start_copy(
@@ -184,18 +268,23 @@
     call: &Rc<Call>,
     source: &Target,
     copy: CacheCopy,
+    link_saturated: bool,
 ) -> MoveState {
     let to = copy.reservation.target.address;
     let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
-    let stopping = PendingTask::spawn(async move {
-        let command = MoveCommand { request_id: &call.head.id, to, stop: true };
-        match send_move(&shared, &call, &source, command).await {
-            MoveResult::Copied(handle) => StopResult::Copied(handle),
-            MoveResult::NotRunning => StopResult::NotRunning,
-            MoveResult::Kept(_) | MoveResult::Failed => StopResult::Failed,
-        }
-    });
-    MoveState::Stopping(copy, stopping)
+    let result = PendingTask::spawn(async move { send_stop(&shared, &call, &source, to).await });
+    MoveState::Stopping { copy, result, link_saturated }
+}
+
+async fn send_stop(shared: &Shared, call: &Call, source: &Target, to: SocketAddr) -> StopResult {
+    let command = MoveCommand { request_id: &call.head.id, to, stop: true };
+    match send_move(shared, call, source, command).await {
+        Ok(MoveResult::Copied(handle)) => StopResult::Copied(handle),
+        Ok(MoveResult::Kept(_)) => StopResult::Kept,
+        Ok(MoveResult::NotRunning) => StopResult::NotRunning,
+        Err(ExchangeError::NotSent(_)) => StopResult::Unreachable,
+        Ok(MoveResult::Failed) | Err(_) => StopResult::Failed,
+    }
 }
 
 /// Returns how long it takes to copy all generations of an engine over its
@@ -229,12 +318,12 @@
         };
         let to = reservation.target.address;
         match send_move(shared, call, source, MoveCommand { request_id, to, stop: false }).await {
-            MoveResult::Copied(handle) => {
+            Ok(MoveResult::Copied(handle)) => {
                 let cache = KvCacheRef { source: source.address, handle };
                 return Some(CacheCopy { reservation, cache });
             }
-            MoveResult::NotRunning => {}
-            MoveResult::Kept(_) | MoveResult::Failed => {
+            Ok(MoveResult::NotRunning) => {}
+            Ok(MoveResult::Kept(_) | MoveResult::Failed) | Err(_) => {
                 excluded.push(reservation.target.id.clone());
             }
         }
@@ -248,18 +337,21 @@
     call: &Call,
     source: &Target,
     command: MoveCommand<'_>,
-) -> MoveResult {
+) -> Result<MoveResult, ExchangeError> {
     let request = shared.dialect.move_request(&command);
     let until = Instant::now() + COPY_TIMEOUT;
     let response =
         send_command(shared, &call.span, source, request, until, MAX_RESPONSE_BYTES).await;
     let (result, status) = match response {
         Ok((status, body)) => {
-            (shared.dialect.parse_move_response(status, &body), status.to_string())
+            (Ok(shared.dialect.parse_move_response(status, &body)), status.to_string())
+        }
+        Err(error) => {
+            let text = error.to_string();
+            (Err(error), text)
         }
-        Err(error) => (MoveResult::Failed, error.to_string()),
     };
-    if !matches!(result, MoveResult::Copied(_)) {
+    if !matches!(result, Ok(MoveResult::Copied(_))) {
         log::info!(request = command.request_id, upstream = source.id.as_str(), to = command.to.to_string().as_str(), stop = command.stop, status = status.as_str(); "engine did not carry out the move command");
     }
     result
@@ -273,8 +365,8 @@
             MoveState::Idle => None,
             MoveState::Copying(mut pending, _) => pending.wait().await.flatten(),
             MoveState::Copied(copy, _) | MoveState::Stopped(copy) => Some(copy),
-            MoveState::Stopping(mut copy, mut pending) => {
-                if let Some(StopResult::Copied(handle)) = pending.wait().await {
+            MoveState::Stopping { mut copy, mut result, .. } => {
+                if let Some(StopResult::Copied(handle)) = result.wait().await {
                     copy.cache.handle = handle;
                 }
                 Some(copy)
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -160,13 +160,6 @@
             match self.step().await {
                 Step::Data(bytes) => self.events.push(&bytes),
                 Step::Departures => self.start_move(),
-                Step::Move(MoveEvent::StopDue) if self.is_link_saturated() => {
-                    if let Some(copy) = self.take_copy(true).await
-                        && let Err(truncated) = self.resume_from_copy(copy).await
-                    {
-                        return Some(Err(truncated));
-                    }
-                }
                 Step::Move(event) => self.advance_move(event),
                 Step::End => match self.take_copy(false).await {
                     Some(copy) => {
@@ -349,26 +342,28 @@
             (MoveState::Copying(_, plan), MoveEvent::Copied(Some(copy))) => {
                 MoveState::Copied(copy, plan)
             }
-            (MoveState::Copied(copy, _), MoveEvent::StopDue) => {
+            (MoveState::Copied(copy, plan), MoveEvent::StopDue) => {
                 log::info!(request = self.call.head.id.as_str(), from = target.id.as_str(), to = copy.reservation.target.id.as_str(), since_event_ms = elapsed_ms(self.progress.last_event_at); "stopping the generation on its source engine");
-                moves::start_stop(&self.shared, &self.call, target, copy)
+                moves::start_stop(&self.shared, &self.call, target, copy, plan.link_saturated)
             }
-            (MoveState::Stopping(mut copy, _), MoveEvent::Stopped(StopResult::Copied(handle))) => {
+            (
+                MoveState::Stopping { mut copy, .. },
+                MoveEvent::Stopped(StopResult::Copied(handle)),
+            ) => {
                 copy.cache.handle = handle;
                 MoveState::Stopped(copy)
             }
+            (MoveState::Stopping { copy, .. }, MoveEvent::Stopped(StopResult::Kept)) => {
+                MoveState::Stopped(copy)
+            }
             // The generation may still run or be queued at the source: copy it again.
-            (MoveState::Stopping(..), MoveEvent::Stopped(_)) => {
+            (MoveState::Stopping { .. }, MoveEvent::Stopped(_)) => {
                 moves::start_copy(&self.shared, &self.call, target, self.progress.relayed)
             }
             (_, _) => MoveState::Idle,
         };
     }
 
-    fn is_link_saturated(&self) -> bool {
-        matches!(&self.move_state, MoveState::Copied(_, plan) if plan.link_saturated)
-    }
-
     /// Ends the move in progress and frees its copy.
     fn discard_move(&mut self) {
         let state = std::mem::take(&mut self.move_state);
@@ -381,11 +376,9 @@
     /// copy; if the stream ended before its generation was stopped, that copy is
     /// freed.
     async fn take_copy(&mut self, interrupted: bool) -> Option<CacheCopy> {
-        if !interrupted && matches!(self.move_state, MoveState::Copied(..)) {
-            self.discard_move();
-            return None;
-        }
-        self.move_state.take_copy(interrupted).await
+        let state = std::mem::take(&mut self.move_state);
+        let target = self.source.as_ref()?.reservation.target.clone();
+        moves::take_copy(&self.shared, &self.call, &target, state, interrupted).await
     }
 
     fn log_end(&self, outcome: &str) {
