Keep the end of upstreams that a gateway does not know yet

Cause: a gateway dropped the record of a withdrawal of an upstream that it did not know, and joined it by the older record of another control process that came later. The order of the first replies decided.

Evidence: MergedRegistry alone, with the two records in both orders; the gateways' logs have the join and no end.

Change: the end is kept, so records with a start time merge to the same state in any order. A control process that reports an earlier phase than another one is told by the gateways, so a restart of the process that was told does not bring the upstream back. Withdrawals without a start time are completed in the same way.

--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -221,6 +221,11 @@
                 log::info!(upstream = leaving.id.as_str(), born_ms = leaving.born_ms, vm = request.vm.as_str(); "upstream leaves, as it said to a gateway");
             }
         }
+        for ended in &request.ended {
+            if self.registry.mark_ended(ended) {
+                log::info!(upstream = ended.id.as_str(), phase = ended.phase().as_str_name(), born_ms = ended.born_ms, vm = request.vm.as_str(); "upstream ended, as another control process was told");
+            }
+        }
         self.last_live_ms.insert(vm.clone(), now_ms);
         self.gateways.insert(vm, gateway);
     }
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -27,6 +27,8 @@
 const SYNC_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Delay before the next sync request after a failed one.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Most upstreams in one sync request that ended as another control process was told.
+const MAX_ENDED_REPORTS: usize = 256;
 /// Minimum interval between two sync requests to one control process.
 const MIN_SYNC_INTERVAL: Duration = Duration::from_millis(15);
 
@@ -147,6 +149,7 @@
     let link = links.endpoint.link(address, credentials::Role::Control);
     let mut phase = shared.phase.subscribe();
     let mut urgent = shared.urgent_syncs.subscribe();
+    let mut departures = shared.departures.subscribe();
     let mut cursor = Cursor::default();
     let mut connected = false;
     loop {
@@ -160,12 +163,22 @@
         let body = Some(request::Body::Sync(sync));
         let request = Request { traceparent: String::new(), body };
         // A phase change cancels the pending request, so that the next one
-        // reports it immediately; so does what the arbiter has to know at once.
+        // reports it immediately; so does what the arbiter has to know at once, and an upstream
+        // that ended as only another process was told.
         let is_arbiter = links.aggregates_load(address);
-        let replied = tokio::select! {
-            replied = link.call(request, SYNC_TIMEOUT) => Some(replied),
-            _ = phase.changed() => None,
-            _ = urgent.changed(), if is_arbiter => None,
+        let call = link.call(request, SYNC_TIMEOUT);
+        tokio::pin!(call);
+        let replied = loop {
+            tokio::select! {
+                replied = &mut call => break Some(replied),
+                _ = phase.changed() => break None,
+                _ = urgent.changed(), if is_arbiter => break None,
+                _ = departures.changed() => {
+                    if !shared.registry.borrow().ended_elsewhere(address, 1).is_empty() {
+                        break None;
+                    }
+                }
+            }
         };
         match replied {
             Some(Ok(reply::Body::Sync(reply))) => {
@@ -239,6 +252,7 @@
         limits: if aggregates_load { limits.due_reports(address, now_ms) } else { Vec::new() },
         limits_digest: limits.digest(),
         leaving: shared.leaving.borrow().reports(),
+        ended: shared.registry.borrow().ended_elsewhere(address, MAX_ENDED_REPORTS),
         begun: origins::reports_since(shared, cursor.last_stream),
     }
 }
--- a/components/registry/src/fleet.rs
+++ b/components/registry/src/fleet.rs
@@ -2,19 +2,22 @@
 //! processes.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 use compact_str::CompactString;
-use schema::{UpstreamPhase, UpstreamRecord};
+use schema::{EndedIncarnation, UpstreamPhase, UpstreamRecord};
 use smallvec::SmallVec;
 
-use crate::registry::{TOMBSTONE_RETENTION_MS, phase_order};
+use crate::registry::{TOMBSTONE_RETENTION_MS, phase_of_order, phase_order};
 
 /// Time for which an upstream that no control process reports is kept. This covers
 /// the restart of a control process, which receives the upstream's next
 /// announcement within one interval.
 const UNREPORTED_RETENTION_MS: u64 = 6_000;
 
+/// Address of an upstream that was withdrawn before it was known; never used.
+const NO_ADDRESS: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0));
+
 /// Upstream with its state as known to a gateway.
 #[derive(Clone, Debug)]
 pub struct KnownUpstream {
@@ -26,26 +29,45 @@
     /// Time until which the upstream is warming up and serves more slowly.
     pub warm_up_until_ms: u64,
     reports: SmallVec<[SourceReport; 3]>,
+    /// Order of the latest phase that a control process reported; the known one may be later,
+    /// by what this gateway saw itself.
+    reported_order: u8,
     unreported_since_ms: Option<u64>,
     unavailable_since_ms: Option<u64>,
 }
 
+/// What a control process last reported of an upstream.
 #[derive(Clone, Copy, Debug)]
 struct SourceReport {
     source: SocketAddr,
+    born_ms: u64,
+    order: u8,
     is_silent: bool,
 }
 
+impl SourceReport {
+    fn new(source: SocketAddr, record: &UpstreamRecord, is_silent: bool) -> Self {
+        SourceReport { source, born_ms: record.born_ms, order: phase_order(record), is_silent }
+    }
+}
+
 impl KnownUpstream {
     /// Returns whether new requests may be sent to the upstream.
     pub fn accepts_requests(&self) -> bool {
         self.record.phase() == UpstreamPhase::Ready && !self.is_silent()
     }
 
-    /// Returns whether every control process that reports the upstream missed its
+    /// Returns whether every control process that reports this incarnation missed its
     /// announcements.
     fn is_silent(&self) -> bool {
-        !self.reports.is_empty() && self.reports.iter().all(|report| report.is_silent)
+        let mut reports = self.current_reports().peekable();
+        reports.peek().is_some() && reports.all(|report| report.is_silent)
+    }
+
+    /// Returns the reports of this incarnation; a withdrawal may name none.
+    fn current_reports(&self) -> impl Iterator<Item = &SourceReport> {
+        let born_ms = self.record.born_ms;
+        self.reports.iter().filter(move |report| [0, born_ms].contains(&report.born_ms))
     }
 }
 
@@ -62,6 +84,10 @@
 
 /// Upstreams known to a gateway, merged from the registries of all control
 /// processes.
+///
+/// The newest incarnation counts, in the latest phase that any process reports: the order
+/// in which reports arrive does not matter, but for withdrawals that name no incarnation.
+/// Those end the one that is known when they arrive.
 #[derive(Debug, Default)]
 pub struct MergedRegistry {
     upstreams: BTreeMap<CompactString, KnownUpstream>,
@@ -106,21 +132,27 @@
         }
         let id = CompactString::from(record.id.as_str());
         let address = record.address.parse().ok();
+        let report = SourceReport::new(source, &record, is_silent);
         let Some(known) = self.upstreams.get_mut(&id) else {
-            if record.phase() == UpstreamPhase::Gone {
-                return None;
-            }
             let phase = record.phase();
-            let mut upstream = new_upstream(record, address?, now_ms);
-            upstream.reports.push(SourceReport { source, is_silent });
+            // A withdrawal has no address, and is kept: another control process may still
+            // report the upstream as ready.
+            let address = match phase {
+                UpstreamPhase::Gone => address.unwrap_or(NO_ADDRESS),
+                _ => address?,
+            };
+            let mut upstream = new_upstream(record, address, now_ms);
+            upstream.reports.push(report);
             self.upstreams.insert(id.clone(), upstream);
-            return Some(match phase {
-                UpstreamPhase::Draining => UpstreamChange::Draining(id),
-                _ => UpstreamChange::Joined(id),
-            });
+            return match phase {
+                UpstreamPhase::Gone => None,
+                UpstreamPhase::Draining => Some(UpstreamChange::Draining(id)),
+                _ => Some(UpstreamChange::Joined(id)),
+            };
         };
         let ends_any_incarnation = record.phase() == UpstreamPhase::Gone && record.born_ms == 0;
         if !ends_any_incarnation && record.born_ms < known.record.born_ms {
+            known.set_report(report);
             return None;
         }
         if !ends_any_incarnation && record.born_ms > known.record.born_ms {
@@ -128,14 +160,15 @@
             let gone = record.phase() == UpstreamPhase::Gone;
             let address = address.unwrap_or(known.address);
             *known = new_upstream(record, address, now_ms);
-            known.reports.push(SourceReport { source, is_silent });
+            known.reports.push(report);
             return Some(match (draining, gone) {
                 (true, _) => UpstreamChange::Draining(id),
                 (_, true) => UpstreamChange::Gone(id),
                 _ => UpstreamChange::Joined(id),
             });
         }
-        known.set_report(source, is_silent);
+        known.set_report(report);
+        known.reported_order = known.reported_order.max(report.order);
         known.update_announced(&record, now_ms);
         known.advance_phase(&record).then(|| match record.phase() {
             UpstreamPhase::Gone => UpstreamChange::Gone(id),
@@ -143,6 +176,26 @@
         })
     }
 
+    /// Returns upstreams, `max_count` at most, that are draining or gone as another control
+    /// process reports, while the one at `source` reports an earlier phase or incarnation, or
+    /// a withdrawal without one. That process is told, so that gateways which join later do
+    /// not depend on which process they hear first.
+    pub fn ended_elsewhere(&self, source: SocketAddr, max_count: usize) -> Vec<EndedIncarnation> {
+        let ended = self.upstreams.values().filter(|known| {
+            let rank = (known.record.born_ms, known.reported_order);
+            let mut reports = known.reports.iter();
+            let reported = reports.find(|report| report.source == source);
+            known.reported_order > 0
+                && reported.is_some_and(|report| (report.born_ms, report.order) < rank)
+        });
+        let ended = ended.map(|known| EndedIncarnation {
+            id: known.record.id.clone(),
+            born_ms: known.record.born_ms,
+            phase: phase_of_order(known.reported_order).into(),
+        });
+        ended.take(max_count).collect()
+    }
+
     /// Removes the reports of the control process at `source`.
     pub fn remove_source(&mut self, source: SocketAddr) {
         for upstream in self.upstreams.values_mut() {
@@ -178,7 +231,8 @@
             if upstream.unavailable_for_ms(now_ms) >= TOMBSTONE_RETENTION_MS {
                 return false;
             }
-            if !upstream.reports.is_empty() {
+            let has_ended = upstream.reported_order > 0 && !upstream.reports.is_empty();
+            if has_ended || upstream.current_reports().next().is_some() {
                 upstream.unreported_since_ms = None;
                 return true;
             }
@@ -189,10 +243,10 @@
 }
 
 impl KnownUpstream {
-    fn set_report(&mut self, source: SocketAddr, is_silent: bool) {
-        match self.reports.iter_mut().find(|report| report.source == source) {
-            Some(report) => report.is_silent = is_silent,
-            None => self.reports.push(SourceReport { source, is_silent }),
+    fn set_report(&mut self, new: SourceReport) {
+        match self.reports.iter_mut().find(|report| report.source == new.source) {
+            Some(report) => *report = new,
+            None => self.reports.push(new),
         }
     }
 
@@ -230,6 +284,7 @@
         address,
         warm_up_until_ms: now_ms.saturating_add(record.warm_up_ms),
         reports: SmallVec::new(),
+        reported_order: phase_order(&record),
         unreported_since_ms: None,
         unavailable_since_ms: None,
         record,
--- a/components/registry/src/registry.rs
+++ b/components/registry/src/registry.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use compact_str::CompactString;
-use schema::{UpstreamPhase, UpstreamRecord};
+use schema::{EndedIncarnation, UpstreamPhase, UpstreamRecord};
 
 /// Announcement intervals without an announcement after which an upstream is
 /// silent; announcements may arrive seconds late.
@@ -104,6 +104,31 @@
         true
     }
 
+    /// Adopts that an incarnation is draining or gone, as another control process was told; a
+    /// withdrawal that named no incarnation is completed. Returns whether the registry
+    /// changed.
+    pub fn mark_ended(&mut self, ended: &EndedIncarnation) -> bool {
+        let Some(stored) = self.by_id.get_mut(ended.id.as_str()) else { return false };
+        let known = &mut stored.record;
+        let rank = |record: &UpstreamRecord| (record.born_ms, phase_order(record));
+        let told = UpstreamRecord {
+            born_ms: ended.born_ms,
+            phase: ended.phase,
+            ..UpstreamRecord::default()
+        };
+        if phase_order(&told) == 0 || rank(&told) <= rank(known) {
+            return false;
+        }
+        let is_withdrawn = known.phase() == UpstreamPhase::Gone && known.born_ms == 0;
+        if !is_withdrawn {
+            known.phase = ended.phase;
+        }
+        known.born_ms = ended.born_ms;
+        self.version += 1;
+        stored.version = self.version;
+        true
+    }
+
     /// Marks ready upstreams that missed several announcements as silent and removes
     /// those without an announcement for longer than the tombstone retention;
     /// returns the ids of the newly silent ones.
@@ -166,3 +191,12 @@
         UpstreamPhase::Gone => 2,
     }
 }
+
+/// Returns the phase with an order that [`phase_order`] returned.
+pub(crate) fn phase_of_order(order: u8) -> UpstreamPhase {
+    match order {
+        0 => UpstreamPhase::Ready,
+        1 => UpstreamPhase::Draining,
+        _ => UpstreamPhase::Gone,
+    }
+}
