Go on at once when a stopped stream ends on a busy link

Cause: after the command to stop, the end of the stream says that the generation has ended, but with a busy link the gateway still waited up to 250 ms for the response, which comes after the rest of the cache: a pause above the target.

Change: no wait in that case; the command is still followed up until confirmed.

--- a/components/gateway/src/moves.rs
+++ b/components/gateway/src/moves.rs
@@ -168,9 +168,10 @@
         MoveState::Copied(copy, _) => (copy, None, END_CONFIRM_TIMEOUT),
         MoveState::Stopped(copy) => return Some(copy),
         MoveState::Stopping { copy, result, link_saturated } => {
-            // The rest of the cache waits for other copies.
+            // The stream broke off after the command to stop: the generation has ended. The
+            // rest of its cache waits for other copies, and is not awaited.
             let is_first_copy_due = interrupted && link_saturated;
-            let limit = if is_first_copy_due { END_CONFIRM_TIMEOUT } else { STOP_RESULT_TIMEOUT };
+            let limit = if is_first_copy_due { Duration::ZERO } else { STOP_RESULT_TIMEOUT };
             (copy, Some(result), limit)
         }
     };
