Refuse what may outlast the grace period of a stopping gateway

Cause: admission looked at the time since the stop signal, once, before the body was read; not at the time by which the request may end. At the end of the grace connections closed without an answer.

Change: a request whose deadline lies beyond the end of the grace is refused with 503, not-run; checked again once its body has arrived. What is in flight at the end gets 502, may-have-run.

--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -39,9 +39,9 @@
 /// `Retry-After` from a gateway that is stopping; another gateway serves the
 /// retry.
 const RETRY_AFTER_STOPPING: Duration = Duration::from_millis(50);
-/// Time after the stop signal during which new requests, except streams that
-/// cannot be resumed, are still served, because callers keep using cached
-/// gateway addresses for a while.
+/// Time after the stop signal during which new requests are still served, because callers
+/// keep using cached gateway addresses for a while; except streams that cannot be resumed,
+/// and requests that may last longer than the process.
 pub(crate) const DRAIN_ACCEPT_PERIOD: Duration = Duration::from_millis(3_000);
 /// `Retry-After` while all upstreams are full, as a share of the request's
 /// timeout: drawn at random, so that callers refused in one load peak do not all
@@ -153,16 +153,12 @@
             }
         })
     })?;
-    let stopping = *shared.phase.borrow() == EntryPhase::Stopping;
-    if stopping && (routed.route.kind() == RepeatKind::Stream || drain_accept_period_over(shared)) {
-        // The request might not finish before the process exits.
-        return Err(refuse(Refusal::unavailable("stopping", RETRY_AFTER_STOPPING)));
-    }
     let limit = table.set().limits.as_ref().map_or(0, |limits| limits.max_body_bytes);
     let limit = if limit == 0 { DEFAULT_MAX_BODY_BYTES } else { limit };
     let timeout = Duration::from_millis(routed.route.timeout_ms);
     let deadline = request_head.deadline_ms.map_or(timeout, Duration::from_millis);
     let until = arrived + timeout.min(deadline);
+    refuse_while_stopping(shared, routed.route.kind(), until).map_err(&refuse)?;
     let spent = request_head
         .deadline_ms
         .map_or(Duration::ZERO, |deadline_ms| shared.time_spent_earlier(routed.route, deadline_ms));
@@ -172,6 +168,8 @@
         .reserve_buffer(expected)
         .ok_or_else(|| refuse(Refusal::unavailable("too many bodies", RETRY_AFTER_NO_UPSTREAM)))?;
     let body = read_body(body, limit, until).await.map_err(&refuse)?;
+    // The stop may have begun while the body arrived.
+    refuse_while_stopping(shared, routed.route.kind(), until).map_err(&refuse)?;
     let workspace = routed.workspace.map(|workspace| workspace.name.as_str());
     let origin = match routed.route.kind() {
         RepeatKind::Stream | RepeatKind::ResumableStream => {
@@ -238,6 +236,18 @@
     ))
 }
 
+/// Refuses a request that might not finish before the process exits.
+fn refuse_while_stopping(shared: &Shared, kind: RepeatKind, until: Instant) -> Result<(), Refusal> {
+    if *shared.phase.borrow() != EntryPhase::Stopping {
+        return Ok(());
+    }
+    let outlives_grace = shared.grace_end().is_some_and(|end| until > end);
+    if kind == RepeatKind::Stream || drain_accept_period_over(shared) || outlives_grace {
+        return Err(Refusal::unavailable("stopping", RETRY_AFTER_STOPPING));
+    }
+    Ok(())
+}
+
 /// Returns whether callers have had time to learn that this gateway is stopping.
 fn drain_accept_period_over(shared: &Shared) -> bool {
     shared.stopping_since.get().is_some_and(|since| since.elapsed() > DRAIN_ACCEPT_PERIOD)
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -5,7 +5,7 @@
 
 use compact_str::CompactString;
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, request};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 use schema::EntryPhase;
@@ -37,6 +37,9 @@
 /// before the response is returned, so that a retry can replace a truncated one.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
+/// Reason of the answer to a request in flight at the end of the grace period.
+const GRACE_OVER: &str = "grace period over";
+
 /// Serves one request of a caller.
 pub(crate) async fn serve(shared: Rc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let in_flight = shared.track_in_flight();
@@ -46,12 +49,13 @@
     // Bytes after such a body may be a smuggled request, so the connection is
     // not reused.
     let close_connection = head.headers.contains_key(TRANSFER_ENCODING);
-    let mut response = match accept(&shared, head, body, arrived).await {
-        Ok(call) => dispatch(&shared, Rc::new(call), in_flight).await,
-        Err((refusal, id)) => {
-            log::info!(request = id.as_str(), status = refusal.status.as_u16(), reason = refusal.reason, waited_ms = elapsed_ms(arrived); "request refused");
-            shared.metrics.requests.with_label_values(&["none", refusal.reason]).inc();
-            refusal.into_response()
+    let mut ending = shared.ending.subscribe();
+    let mut response = tokio::select! {
+        response = respond(&shared, head, body, arrived, in_flight) => response,
+        _ = ending.wait_for(|ending| *ending) => {
+            log::warn!(waited_ms = elapsed_ms(arrived); "request cut off at the end of the grace period");
+            shared.metrics.requests.with_label_values(&["none", GRACE_OVER]).inc();
+            Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, GRACE_OVER).into_response()
         }
     };
     if close_connection || *shared.phase.borrow() == EntryPhase::Stopping {
@@ -60,6 +64,23 @@
     response
 }
 
+async fn respond(
+    shared: &Rc<Shared>,
+    head: request::Parts,
+    body: Incoming,
+    arrived: Instant,
+    in_flight: InFlightGuard,
+) -> Response<Body> {
+    match accept(shared, head, body, arrived).await {
+        Ok(call) => dispatch(shared, Rc::new(call), in_flight).await,
+        Err((refusal, id)) => {
+            log::info!(request = id.as_str(), status = refusal.status.as_u16(), reason = refusal.reason, waited_ms = elapsed_ms(arrived); "request refused");
+            shared.metrics.requests.with_label_values(&["none", refusal.reason]).inc();
+            refusal.into_response()
+        }
+    }
+}
+
 /// Sends the request to upstreams until one responds or it may not be retried.
 async fn dispatch(shared: &Rc<Shared>, call: Rc<Call>, in_flight: InFlightGuard) -> Response<Body> {
     let mut in_flight = Some(in_flight);
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -10,7 +10,7 @@
 use telemetry::Spans;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 use wire::Endpoint;
 
 use crate::accept::DRAIN_ACCEPT_PERIOD;
@@ -24,9 +24,8 @@
 use crate::status::{self, Page};
 
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Part of the grace period that is reserved for closing connections, before
-/// the process is killed.
-const KILL_MARGIN: Duration = Duration::from_millis(300);
+/// Time in which the last answers are sent, after the grace period.
+const ANSWER_DELAY: Duration = Duration::from_millis(100);
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Running gateway.
@@ -74,19 +73,23 @@
 
     /// Shuts down gracefully within the grace period: reports that it is not
     /// ready, so that callers use other gateways, still serves new requests for a
-    /// while, except streams that cannot be resumed, then drains the requests in
-    /// flight.
+    /// while, except streams that cannot be resumed and what may outlast the grace period,
+    /// then drains the requests in flight. What is still in flight at the end is answered as
+    /// of unknown outcome, or broken off if its response has begun.
     pub async fn stop(self) {
         let started = Instant::now();
         self.shared.stopping_since.set(Some(started));
         self.shared.phase.send_replace(EntryPhase::Stopping);
-        let timers = &self.shared.config.timers;
-        let grace = Duration::from_secs_f64(timers.grace_period_s).saturating_sub(KILL_MARGIN);
-        sleep(DRAIN_ACCEPT_PERIOD.min(grace)).await;
+        let grace_end = self.shared.grace_end().unwrap_or(started);
+        sleep_until((started + DRAIN_ACCEPT_PERIOD).min(grace_end)).await;
         self.closing.send_replace(true);
-        while self.shared.in_flight() > 0 && started.elapsed() < grace {
+        while self.shared.in_flight() > 0 && Instant::now() < grace_end {
             sleep(DRAIN_POLL_INTERVAL).await;
         }
+        if self.shared.in_flight() > 0 {
+            self.shared.ending.send_replace(true);
+            sleep(ANSWER_DELAY).await;
+        }
         log::info!(in_flight = self.shared.in_flight(); "drain ended; closing peer connections");
         self.endpoint.close();
         self.shared.spans.shutdown();
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -29,6 +29,9 @@
 use crate::state::{KnownLimits, LeavingUpstreams, Quarantine, RouteOffers};
 use crate::target::Target;
 
+/// Part of the grace period that is reserved for answering and closing connections, before
+/// the process is killed.
+const KILL_MARGIN: Duration = Duration::from_millis(300);
 /// Time for which the arbiter is not used after a failed request to it.
 const ARBITER_BACKOFF: Duration = Duration::from_secs(1);
 
@@ -61,6 +64,8 @@
     pub(crate) departures: watch::Sender<u64>,
     /// When the stop signal arrived.
     pub(crate) stopping_since: Cell<Option<Instant>>,
+    /// True once the grace period is over.
+    pub(crate) ending: watch::Sender<bool>,
     /// Control process that grants slots at engines.
     pub(crate) arbiter: RefCell<Option<Link>>,
     arbiter_suspended_until: Cell<Option<Instant>>,
@@ -111,6 +116,7 @@
             phase: watch::Sender::new(EntryPhase::Starting),
             departures: watch::Sender::new(0),
             stopping_since: Cell::new(None),
+            ending: watch::Sender::new(false),
             arbiter: RefCell::default(),
             arbiter_suspended_until: Cell::new(None),
             control_links: RefCell::default(),
@@ -287,6 +293,12 @@
         InFlightGuard(self.clone())
     }
 
+    /// Returns when requests in flight are cut off, once the gateway is stopping.
+    pub(crate) fn grace_end(&self) -> Option<Instant> {
+        let grace = Duration::from_secs_f64(self.config.timers.grace_period_s);
+        self.stopping_since.get().map(|since| since + grace.saturating_sub(KILL_MARGIN))
+    }
+
     pub(crate) fn in_flight(&self) -> u32 {
         self.in_flight.get()
     }
