Close streams on a busy link before telling their engine to stop

Cause: the command to stop copies the rest of the cache as well.

Change: the stream is closed first. A rest that was copied after all is freed.

--- a/components/gateway/src/moves.rs
+++ b/components/gateway/src/moves.rs
@@ -102,9 +102,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct StopPlan {
     pub(crate) at: Instant,
-    /// The source's link will still be transferring other generations at that
-    /// time: the generation resumes from its first copy once it has stopped, and the
-    /// other engine recomputes what the copy lacks.
+    /// The source's link will still be transferring other generations at that time, and
+    /// the rest of the cache would wait for it: the stream is closed, and the generation
+    /// resumes from its first copy once it has ended; the other engine recomputes what
+    /// the copy lacks.
     pub(crate) link_saturated: bool,
 }
 
@@ -119,7 +120,7 @@
     /// The copy is complete; the generation is to be stopped as planned.
     Copied(CacheCopy, StopPlan),
     /// The generation is being stopped and the rest of its KV cache copied.
-    Stopping { copy: CacheCopy, result: PendingTask<StopResult>, link_saturated: bool },
+    Stopping(CacheCopy, PendingTask<StopResult>),
     /// The generation is stopped and its KV cache is copied.
     Stopped(CacheCopy),
 }
@@ -142,7 +143,7 @@
                 tokio::time::sleep_until(plan.at).await;
                 MoveEvent::StopDue
             }
-            MoveState::Stopping { result, .. } => {
+            MoveState::Stopping(_, result) => {
                 MoveEvent::Stopped(result.wait().await.unwrap_or(StopResult::Failed))
             }
         }
@@ -167,13 +168,7 @@
         }
         MoveState::Copied(copy, _) => (copy, None, END_CONFIRM_TIMEOUT),
         MoveState::Stopped(copy) => return Some(copy),
-        MoveState::Stopping { copy, result, link_saturated } => {
-            // The stream broke off after the command to stop: the generation has ended. The
-            // rest of its cache waits for other copies, and is not awaited.
-            let is_first_copy_due = interrupted && link_saturated;
-            let limit = if is_first_copy_due { Duration::ZERO } else { STOP_RESULT_TIMEOUT };
-            (copy, Some(result), limit)
-        }
+        MoveState::Stopping(copy, result) => (copy, Some(result), STOP_RESULT_TIMEOUT),
     };
     resume_from_ended(shared, call, source, copy, sent, limit, interrupted).await
 }
@@ -207,11 +202,9 @@
         Err(_) => {
             log::info!(request = call.head.id.as_str(), upstream = source.id.as_str(), limit_ms = limit.as_millis(); "going on before the engine confirmed that the generation has ended");
             let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
-            let used = copy.cache.handle.clone();
             actix_rt::spawn(async move {
-                if let Some(StopResult::Copied(handle)) = ending.wait().await
-                    && handle != used
-                {
+                // The rest of the cache has come after all.
+                if let Some(StopResult::Copied(handle)) = ending.wait().await {
                     free(&shared, &call, &source, &handle).await;
                 }
             });
@@ -269,12 +262,11 @@
     call: &Rc<Call>,
     source: &Target,
     copy: CacheCopy,
-    link_saturated: bool,
 ) -> MoveState {
     let to = copy.reservation.target.address;
     let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
     let result = PendingTask::spawn(async move { send_stop(&shared, &call, &source, to).await });
-    MoveState::Stopping { copy, result, link_saturated }
+    MoveState::Stopping(copy, result)
 }
 
 async fn send_stop(shared: &Shared, call: &Call, source: &Target, to: SocketAddr) -> StopResult {
@@ -366,7 +358,7 @@
             MoveState::Idle => None,
             MoveState::Copying(mut pending, _) => pending.wait().await.flatten(),
             MoveState::Copied(copy, _) | MoveState::Stopped(copy) => Some(copy),
-            MoveState::Stopping { mut copy, mut result, .. } => {
+            MoveState::Stopping(mut copy, mut result) => {
                 if let Some(StopResult::Copied(handle)) = result.wait().await {
                     copy.cache.handle = handle;
                 }
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -160,10 +160,15 @@
             match self.step().await {
                 Step::Data(bytes) => self.events.push(&bytes),
                 Step::Departures => self.start_move(),
+                Step::Move(MoveEvent::StopDue) if self.is_link_saturated() => {
+                    if let Err(truncated) = self.leave_source().await {
+                        return Some(Err(truncated));
+                    }
+                }
                 Step::Move(event) => self.advance_move(event),
                 Step::End => match self.take_copy(false).await {
                     Some(copy) => {
-                        if let Err(truncated) = self.resume_from_copy(copy).await {
+                        if let Err(truncated) = self.go_on_from(copy).await {
                             return Some(Err(truncated));
                         }
                     }
@@ -342,28 +347,42 @@
             (MoveState::Copying(_, plan), MoveEvent::Copied(Some(copy))) => {
                 MoveState::Copied(copy, plan)
             }
-            (MoveState::Copied(copy, plan), MoveEvent::StopDue) => {
+            (MoveState::Copied(copy, _), MoveEvent::StopDue) => {
                 log::info!(request = self.call.head.id.as_str(), from = target.id.as_str(), to = copy.reservation.target.id.as_str(), since_event_ms = elapsed_ms(self.progress.last_event_at); "stopping the generation on its source engine");
-                moves::start_stop(&self.shared, &self.call, target, copy, plan.link_saturated)
+                moves::start_stop(&self.shared, &self.call, target, copy)
             }
-            (
-                MoveState::Stopping { mut copy, .. },
-                MoveEvent::Stopped(StopResult::Copied(handle)),
-            ) => {
+            (MoveState::Stopping(mut copy, _), MoveEvent::Stopped(StopResult::Copied(handle))) => {
                 copy.cache.handle = handle;
                 MoveState::Stopped(copy)
             }
-            (MoveState::Stopping { copy, .. }, MoveEvent::Stopped(StopResult::Kept)) => {
+            (MoveState::Stopping(copy, _), MoveEvent::Stopped(StopResult::Kept)) => {
                 MoveState::Stopped(copy)
             }
             // The generation may still run or be queued at the source: copy it again.
-            (MoveState::Stopping { .. }, MoveEvent::Stopped(_)) => {
+            (MoveState::Stopping(..), MoveEvent::Stopped(_)) => {
                 moves::start_copy(&self.shared, &self.call, target, self.progress.relayed)
             }
             (_, _) => MoveState::Idle,
         };
     }
 
+    fn is_link_saturated(&self) -> bool {
+        matches!(&self.move_state, MoveState::Copied(_, plan) if plan.link_saturated)
+    }
+
+    /// Closes the stream and goes on from the copy. Most engines drop a generation whose
+    /// connection closes, and so need not copy the rest of its cache to stop it.
+    async fn leave_source(&mut self) -> Result<(), ResponseTruncated> {
+        let state = std::mem::take(&mut self.move_state);
+        let Some(source) = self.source.take() else { return Ok(()) };
+        let target = source.reservation.target.clone();
+        drop(source);
+        match moves::take_copy(&self.shared, &self.call, &target, state, true).await {
+            Some(copy) => self.resume_from_copy(copy, Some(target)).await,
+            None => Err(ResponseTruncated),
+        }
+    }
+
     /// Ends the move in progress and frees its copy.
     fn discard_move(&mut self) {
         let state = std::mem::take(&mut self.move_state);
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -15,6 +15,7 @@
 use crate::place::{ReserveError, wait_for_slot};
 use crate::quarantine;
 use crate::reservation::Reservation;
+use crate::target::Target;
 
 /// Why an engine did not resume a stream.
 enum ResumeError {
@@ -30,7 +31,7 @@
     /// Resumes an interrupted stream on another engine, if that is possible.
     pub(super) async fn recover(&mut self, error: &str) -> Result<(), ResponseTruncated> {
         if let Some(copy) = self.take_copy(true).await {
-            return self.resume_from_copy(copy).await;
+            return self.go_on_from(copy).await;
         }
         let resumable = self.call.route.kind() == RepeatKind::ResumableStream;
         let may_run = self.runs < self.call.route.max_attempts.max(1);
@@ -43,13 +44,19 @@
         Err(ResponseTruncated)
     }
 
-    /// Resumes the stream on the engine that holds the copy of its KV cache; frees the
-    /// copy if that fails.
+    /// Closes the stream that has ended, and resumes it from a copy of its KV cache.
+    pub(super) async fn go_on_from(&mut self, copy: CacheCopy) -> Result<(), ResponseTruncated> {
+        let source = self.source.take().map(|source| source.reservation.target.clone());
+        self.resume_from_copy(copy, source).await
+    }
+
+    /// Resumes the stream that came from `source` on the engine that holds the copy of its KV
+    /// cache; frees the copy if that fails.
     pub(super) async fn resume_from_copy(
         &mut self,
         copy: CacheCopy,
+        source: Option<Target>,
     ) -> Result<(), ResponseTruncated> {
-        let source = self.source.take().map(|source| source.reservation.target.clone());
         self.discard_unfinished_event();
         let CacheCopy { reservation, cache } = copy;
         let from = source.as_ref().map_or("", |source| source.id.as_str());
