Take streams up only with current knowledge of origin and engines

Two gaps were left here, found by reading.

Cause: a grant counted as the origin although a control process that did not answer may know where the stream began; and the origin was fresh while the gateway's own list of engines could be older, if it had stood still or was cut off.

Change: a grant alone counts only if all control processes answered.

--- a/components/control/src/replica/places.rs
+++ b/components/control/src/replica/places.rs
@@ -118,8 +118,13 @@
             RecordedOrigin::Conflicting => OriginState::Conflicting,
         };
         let Origin { service, version } = recorded.origin().cloned().unwrap_or_default();
-        let reply =
-            OriginReply { state: state.into(), service: service.into(), version: version.into() };
+        let reply = OriginReply {
+            state: state.into(),
+            service: service.into(),
+            version: version.into(),
+            registry_epoch: self.gateway_syncs.registry_epoch,
+            registry_version: self.gateway_syncs.registry.version(),
+        };
         Reply { body: Some(reply::Body::Origin(reply)) }
     }
 
--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -87,7 +87,7 @@
 pub(crate) struct GatewaySyncs {
     /// Random number drawn at each start. A gateway whose sync request has another
     /// epoch receives the complete registry rather than the changes.
-    registry_epoch: u64,
+    pub(super) registry_epoch: u64,
     pub(super) registry: Registry,
     gateways: BTreeMap<CompactString, GatewayState>,
     open_syncs: Vec<OpenSync>,
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -15,7 +15,7 @@
 use crate::origins;
 use crate::quarantine;
 use crate::shared::Shared;
-use crate::state::AnsweredFeatures;
+use crate::state::{AnsweredFeatures, RegistryPosition};
 
 /// Longest time for which the control process that aggregates upstream load
 /// holds a sync reply back (long poll); limits the age of other gateways' load.
@@ -92,6 +92,7 @@
             if !keep {
                 log::info!(control = address.to_string().as_str(); "control process left the group");
                 self.shared.registry.borrow_mut().remove_source(*address);
+                self.shared.applied_registries.borrow_mut().remove(*address);
                 self.shared.quarantine.borrow_mut().remove_source(*address);
                 self.shared.route_offers.send_modify(|offers| offers.remove(*address));
                 self.set_connected(*address, None);
@@ -202,6 +203,7 @@
                     connected = false;
                     links.set_connected(address, None);
                     shared.registry.borrow_mut().remove_source(address);
+                    shared.applied_registries.borrow_mut().remove(address);
                     shared.quarantine.borrow_mut().disconnect(address);
                     shared.route_offers.send_modify(|offers| offers.remove(address));
                     cursor = Cursor::default();
@@ -269,6 +271,8 @@
     let changes =
         shared.registry.borrow_mut().apply(address, full_registry, reply.upstreams, now_ms);
     shared.apply_changes(&changes);
+    let applied = RegistryPosition { epoch: reply.registry_epoch, version: reply.registry_version };
+    shared.applied_registries.borrow_mut().record(address, applied);
     quarantine::apply(shared, address, reply.quarantine_digest, &reply.quarantine);
     shared.route_offers.send_if_modified(|offers| {
         offers.record(address, reply.set_number, &reply.data_centre, now_ms)
--- a/components/gateway/src/origins.rs
+++ b/components/gateway/src/origins.rs
@@ -6,7 +6,7 @@
 
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
-use lineage::{Origin, RecordedOrigin, StreamId};
+use lineage::{Origin, OriginSearch, RecordedOrigin, StreamId};
 use schema::{FindOriginRequest, OriginReply, OriginState, Request, StreamOrigins, reply, request};
 use tokio::time::{Instant, sleep};
 use wire::Link;
@@ -14,6 +14,7 @@
 use crate::answer::Refusal;
 use crate::dialect::RequestHead;
 use crate::shared::Shared;
+use crate::state::RegistryPosition;
 
 /// Timeout of a look-up at one control process.
 const FIND_TIMEOUT: Duration = Duration::from_millis(150);
@@ -67,43 +68,61 @@
     reports.collect()
 }
 
-/// Looks a stream up here and at all control processes.
+/// Looks a stream up here and at all control processes. After these, the gateway waits until
+/// it knows the upstreams that they knew: it may have been out of step, and take an upstream
+/// for one of an earlier software version.
 async fn find(shared: &Shared, stream: StreamId) -> RecordedOrigin {
-    let mut recorded = shared.origins.borrow().find(stream);
+    let recorded = shared.origins.borrow().find(stream);
     if recorded != RecordedOrigin::Unknown {
         return recorded;
     }
     let until = Instant::now() + CONNECT_WAIT;
+    let mut search = OriginSearch::default();
     let mut asked: BTreeSet<SocketAddr> = BTreeSet::new();
-    loop {
+    let mut answered: Vec<(SocketAddr, RegistryPosition)> = Vec::new();
+    let recorded = loop {
         let links = shared.control_links.borrow().clone();
         let new = links.into_iter().filter(|(address, _)| asked.insert(*address));
         let mut replies: FuturesUnordered<_> =
-            new.map(|(_, link)| async move { ask(&link, stream).await }).collect();
-        while let Some(reply) = replies.next().await {
-            recorded = recorded.merge(reply);
+            new.map(|(address, link)| async move { (address, ask(&link, stream).await) }).collect();
+        while let Some((address, reply)) = replies.next().await {
+            answered.extend(reply.as_ref().map(|reply| (address, position(reply))));
+            search.add(reply.map(to_recorded));
         }
         let all_asked = asked.len() >= shared.control_count.get();
+        let recorded = search.conclude(all_asked);
         if recorded != RecordedOrigin::Unknown || all_asked || Instant::now() >= until {
-            return recorded;
+            break recorded;
+        }
+        sleep(CONNECT_POLL_INTERVAL).await;
+    };
+    while recorded != RecordedOrigin::Unknown && !shared.has_applied(&answered) {
+        if Instant::now() >= until {
+            log::warn!(stream = stream.0; "stream not taken up: upstreams not up to date");
+            return RecordedOrigin::Unknown;
         }
         sleep(CONNECT_POLL_INTERVAL).await;
     }
+    recorded
 }
 
-async fn ask(link: &Link, stream: StreamId) -> RecordedOrigin {
+async fn ask(link: &Link, stream: StreamId) -> Option<OriginReply> {
     let body = request::Body::FindOrigin(FindOriginRequest { stream: stream.0 });
     let request = Request { traceparent: String::new(), body: Some(body) };
     match link.call(request, FIND_TIMEOUT).await {
-        Ok(reply::Body::Origin(reply)) => to_recorded(reply),
-        Ok(_) => RecordedOrigin::Unknown,
+        Ok(reply::Body::Origin(reply)) => Some(reply),
+        Ok(_) => None,
         Err(error) => {
             log::warn!(error = error.to_string().as_str(); "origin of a stream not found: control process does not reply");
-            RecordedOrigin::Unknown
+            None
         }
     }
 }
 
+fn position(reply: &OriginReply) -> RegistryPosition {
+    RegistryPosition { epoch: reply.registry_epoch, version: reply.registry_version }
+}
+
 fn to_recorded(reply: OriginReply) -> RecordedOrigin {
     let state = reply.state();
     let origin = Origin { service: reply.service.into(), version: reply.version.into() };
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -26,7 +26,9 @@
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 use crate::pool::{Connection, Pool};
-use crate::state::{KnownLimits, LeavingUpstreams, Quarantine, RouteOffers};
+use crate::state::{
+    AppliedRegistries, KnownLimits, LeavingUpstreams, Quarantine, RegistryPosition, RouteOffers,
+};
 use crate::target::Target;
 
 /// Part of the grace period that is reserved for answering and closing connections, before
@@ -49,6 +51,7 @@
     /// Sets of routes that the control processes have in force.
     pub(crate) route_offers: watch::Sender<RouteOffers>,
     pub(crate) registry: RefCell<MergedRegistry>,
+    pub(crate) applied_registries: RefCell<AppliedRegistries>,
     pub(crate) loads: RefCell<Loads>,
     pub(crate) outlier_detector: RefCell<OutlierDetector>,
     pub(crate) prefill_rate: Cell<PrefillRate>,
@@ -107,6 +110,7 @@
             table: RefCell::default(),
             route_offers: watch::Sender::default(),
             registry: RefCell::default(),
+            applied_registries: RefCell::default(),
             loads: RefCell::default(),
             outlier_detector: RefCell::default(),
             prefill_rate: Cell::default(),
@@ -141,6 +145,12 @@
         self.clock.now_ms()
     }
 
+    /// Returns whether this gateway has applied these versions of registries.
+    pub(crate) fn has_applied(&self, positions: &[(SocketAddr, RegistryPosition)]) -> bool {
+        let applied = self.applied_registries.borrow();
+        positions.iter().all(|(source, position)| applied.includes(*source, *position))
+    }
+
     pub(crate) fn table(&self) -> Rc<RouteTable> {
         self.table.borrow().clone()
     }
--- a/components/gateway/src/state/mod.rs
+++ b/components/gateway/src/state/mod.rs
@@ -4,8 +4,10 @@
 mod limits;
 mod offers;
 mod quarantine;
+mod registries;
 
 pub(crate) use leaving::LeavingUpstreams;
 pub(crate) use limits::KnownLimits;
 pub(crate) use offers::{NextFetch, RouteOffers};
 pub(crate) use quarantine::{AnsweredFeatures, MAX_HOLD, Quarantine};
+pub(crate) use registries::{AppliedRegistries, RegistryPosition};
--- a/components/lineage/src/lib.rs
+++ b/components/lineage/src/lib.rs
@@ -9,7 +9,7 @@
 mod report;
 mod stream_id;
 
-pub use origin::{Origin, RecordedOrigin};
+pub use origin::{Origin, OriginSearch, RecordedOrigin};
 pub use origins::Origins;
 pub use report::OriginLog;
 pub use stream_id::StreamId;
--- a/components/lineage/src/origin.rs
+++ b/components/lineage/src/origin.rs
@@ -76,3 +76,41 @@
         }
     }
 }
+
+/// Answers of the processes that were asked where a stream began.
+///
+/// ```
+/// use lineage::{Origin, OriginSearch, RecordedOrigin};
+/// let granted = Origin { service: "llm".into(), version: "v1".into() };
+/// let mut search = OriginSearch::default();
+/// search.add(Some(RecordedOrigin::Granted(granted.clone())));
+/// assert_eq!(search.conclude(true), RecordedOrigin::Granted(granted.clone()));
+///
+/// // The process that did not answer may know that the stream began elsewhere.
+/// search.add(None);
+/// assert_eq!(search.conclude(true), RecordedOrigin::Unknown);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct OriginSearch {
+    recorded: RecordedOrigin,
+    is_partial: bool,
+}
+
+impl OriginSearch {
+    /// Adds the answer of one process; `None` if it did not answer.
+    pub fn add(&mut self, answer: Option<RecordedOrigin>) {
+        match answer {
+            Some(answer) => self.recorded = std::mem::take(&mut self.recorded).merge(answer),
+            None => self.is_partial = true,
+        }
+    }
+
+    /// Returns what is certain. A grant alone does not tell where a stream began unless all
+    /// processes were asked and answered.
+    pub fn conclude(&self, all_asked: bool) -> RecordedOrigin {
+        match &self.recorded {
+            RecordedOrigin::Granted(_) if self.is_partial || !all_asked => RecordedOrigin::Unknown,
+            recorded => recorded.clone(),
+        }
+    }
+}
