Bound what a gateway holds of bodies and answers in all

Cause: a bound for each buffer, none for their sum; reservations made once, from what is announced.

Change: one budget for bodies and answers, reserved as they grow. Bodies may take three quarters and are refused as not run; answers of usual size always get through. Heads of responses have 64 KiB a connection.

--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -9,8 +9,8 @@
 use http::header::{CONTENT_LENGTH, EXPECT, HeaderName};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, StatusCode, Uri, request};
-use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body::{Body as _, Incoming};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use lineage::{Origin, StreamId};
 use rand::RngExt as _;
 use routing::{RouteError, RouteTable, pick_weighted_service};
@@ -19,18 +19,18 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{Refusal, strip_hop_by_hop};
+use crate::buffering::{ReadError, read_whole};
 use crate::dialect::{ForwardContext, RequestHead, Resume};
 use crate::origins::{self, RETRY_AFTER_LOST_STREAM};
 use crate::reservation::Requirements;
-use crate::shared::{BufferReservation, Shared};
+use crate::shared::Shared;
+use crate::state::{BufferReservation, BufferUse};
 use crate::target::Target;
 
 /// W3C trace context of the caller, which is forwarded unchanged.
 const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
 /// Largest request body if the published set of routes gives no limit.
 const DEFAULT_MAX_BODY_BYTES: u64 = 4 << 20;
-/// Memory reserved for a body of unknown length (chunked).
-const UNKNOWN_LENGTH_BODY_BYTES: u64 = 64 << 10;
 /// Longest wait of a request for the first set of routes after a start.
 const FIRST_SET_WAIT: Duration = Duration::from_millis(700);
 /// `Retry-After` while a gateway has no set of routes: control processes that
@@ -163,11 +163,8 @@
         .deadline_ms
         .map_or(Duration::ZERO, |deadline_ms| shared.time_spent_earlier(routed.route, deadline_ms));
     let target = Duration::from_millis(routed.route.target_latency_ms);
-    let expected = body.size_hint().upper().unwrap_or(UNKNOWN_LENGTH_BODY_BYTES).min(limit);
-    let body_memory = shared
-        .reserve_buffer(expected)
-        .ok_or_else(|| refuse(Refusal::unavailable("too many bodies", RETRY_AFTER_NO_UPSTREAM)))?;
-    let body = read_body(body, limit, until).await.map_err(&refuse)?;
+    let mut body_memory = shared.buffers.reserve(BufferUse::RequestBody);
+    let body = read_body(body, limit, until, &mut body_memory).await.map_err(&refuse)?;
     // The stop may have begun while the body arrived.
     refuse_while_stopping(shared, routed.route.kind(), until).map_err(&refuse)?;
     let workspace = routed.workspace.map(|workspace| workspace.name.as_str());
@@ -266,14 +263,24 @@
     Ok(table)
 }
 
-async fn read_body(body: Incoming, limit: u64, until: Instant) -> Result<Bytes, Refusal> {
+async fn read_body(
+    body: Incoming,
+    limit: u64,
+    until: Instant,
+    memory: &mut BufferReservation,
+) -> Result<Bytes, Refusal> {
     let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    match timeout_at(until, Limited::new(body, limit).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+    match timeout_at(until, read_whole(body, limit, memory)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(ReadError::TooLarge)) => {
             Err(Refusal::client_error(StatusCode::PAYLOAD_TOO_LARGE, "body too large"))
         }
-        Ok(Err(_)) => Err(Refusal::client_error(StatusCode::BAD_REQUEST, "malformed body")),
+        Ok(Err(ReadError::NoMemory)) => {
+            Err(Refusal::unavailable("too many bodies", RETRY_AFTER_NO_UPSTREAM))
+        }
+        Ok(Err(ReadError::Interrupted(_))) => {
+            Err(Refusal::client_error(StatusCode::BAD_REQUEST, "malformed body"))
+        }
         Err(_) => {
             Err(Refusal::client_error(StatusCode::REQUEST_TIMEOUT, "body not received in time"))
         }
--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -10,6 +10,8 @@
 use http_body_util::{BodyExt as _, Full};
 use verdict::Verdict;
 
+use crate::state::BufferReservation;
+
 /// the upstream response was truncated
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub(crate) struct ResponseTruncated;
@@ -78,6 +80,15 @@
     Box::pin(Full::new(bytes).map_err(|never| match never {}))
 }
 
+/// Returns a response body with the given bytes, whose memory is reserved until it was sent.
+pub(crate) fn buffered_body(bytes: Bytes, memory: BufferReservation) -> Body {
+    let body = Full::new(bytes).map_err(|never| match never {});
+    Box::pin(body.map_frame(move |frame| {
+        let _held = &memory;
+        frame
+    }))
+}
+
 const HOP_BY_HOP: [HeaderName; 8] = [
     http::header::CONNECTION,
     HeaderName::from_static("keep-alive"),
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -6,15 +6,15 @@
 use compact_str::CompactString;
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode, request};
-use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 use schema::EntryPhase;
 use tokio::time::{Instant, timeout_at};
 use verdict::RequestError;
 
 use crate::accept::{Call, RETRY_AFTER_NO_UPSTREAM, accept};
-use crate::answer::{Body, Refusal, full_body, strip_hop_by_hop};
+use crate::answer::{Body, Refusal, buffered_body, strip_hop_by_hop};
 use crate::attempts::{Attempt, Attempts};
+use crate::buffering::read_whole;
 use crate::crashes;
 use crate::dialect::{ResponseHead, Resume};
 use crate::eligibility::Excluded;
@@ -27,6 +27,7 @@
 use crate::relay;
 use crate::reservation::Reservation;
 use crate::shared::{InFlightGuard, Shared};
+use crate::state::BufferUse;
 use crate::target::Target;
 use crate::timing::elapsed_ms;
 
@@ -254,11 +255,12 @@
     response: UpstreamResponse,
 ) -> Attempt {
     let UpstreamResponse { mut head, body, connection } = response;
-    let collecting = Limited::new(body, MAX_BUFFERED_BYTES).collect();
-    let bytes = match timeout_at(call.until, collecting).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
+    let mut memory = shared.buffers.reserve(BufferUse::Answer);
+    let reading = read_whole(body, MAX_BUFFERED_BYTES, &mut memory);
+    let bytes = match timeout_at(call.until, reading).await {
+        Ok(Ok(bytes)) => bytes,
         Ok(Err(error)) => {
-            log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(), error = error.to_string().as_str(); "upstream response truncated");
+            log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(), error = error.to_string().as_str(), buffered_bytes = shared.buffers.used_bytes(); "upstream response truncated");
             record_failure(shared, target, "answer broken off");
             return Attempt::Lost("upstream broke its answer off");
         }
@@ -269,7 +271,7 @@
     head.headers.remove(CONTENT_LENGTH);
     quarantine::record_answer(shared, &call.features);
     let failed = head.status.is_server_error();
-    let mut response = Response::new(full_body(bytes));
+    let mut response = Response::new(buffered_body(bytes, memory));
     *response.status_mut() = head.status;
     *response.headers_mut() = head.headers;
     if failed {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //! routes.
 //!
 //! A request passes through [`server`] (connections of callers), [`accept`]
-//! (routing, request body), [`forward`] and [`attempts`] (attempts, retries,
+//! (routing, request body; [`buffering`] bounds what bodies hold), [`forward`] and [`attempts`] (attempts, retries,
 //! verdict), [`eligibility`] and [`place`] (upstream selection, slot reservation, with the
 //! [`limits`] of upstreams), [`exchange`] and [`pool`] (connections to upstreams) and [`relay`]
 //! (event streams; [`moves`] moves the generation that produces a stream to another
@@ -16,6 +16,7 @@
 mod accept;
 mod answer;
 mod attempts;
+mod buffering;
 mod capacity;
 mod control;
 mod crashes;
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -16,6 +16,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
+/// Buffer of a connection, and so the largest head of a response.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Idle time after which a connection is not reused, unless the upstream sends
 /// another `Keep-Alive` timeout; shorter than the idle timeouts of common
 /// servers.
@@ -46,8 +48,9 @@
         let connecting = timeout(limit, TcpStream::connect(address));
         let stream = connecting.await.map_err(|_| std::io::ErrorKind::TimedOut)??;
         stream.set_nodelay(true)?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+        let handshake =
+            http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await.map_err(std::io::Error::other)?;
         let driver = actix_rt::spawn(async move {
             // Errors are reported to the request that uses the connection.
             let _ = connection.await;
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -27,7 +27,8 @@
 use crate::metrics::Metrics;
 use crate::pool::{Connection, Pool};
 use crate::state::{
-    AppliedRegistries, KnownLimits, LeavingUpstreams, Quarantine, RegistryPosition, RouteOffers,
+    AppliedRegistries, BufferBudget, KnownLimits, LeavingUpstreams, Quarantine, RegistryPosition,
+    RouteOffers,
 };
 use crate::target::Target;
 
@@ -91,7 +92,8 @@
     /// Incremented when the quarantine changes.
     pub(crate) quarantine_changes: watch::Sender<u64>,
     in_flight: Cell<u32>,
-    buffered_bytes: Cell<u64>,
+    /// Memory for whole bodies and answers.
+    pub(crate) buffers: Rc<BufferBudget>,
 }
 
 impl Shared {
@@ -136,7 +138,7 @@
             quarantine: RefCell::default(),
             quarantine_changes: watch::Sender::new(0),
             in_flight: Cell::new(0),
-            buffered_bytes: Cell::new(0),
+            buffers: BufferBudget::new(config.limits.max_buffered_bytes),
             config,
         }
     }
@@ -285,17 +287,6 @@
         placements.pending.first().map_or(placements.last, |first| first - 1)
     }
 
-    /// Reserves memory for a request body; `None` if that would exceed the limit
-    /// on all buffered bodies.
-    pub(crate) fn reserve_buffer(self: &Rc<Self>, bytes: u64) -> Option<BufferReservation> {
-        let total = self.buffered_bytes.get() + bytes;
-        if total > self.config.limits.max_buffered_bytes {
-            return None;
-        }
-        self.buffered_bytes.set(total);
-        Some(BufferReservation { shared: self.clone(), bytes })
-    }
-
     /// Counts a request as in flight until the guard is dropped.
     pub(crate) fn track_in_flight(self: &Rc<Self>) -> InFlightGuard {
         self.in_flight.set(self.in_flight.get() + 1);
@@ -341,19 +332,6 @@
     }
 }
 
-/// Memory reserved for a request body until this is dropped.
-#[derive(Debug)]
-pub(crate) struct BufferReservation {
-    shared: Rc<Shared>,
-    bytes: u64,
-}
-
-impl Drop for BufferReservation {
-    fn drop(&mut self) {
-        self.shared.buffered_bytes.set(self.shared.buffered_bytes.get() - self.bytes);
-    }
-}
-
 /// Counts one request as in flight until dropped.
 #[derive(Debug)]
 pub(crate) struct InFlightGuard(Rc<Shared>);
--- a/components/gateway/src/state/mod.rs
+++ b/components/gateway/src/state/mod.rs
@@ -1,11 +1,13 @@
 //! What a gateway knows of upstreams, requests and streams, without I/O.
 
+mod buffers;
 mod leaving;
 mod limits;
 mod offers;
 mod quarantine;
 mod registries;
 
+pub(crate) use buffers::{BufferBudget, BufferReservation, BufferUse};
 pub(crate) use leaving::LeavingUpstreams;
 pub(crate) use limits::KnownLimits;
 pub(crate) use offers::{NextFetch, RouteOffers};
--- a/components/gateway/src/state/offers.rs
+++ b/components/gateway/src/state/offers.rs
@@ -108,3 +108,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/offers.rs"]
+mod tests;
