Check that a response to a command belongs to it

Cause: commands to engines had no id, and their responses were not checked. A late copy of an earlier response on a kept connection was taken for the next one's.

Change: commands carry an id; a response that repeats another one is an error of the engine and ends the connection. The engine that was to receive the copy is not passed over for it.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
+use crate::health::record_failure;
 use crate::notices;
 use crate::pool::Connection;
 use crate::shared::Shared;
@@ -126,13 +127,14 @@
     UpstreamResponse { head, body, connection }
 }
 
-/// Sends a command to an upstream and returns the status and body of its
-/// response.
+/// Sends a command with its id to an upstream and returns the status and body of its
+/// response. A response with the id of another command or request is an error, and its
+/// connection is not used again.
 pub(crate) async fn send_command(
     shared: &Shared,
     parent: &Span,
     target: &Target,
-    request: Request<Bytes>,
+    (id, request): (&str, Request<Bytes>),
     until: Instant,
     max_bytes: usize,
 ) -> Result<(http::StatusCode, Bytes), ExchangeError> {
@@ -141,10 +143,15 @@
     }
     let UpstreamResponse { head, body, connection } =
         exchange(shared, parent, target, request.map(Full::new), until).await?;
+    let response = shared.dialect.parse_response(&head);
+    if response.request_id.as_deref().is_some_and(|other| other != id) {
+        record_failure(shared, target, "response to another command");
+        return Err(ExchangeError::ConnectionLost("response to another command".to_string()));
+    }
     let collecting = Limited::new(body, max_bytes).collect();
     let body = timeout_at(until, collecting).await.map_err(|_| ExchangeError::TimedOut)?;
     let body = body.map_err(|error| ExchangeError::ConnectionLost(error.to_string()))?.to_bytes();
-    notices::apply_to_command(shared, target, &shared.dialect.parse_response(&head));
+    notices::apply_to_command(shared, target, &response);
     shared.return_connection(target, connection);
     Ok((head.status, body))
 }
--- a/components/gateway/src/moves.rs
+++ b/components/gateway/src/moves.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use compact_str::CompactString;
+use compact_str::{CompactString, format_compact};
 use schema::EngineCapacity;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
@@ -270,7 +270,7 @@
 }
 
 async fn send_stop(shared: &Shared, call: &Call, source: &Target, to: SocketAddr) -> StopResult {
-    let command = MoveCommand { request_id: &call.head.id, to, stop: true };
+    let command = MoveCommand { id: &command_id(), request_id: &call.head.id, to, stop: true };
     match send_move(shared, call, source, command).await {
         Ok(MoveResult::Copied(handle)) => StopResult::Copied(handle),
         Ok(MoveResult::Kept(_)) => StopResult::Kept,
@@ -310,13 +310,15 @@
             continue;
         };
         let to = reservation.target.address;
-        match send_move(shared, call, source, MoveCommand { request_id, to, stop: false }).await {
+        let command = MoveCommand { id: &command_id(), request_id, to, stop: false };
+        match send_move(shared, call, source, command).await {
             Ok(MoveResult::Copied(handle)) => {
                 let cache = KvCacheRef { source: source.address, handle };
                 return Some(CacheCopy { reservation, cache });
             }
-            Ok(MoveResult::NotRunning) => {}
-            Ok(MoveResult::Kept(_) | MoveResult::Failed) | Err(_) => {
+            // It is not the other engine that failed.
+            Ok(MoveResult::NotRunning) | Err(_) => {}
+            Ok(MoveResult::Kept(_) | MoveResult::Failed) => {
                 excluded.push(reservation.target.id.clone());
             }
         }
@@ -325,6 +327,11 @@
     None
 }
 
+/// Draws the id of a command.
+fn command_id() -> CompactString {
+    format_compact!("{:016x}", rand::random::<u64>())
+}
+
 async fn send_move(
     shared: &Shared,
     call: &Call,
@@ -334,7 +341,8 @@
     let request = shared.dialect.move_request(&command);
     let until = Instant::now() + COPY_TIMEOUT;
     let response =
-        send_command(shared, &call.span, source, request, until, MAX_RESPONSE_BYTES).await;
+        send_command(shared, &call.span, source, (command.id, request), until, MAX_RESPONSE_BYTES)
+            .await;
     let (result, status) = match response {
         Ok((status, body)) => {
             (Ok(shared.dialect.parse_move_response(status, &body)), status.to_string())
@@ -384,7 +392,8 @@
 
 /// Frees a copy through the engine that it was copied from.
 async fn free(shared: &Shared, call: &Call, source: &Target, handle: &str) {
-    let request = shared.dialect.free_copy_request(handle);
+    let id = command_id();
+    let request = (id.as_str(), shared.dialect.free_copy_request(&id, handle));
     let until = Instant::now() + COPY_TIMEOUT;
     let response = send_command(shared, &call.span, source, request, until, MAX_RESPONSE_BYTES);
     if let Err(error) = response.await {
