Count the engines before a stream towards its attempts

Cause: the relay of a stream counted its engines from 1, whatever had run the request before its response began.

Change: the count goes on with the request.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -100,7 +100,7 @@
         let (target, sent) = (reservation.target.clone(), reservation.reserved_at());
         let upstream = target.id.clone();
         log_placement(shared, &call, &reservation);
-        let ended = attempt(shared, &call, reservation, &mut in_flight).await;
+        let ended = attempt(shared, &call, reservation, attempts.runs, &mut in_flight).await;
         let may_follow = match &ended {
             Attempt::Responded(_) | Attempt::Withdrawn(_) | Attempt::TimedOut => false,
             Attempt::Lost(_) => crashes::handle_break_off(shared, &call, &target, sent).await,
@@ -197,6 +197,7 @@
     shared: &Rc<Shared>,
     call: &Rc<Call>,
     reservation: Reservation,
+    earlier_runs: u32,
     in_flight: &mut Option<InFlightGuard>,
 ) -> Attempt {
     let target = reservation.target.clone();
@@ -241,6 +242,7 @@
             call,
             response,
             reservation,
+            earlier_runs,
             in_flight.take(),
         ));
     }
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -62,6 +62,7 @@
     probe_at: Instant,
     /// The stream was resumed on another engine, whose first event is pending.
     resumed: bool,
+    /// Engines that may have run the request.
     runs: u32,
     /// New events from the current engine.
     events_of_run: u64,
@@ -86,12 +87,14 @@
     TimedOut,
 }
 
-/// Starts to relay a stream whose response head has arrived.
+/// Starts to relay a stream whose response head has arrived, after `earlier_runs` engines
+/// that may have run the request.
 pub(crate) fn start(
     shared: &Rc<Shared>,
     call: &Rc<Call>,
     response: UpstreamResponse,
     mut reservation: Reservation,
+    earlier_runs: u32,
     in_flight: Option<InFlightGuard>,
 ) -> Response<Body> {
     // Engines send the head together with the first token.
@@ -117,7 +120,7 @@
         progress: StreamProgress::new(call.head.last_event_id),
         probe_at: Instant::now() + PROBE_AFTER,
         resumed: false,
-        runs: 1,
+        runs: earlier_runs + 1,
         events_of_run: 0,
         departures,
         move_state: MoveState::Idle,
