Keep once what a control process reported to a gateway

The sync loop kept registry epoch, version and set number in a cursor, and the same stood in AppliedRegistries and RouteOffers. The cursor is gone; what is forgotten when a control process is disconnected or leaves the group is one function. Behaviour is unchanged.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -83,6 +83,14 @@
         *self.shared.arbiter.borrow_mut() = connected.values().next().cloned();
     }
 
+    /// Forgets what a control process reported that is no longer connected.
+    fn forget(&self, address: SocketAddr) {
+        self.set_connected(address, None);
+        self.shared.registry.borrow_mut().remove_source(address);
+        self.shared.applied_registries.borrow_mut().remove(address);
+        self.shared.route_offers.send_modify(|offers| offers.remove(address));
+    }
+
     /// Stops syncing with processes that are no longer members of the control
     /// group, except for seeds.
     fn remove_non_members(&self, members: &BTreeSet<SocketAddr>) {
@@ -91,11 +99,8 @@
             let keep = members.contains(address) || seeds.contains(address);
             if !keep {
                 log::info!(control = address.to_string().as_str(); "control process left the group");
-                self.shared.registry.borrow_mut().remove_source(*address);
-                self.shared.applied_registries.borrow_mut().remove(*address);
+                self.forget(*address);
                 self.shared.quarantine.borrow_mut().remove_source(*address);
-                self.shared.route_offers.send_modify(|offers| offers.remove(*address));
-                self.set_connected(*address, None);
                 task.abort();
             }
             keep
@@ -104,18 +109,6 @@
     }
 }
 
-/// What was last exchanged with one incarnation of a control process.
-#[derive(Clone, Copy, Debug, Default)]
-struct Cursor {
-    registry_epoch: u64,
-    /// Registry version that this gateway applied.
-    registry_version: u64,
-    /// Number of the set of routes that the process last reported.
-    set_number: u64,
-    /// Number of the last stream that the process knows to have begun here.
-    last_stream: u64,
-}
-
 /// What a sync request reports and has to be sent again if no reply comes.
 #[derive(Debug, Default)]
 struct SyncReports {
@@ -151,11 +144,12 @@
     let mut phase = shared.phase.subscribe();
     let mut urgent = shared.urgent_syncs.subscribe();
     let mut departures = shared.departures.subscribe();
-    let mut cursor = Cursor::default();
+    // Number of the last stream that the process knows to have begun here.
+    let mut last_stream = 0;
     let mut connected = false;
     loop {
         let started = Instant::now();
-        let sync = sync_request(&links, address, cursor);
+        let sync = sync_request(&links, address, last_stream);
         let reports = SyncReports {
             sent_ms: shared.now_ms(),
             last_stream: shared.origins.borrow().last_number(),
@@ -190,10 +184,9 @@
                 }
                 reports.confirm(&shared, address);
                 // A process that has started again knows only what this request named.
-                let knows_earlier =
-                    cursor.last_stream == 0 || cursor.registry_epoch == reply.registry_epoch;
-                cursor = apply_reply(&links, address, cursor, reply);
-                cursor.last_stream = if knows_earlier { reports.last_stream } else { 0 };
+                let has_started_again = apply_reply(&links, address, reply);
+                let knows_earlier = last_stream == 0 || !has_started_again;
+                last_stream = if knows_earlier { reports.last_stream } else { 0 };
                 sleep_until(started + MIN_SYNC_INTERVAL).await;
             }
             Some(failed) => {
@@ -201,12 +194,9 @@
                     let error = failed.err().unwrap_or(CallError::UnexpectedReply).to_string();
                     log::warn!(control = address.to_string().as_str(), error = error.as_str(); "control process disconnected");
                     connected = false;
-                    links.set_connected(address, None);
-                    shared.registry.borrow_mut().remove_source(address);
-                    shared.applied_registries.borrow_mut().remove(address);
+                    links.forget(address);
                     shared.quarantine.borrow_mut().disconnect(address);
-                    shared.route_offers.send_modify(|offers| offers.remove(address));
-                    cursor = Cursor::default();
+                    last_stream = 0;
                 }
                 shared.quarantine.borrow_mut().restore_answered(&reports.answered);
                 sleep(RETRY_DELAY).await;
@@ -219,8 +209,9 @@
     }
 }
 
-fn sync_request(links: &ControlLinks, address: SocketAddr, cursor: Cursor) -> SyncRequest {
+fn sync_request(links: &ControlLinks, address: SocketAddr, last_stream: u64) -> SyncRequest {
     let shared = &links.shared;
+    let applied = shared.applied_registries.borrow().position(address);
     let aggregates_load = links.aggregates_load(address);
     let mut quarantine = shared.quarantine.borrow_mut();
     let limits = shared.limits.borrow();
@@ -241,9 +232,9 @@
         data_centre: config.data_centre.to_string(),
         caller_address: config.caller_address.to_string(),
         phase: (*shared.phase.borrow()).into(),
-        set_number: cursor.set_number,
-        registry_epoch: cursor.registry_epoch,
-        registry_version: cursor.registry_version,
+        set_number: shared.route_offers.borrow().number(address),
+        registry_epoch: applied.epoch,
+        registry_version: applied.version,
         r#use: own.collect(),
         wait_ms: if aggregates_load { LOAD_SYNC_WAIT_MS } else { SYNC_WAIT_MS },
         wants_use: aggregates_load,
@@ -255,24 +246,20 @@
         limits_digest: limits.digest(),
         leaving: shared.leaving.borrow().reports(),
         ended: shared.registry.borrow().ended_elsewhere(address, MAX_ENDED_REPORTS),
-        begun: origins::reports_since(shared, cursor.last_stream),
+        begun: origins::reports_since(shared, last_stream),
     }
 }
 
-fn apply_reply(
-    links: &Rc<ControlLinks>,
-    address: SocketAddr,
-    cursor: Cursor,
-    reply: SyncReply,
-) -> Cursor {
+/// Applies a reply; returns whether the control process has started since the last one.
+fn apply_reply(links: &Rc<ControlLinks>, address: SocketAddr, reply: SyncReply) -> bool {
     let shared = &links.shared;
-    let full_registry = reply.registry_epoch != cursor.registry_epoch;
+    let applied = RegistryPosition { epoch: reply.registry_epoch, version: reply.registry_version };
+    let before = shared.applied_registries.borrow_mut().record(address, applied);
+    let has_started_again = applied.epoch != before.epoch;
     let now_ms = shared.now_ms();
     let changes =
-        shared.registry.borrow_mut().apply(address, full_registry, reply.upstreams, now_ms);
+        shared.registry.borrow_mut().apply(address, has_started_again, reply.upstreams, now_ms);
     shared.apply_changes(&changes);
-    let applied = RegistryPosition { epoch: reply.registry_epoch, version: reply.registry_version };
-    shared.applied_registries.borrow_mut().record(address, applied);
     quarantine::apply(shared, address, reply.quarantine_digest, &reply.quarantine);
     shared.route_offers.send_if_modified(|offers| {
         offers.record(address, reply.set_number, &reply.data_centre, now_ms)
@@ -291,10 +278,5 @@
         links.add(&members);
         links.remove_non_members(&members);
     }
-    Cursor {
-        registry_epoch: reply.registry_epoch,
-        registry_version: reply.registry_version,
-        set_number: reply.set_number,
-        ..cursor
-    }
+    has_started_again
 }
--- a/components/gateway/src/state/offers.rs
+++ b/components/gateway/src/state/offers.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Returns the number that `source` reported last; 0 if it reported none.
+    pub(crate) fn number(&self, source: SocketAddr) -> u64 {
+        self.by_source.get(&source).map_or(0, |offer| offer.number)
+    }
+
     /// Returns the greatest number that a control process has in force.
     pub(crate) fn newest(&self) -> u64 {
         self.by_source.values().map(|offer| offer.number).max().unwrap_or_default()
--- a/components/gateway/src/state/registries.rs
+++ b/components/gateway/src/state/registries.rs
@@ -17,8 +17,18 @@
 }
 
 impl AppliedRegistries {
-    pub(crate) fn record(&mut self, source: SocketAddr, applied: RegistryPosition) {
-        self.by_source.insert(source, applied);
+    /// Records what was applied; returns what was before.
+    pub(crate) fn record(
+        &mut self,
+        source: SocketAddr,
+        applied: RegistryPosition,
+    ) -> RegistryPosition {
+        self.by_source.insert(source, applied).unwrap_or_default()
+    }
+
+    /// Returns what was applied of the registry of `source`; epoch 0 if nothing was.
+    pub(crate) fn position(&self, source: SocketAddr) -> RegistryPosition {
+        self.by_source.get(&source).copied().unwrap_or_default()
     }
 
     /// Forgets a control process that is no longer connected.
@@ -28,9 +38,8 @@
 
     /// Returns whether all that `source` had in its registry at `position` is known here.
     pub(crate) fn includes(&self, source: SocketAddr, position: RegistryPosition) -> bool {
-        self.by_source.get(&source).is_some_and(|applied| {
-            applied.epoch == position.epoch && applied.version >= position.version
-        })
+        let applied = self.position(source);
+        applied.epoch == position.epoch && applied.version >= position.version
     }
 }
 
