Split the choice of a source from the fetch of a set of routes

The loop kept the source of a transfer as state across its turns. Waiting for a source and fetching a set are functions of their own now. Behaviour is unchanged.

--- a/components/gateway/src/route_sets.rs
+++ b/components/gateway/src/route_sets.rs
@@ -9,10 +9,12 @@
 use distribution::{Assembly, ChangeError, Fingerprint, apply_change};
 use routing::RouteTable;
 use schema::{EntryPhase, Request, RouteChangeId, RouteSet, RouteSetChange, reply, request};
+use tokio::sync::watch;
+use tokio::time::timeout;
 use wire::CallError;
 
 use crate::shared::Shared;
-use crate::state::NextFetch;
+use crate::state::{NextFetch, RouteOffers};
 
 /// Timeout of the request for one chunk.
 const CHUNK_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -43,45 +45,51 @@
 pub(crate) async fn fetch_sets(shared: Rc<Shared>) {
     let mut offers = shared.route_offers.subscribe();
     let mut fetcher = Fetcher::default();
-    let mut source = None;
     loop {
-        if source.is_none() {
-            let config = &shared.config;
+        let address = next_source(&shared, &mut offers).await;
+        if let Err(error) = fetcher.fetch_set(&shared, address).await {
+            log::warn!(control = address.to_string().as_str(), error = error.to_string().as_str(); "set of routes not fetched");
+            fetcher.needs_complete_set |= matches!(error, FetchError::Change(_));
             let now_ms = shared.now_ms();
-            let next = offers.borrow_and_update().next_fetch(
-                config.vm.as_str(),
-                config.data_centre.as_str(),
-                now_ms,
-            );
-            match next {
-                NextFetch::From(address) => source = Some(address),
-                // `changed` fails only once the gateway has ended.
-                NextFetch::Nothing => _ = offers.changed().await,
-                NextFetch::WaitUntil(at_ms) => {
-                    let wait = Duration::from_millis(at_ms.saturating_sub(now_ms));
-                    let _ = tokio::time::timeout(wait, offers.changed()).await;
-                }
-            }
+            shared.route_offers.send_modify(|offers| offers.suspend(address, now_ms));
         }
-        let Some(address) = source else { continue };
-        match fetcher.fetch_chunk(&shared, address).await {
-            Ok(None) => {}
-            Ok(Some(set)) => {
-                activate_set(&shared, set, address);
-                source = None;
-            }
-            Err(error) => {
-                log::warn!(control = address.to_string().as_str(), error = error.to_string().as_str(); "set of routes not fetched");
-                fetcher.needs_complete_set |= matches!(error, FetchError::Change(_));
-                let now_ms = shared.now_ms();
-                shared.route_offers.send_modify(|offers| offers.suspend(address, now_ms));
-                source = None;
+    }
+}
+
+/// Waits until a newer set is to be fetched; returns the control process to fetch it from.
+async fn next_source(shared: &Shared, offers: &mut watch::Receiver<RouteOffers>) -> SocketAddr {
+    let config = &shared.config;
+    loop {
+        let now_ms = shared.now_ms();
+        let next = offers.borrow_and_update().next_fetch(
+            config.vm.as_str(),
+            config.data_centre.as_str(),
+            now_ms,
+        );
+        match next {
+            NextFetch::From(address) => return address,
+            // `changed` fails only once the gateway has ended.
+            NextFetch::Nothing => _ = offers.changed().await,
+            NextFetch::WaitUntil(at_ms) => {
+                let wait = Duration::from_millis(at_ms.saturating_sub(now_ms));
+                let _ = timeout(wait, offers.changed()).await;
             }
         }
     }
 }
 
 impl Fetcher {
+    /// Fetches a newer set and puts it in force. Chunks that were fetched before an error
+    /// are kept for the next call.
+    async fn fetch_set(&mut self, shared: &Shared, address: SocketAddr) -> Result<(), FetchError> {
+        loop {
+            if let Some(set) = self.fetch_chunk(shared, address).await? {
+                activate_set(shared, set, address);
+                return Ok(());
+            }
+        }
+    }
+
     /// Fetches one chunk; returns the new set once it is complete.
     async fn fetch_chunk(
         &mut self,
