Move the move of a relayed generation into a file of its own

A stream that goes on from a copy always has a source, so the case without one is gone. Behaviour is unchanged.

--- /dev/null
+++ b/components/gateway/src/relay/migration.rs
@@ -0,0 +1,87 @@
+//! Move of the generation behind a relayed stream to another engine.
+
+use schema::RepeatKind;
+
+use super::Relay;
+use crate::answer::ResponseTruncated;
+use crate::moves::{self, CacheCopy, MoveEvent, MoveState, StopResult};
+use crate::place::is_draining_or_gone;
+use crate::timing::elapsed_ms;
+
+impl Relay {
+    pub(super) fn start_move(&mut self) {
+        let Some(source) = &self.source else { return };
+        // Resumable streams are short, and are run again if they are interrupted.
+        let movable = self.call.requirements.engine.as_ref().is_some_and(|engine| engine.moves)
+            && self.call.route.kind() == RepeatKind::Stream;
+        let target = &source.reservation.target;
+        let idle = matches!(self.move_state, MoveState::Idle);
+        if !idle || !movable || !is_draining_or_gone(&self.shared, target) {
+            return;
+        }
+        log::info!(request = self.call.head.id.as_str(), upstream = target.id.as_str(), events = self.progress.relayed; "engine is draining; copying the generation to another engine");
+        self.move_state =
+            moves::start_copy(&self.shared, &self.call, target, self.progress.relayed);
+    }
+
+    pub(super) fn advance_move(&mut self, event: MoveEvent) {
+        let Some(source) = &self.source else { return };
+        let target = &source.reservation.target;
+        let state = std::mem::take(&mut self.move_state);
+        self.move_state = match (state, event) {
+            (MoveState::Copying(_, plan), MoveEvent::Copied(Some(copy))) => {
+                MoveState::Copied(copy, plan)
+            }
+            (MoveState::Copied(copy, _), MoveEvent::StopDue) => {
+                log::info!(request = self.call.head.id.as_str(), from = target.id.as_str(), to = copy.reservation.target.id.as_str(), since_event_ms = elapsed_ms(self.progress.last_event_at); "stopping the generation on its source engine");
+                moves::start_stop(&self.shared, &self.call, target, copy)
+            }
+            (MoveState::Stopping(mut copy, _), MoveEvent::Stopped(StopResult::Copied(handle))) => {
+                copy.cache.handle = handle;
+                MoveState::Stopped(copy)
+            }
+            (MoveState::Stopping(copy, _), MoveEvent::Stopped(StopResult::Kept)) => {
+                MoveState::Stopped(copy)
+            }
+            // The generation may still run or be queued at the source: copy it again.
+            (MoveState::Stopping(..), MoveEvent::Stopped(_)) => {
+                moves::start_copy(&self.shared, &self.call, target, self.progress.relayed)
+            }
+            (_, _) => MoveState::Idle,
+        };
+    }
+
+    pub(super) fn is_link_saturated(&self) -> bool {
+        matches!(&self.move_state, MoveState::Copied(_, plan) if plan.link_saturated)
+    }
+
+    /// Closes the stream and goes on from the copy. Most engines drop a generation whose
+    /// connection closes, and so need not copy the rest of its cache to stop it.
+    pub(super) async fn leave_source(&mut self) -> Result<(), ResponseTruncated> {
+        let state = std::mem::take(&mut self.move_state);
+        let Some(source) = self.source.take() else { return Ok(()) };
+        let target = source.reservation.target.clone();
+        drop(source);
+        match moves::take_copy(&self.shared, &self.call, &target, state, true).await {
+            Some(copy) => self.resume_from_copy(copy, &target).await,
+            None => Err(ResponseTruncated),
+        }
+    }
+
+    /// Ends the move in progress and frees its copy.
+    pub(super) fn discard_move(&mut self) {
+        let state = std::mem::take(&mut self.move_state);
+        if let Some(source) = &self.source {
+            moves::discard(&self.shared, &self.call, &source.reservation.target, state);
+        }
+    }
+
+    /// Returns the copy to resume from. After an interruption that may be the first
+    /// copy; if the stream ended before its generation was stopped, that copy is
+    /// freed.
+    pub(super) async fn take_copy(&mut self, interrupted: bool) -> Option<CacheCopy> {
+        let state = std::mem::take(&mut self.move_state);
+        let target = self.source.as_ref()?.reservation.target.clone();
+        moves::take_copy(&self.shared, &self.call, &target, state, interrupted).await
+    }
+}
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -46,8 +46,10 @@
 
     /// Closes the stream that has ended, and resumes it from a copy of its KV cache.
     pub(super) async fn go_on_from(&mut self, copy: CacheCopy) -> Result<(), ResponseTruncated> {
-        let source = self.source.take().map(|source| source.reservation.target.clone());
-        self.resume_from_copy(copy, source).await
+        let source = self.source.take().ok_or(ResponseTruncated)?;
+        let target = source.reservation.target.clone();
+        drop(source);
+        self.resume_from_copy(copy, &target).await
     }
 
     /// Resumes the stream that came from `source` on the engine that holds the copy of its KV
@@ -55,23 +57,19 @@
     pub(super) async fn resume_from_copy(
         &mut self,
         copy: CacheCopy,
-        source: Option<Target>,
+        source: &Target,
     ) -> Result<(), ResponseTruncated> {
         self.discard_unfinished_event();
         let CacheCopy { reservation, cache } = copy;
-        let from = source.as_ref().map_or("", |source| source.id.as_str());
-        log::info!(request = self.call.head.id.as_str(), from, to = reservation.target.id.as_str(), events = self.progress.relayed; "moving generation");
+        log::info!(request = self.call.head.id.as_str(), from = source.id.as_str(), to = reservation.target.id.as_str(), events = self.progress.relayed; "moving generation");
         let resumed = self.resume(reservation, Some(cache.clone())).await;
         let outcome = if resumed.is_ok() { "moved" } else { "failed" };
         self.shared.metrics.moves.with_label_values(&[outcome]).inc();
-        match (&resumed, source) {
-            (Ok(()), _) => {
+        match &resumed {
+            Ok(()) => {
                 log::info!(request = self.call.head.id.as_str(), events = self.progress.relayed; "generation moved");
             }
-            (Err(_), Some(source)) => {
-                moves::free_later(&self.shared, &self.call, &source, cache.handle);
-            }
-            (Err(_), None) => {}
+            Err(_) => moves::free_later(&self.shared, &self.call, source, cache.handle),
         }
         resumed.map_err(|_| {
             self.log_end("engine did not go on");
