Find a kept change once, without copying fingerprints

A change was looked up by its id and then again for its bytes, and the hashes of the base were copied for each gateway that began a transfer. Behaviour is unchanged.

--- a/components/distribution/src/source.rs
+++ b/components/distribution/src/source.rs
@@ -21,7 +21,7 @@
 /// Sets that are kept whatever their size: the one in force and the one before.
 const MIN_HISTORY: usize = 2;
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct EncodedChange {
     id: RouteChangeId,
     bytes: Bytes,
@@ -44,7 +44,7 @@
 
     /// Returns the size of the encoded changes that are kept.
     pub fn change_bytes(&self) -> usize {
-        self.changes.iter().map(|change| change.bytes.len()).sum()
+        size_bytes(&self.changes)
     }
 
     /// Returns the number of items whose hashes are kept.
@@ -71,70 +71,81 @@
     ) -> FetchRoutesReply {
         let requested = request.change.filter(|id| request.offset <= id.size_bytes);
         if let Some(id) = requested
-            && let Some(bytes) = self.kept_bytes(|kept| *kept == id)
+            && let Some(change) = touch(&mut self.changes, |kept| *kept == id)
         {
-            return chunk_reply(id, &bytes, request.offset);
+            return change.chunk(request.offset);
         }
         if current.number == 0 || request.base_number >= current.number {
             return FetchRoutesReply::default();
         }
-        let (id, bytes) = self.change_for(request.base_number, current);
-        chunk_reply(id, &bytes, 0)
+        self.change_for(request.base_number, current).chunk(0)
     }
 
     /// Returns the change for a gateway with the set `base_number`: to the set in force, or
     /// a complete set that is encoded already and for which the next change is kept.
-    fn change_for(&mut self, base_number: u64, current: &RouteSet) -> (RouteChangeId, Bytes) {
-        let base = self.history.iter().find(|kept| kept.number() == base_number).cloned();
-        let history = &self.history;
-        let is_usable = |id: &RouteChangeId| match &base {
+    fn change_for(&mut self, base_number: u64, current: &RouteSet) -> EncodedChange {
+        let RouteSource { history, changes } = self;
+        let find = |number| history.iter().find(|kept| kept.number() == number);
+        let base = find(base_number);
+        let is_usable = |id: &RouteChangeId| match base {
             Some(_) => id.base_number == base_number && id.number == current.number,
-            None => {
-                let is_kept = history.iter().any(|kept| kept.number() == id.number);
-                id.base_number == 0 && id.number > base_number && is_kept
-            }
+            None => id.base_number == 0 && id.number > base_number && find(id.number).is_some(),
         };
-        let usable = self.changes.iter().map(|change| change.id).find(is_usable);
-        if let Some(id) = usable
-            && let Some(bytes) = self.kept_bytes(|kept| *kept == id)
-        {
-            return (id, bytes);
+        if let Some(change) = touch(changes, is_usable) {
+            return change;
+        }
+        let change = EncodedChange::new(base, find(current.number), current);
+        changes.push_back(change.clone());
+        while changes.len() > 1 && size_bytes(changes) > CHANGE_CACHE_BYTES {
+            changes.pop_front();
         }
-        self.encode_change(&base.unwrap_or_default(), current)
+        change
     }
+}
 
-    fn encode_change(&mut self, base: &Fingerprint, current: &RouteSet) -> (RouteChangeId, Bytes) {
-        let fingerprint = self.history.back().filter(|kept| kept.number() == current.number);
+impl EncodedChange {
+    /// Computes the change from `base`, or from the empty set, to `target`, whose hashes may
+    /// be known.
+    fn new(
+        base: Option<&Fingerprint>,
+        fingerprint: Option<&Fingerprint>,
+        target: &RouteSet,
+    ) -> Self {
+        let empty = Fingerprint::default();
+        let base = base.unwrap_or(&empty);
         let change = match fingerprint {
-            Some(fingerprint) => compute_change(base, current, fingerprint),
-            None => compute_change(base, current, &Fingerprint::of(current)),
+            Some(fingerprint) => compute_change(base, target, fingerprint),
+            None => compute_change(base, target, &Fingerprint::of(target)),
         };
         let bytes = Bytes::from(change.encode_to_vec());
         let id = RouteChangeId {
             base_number: base.number(),
-            number: current.number,
+            number: target.number,
             size_bytes: bytes.len() as u64,
             digest: xxh3_64(&bytes),
         };
-        self.changes.push_back(EncodedChange { id, bytes: bytes.clone() });
-        while self.changes.len() > 1 && self.change_bytes() > CHANGE_CACHE_BYTES {
-            self.changes.pop_front();
-        }
-        (id, bytes)
+        EncodedChange { id, bytes }
     }
 
-    /// Returns the bytes of a kept change and marks it as the most recently used one.
-    fn kept_bytes(&mut self, is_wanted: impl Fn(&RouteChangeId) -> bool) -> Option<Bytes> {
-        let index = self.changes.iter().position(|change| is_wanted(&change.id))?;
-        let change = self.changes.remove(index)?;
-        let bytes = change.bytes.clone();
-        self.changes.push_back(change);
-        Some(bytes)
+    /// Returns the reply with the chunk that begins at `offset`.
+    fn chunk(&self, offset: u64) -> FetchRoutesReply {
+        let start = usize::try_from(offset).unwrap_or(usize::MAX).min(self.bytes.len());
+        let end = start.saturating_add(CHUNK_BYTES).min(self.bytes.len());
+        FetchRoutesReply { change: Some(self.id), chunk: self.bytes.slice(start..end) }
     }
 }
 
-fn chunk_reply(id: RouteChangeId, bytes: &Bytes, offset: u64) -> FetchRoutesReply {
-    let start = usize::try_from(offset).unwrap_or(usize::MAX).min(bytes.len());
-    let end = start.saturating_add(CHUNK_BYTES).min(bytes.len());
-    FetchRoutesReply { change: Some(id), chunk: bytes.slice(start..end) }
+/// Returns a kept change and marks it as the most recently used one.
+fn touch(
+    changes: &mut VecDeque<EncodedChange>,
+    is_wanted: impl Fn(&RouteChangeId) -> bool,
+) -> Option<EncodedChange> {
+    let index = changes.iter().position(|change| is_wanted(&change.id))?;
+    let change = changes.remove(index)?;
+    changes.push_back(change.clone());
+    Some(change)
+}
+
+fn size_bytes(changes: &VecDeque<EncodedChange>) -> usize {
+    changes.iter().map(|change| change.bytes.len()).sum()
 }
