--- a/components/gateway/tests/unit/offers.rs
+++ b/components/gateway/tests/unit/offers.rs
@@ -14,12 +14,19 @@
     offers.next_fetch(VM, "a", now_ms)
 }
 
-#[test]
-fn set_is_fetched_in_the_own_data_centre_once_it_is_there() {
+/// Offers of a gateway that serves the set 2, as does the control process in its data centre;
+/// another one has the set 3.
+fn offered_elsewhere() -> RouteOffers {
     let mut offers = RouteOffers::default();
     offers.record(source(1), 3, "b", 1_000);
     offers.record(source(2), 2, "a", 1_000);
     offers.set_served(2);
+    offers
+}
+
+#[test]
+fn set_is_fetched_in_the_own_data_centre_once_it_is_there() {
+    let mut offers = offered_elsewhere();
 
     let before = next(&offers, 1_000);
     offers.record(source(2), 3, "a", 1_040);
@@ -30,10 +37,7 @@
 
 #[test]
 fn set_is_fetched_elsewhere_if_the_own_data_centre_lags_or_fails() {
-    let mut offers = RouteOffers::default();
-    offers.record(source(1), 3, "b", 1_000);
-    offers.record(source(2), 2, "a", 1_000);
-    offers.set_served(2);
+    let mut offers = offered_elsewhere();
     assert_eq!(next(&offers, 1_100), NextFetch::From(source(1)));
 
     offers.record(source(2), 3, "a", 1_100);
