Let a starting gateway become ready with the newest set that is left

Read again, then shown: a gateway that starts puts set 4 in force while a control process reports set 5, which it cannot fetch; that process goes away. The gateway served 4, the newest set left, and was not ready, and answered 503, until the next publication.

Cause: readiness was decided when a set was put in force, and not when the offers changed.

Change: it is decided where the gateway finds that no newer set is offered.

The unit test of offers checks the number of the process that was removed, in place of the greatest one, which nobody needs now.

--- a/components/gateway/src/route_sets.rs
+++ b/components/gateway/src/route_sets.rs
@@ -68,8 +68,11 @@
         );
         match next {
             NextFetch::From(address) => return address,
-            // `changed` fails only once the gateway has ended.
-            NextFetch::Nothing => _ = offers.changed().await,
+            NextFetch::Nothing => {
+                mark_ready(shared);
+                // `changed` fails only once the gateway has ended.
+                let _ = offers.changed().await;
+            }
             NextFetch::WaitUntil(at_ms) => {
                 let wait = Duration::from_millis(at_ms.saturating_sub(now_ms));
                 let _ = timeout(wait, offers.changed()).await;
@@ -140,8 +143,7 @@
     set.routes.iter().map(|route| (route.name.clone(), route.timeout_ms)).collect()
 }
 
-/// Puts a set of routes in force. The gateway is ready once it has the newest set that its
-/// control processes report.
+/// Puts a set of routes in force.
 fn activate_set(shared: &Shared, set: RouteSet, address: SocketAddr) {
     let number = set.number;
     log::info!(number, routes = set.routes.len(), control = address.to_string().as_str(); "set of routes activated");
@@ -152,9 +154,13 @@
     *shared.table.borrow_mut() = Rc::new(RouteTable::new(set));
     shared.metrics.set_number.set(i64::try_from(number).unwrap_or(i64::MAX));
     shared.route_offers.send_modify(|offers| offers.set_served(number));
-    let is_newest = number >= shared.route_offers.borrow().newest();
+}
+
+/// Ends the start of a gateway that serves the newest set which its control processes report.
+fn mark_ready(shared: &Shared) {
+    let has_set = shared.table.borrow().number() > 0;
     shared.phase.send_if_modified(|phase| {
-        let starting = *phase == EntryPhase::Starting && is_newest;
+        let starting = *phase == EntryPhase::Starting && has_set;
         if starting {
             *phase = EntryPhase::Ready;
         }
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -49,7 +49,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) spans: Spans,
     pub(crate) table: RefCell<Rc<RouteTable>>,
-    /// Sets of routes that the control processes have in force.
+    /// Numbers of the sets of routes that the control processes have in force.
     pub(crate) route_offers: watch::Sender<RouteOffers>,
     pub(crate) registry: RefCell<MergedRegistry>,
     pub(crate) applied_registries: RefCell<AppliedRegistries>,
--- a/components/gateway/src/state/offers.rs
+++ b/components/gateway/src/state/offers.rs
@@ -83,11 +83,6 @@
         self.by_source.get(&source).map_or(0, |offer| offer.number)
     }
 
-    /// Returns the greatest number that a control process has in force.
-    pub(crate) fn newest(&self) -> u64 {
-        self.by_source.values().map(|offer| offer.number).max().unwrap_or_default()
-    }
-
     /// Returns what the gateway `vm` in `data_centre` fetches next. It prefers the control
     /// process in its data centre; gateways without one spread over all.
     pub(crate) fn next_fetch(&self, vm: &str, data_centre: &str, now_ms: u64) -> NextFetch {
--- a/components/gateway/tests/unit/offers.rs
+++ b/components/gateway/tests/unit/offers.rs
@@ -69,5 +69,5 @@
     offers.record(source(1), 4, "a", 10);
     offers.remove(source(1));
 
-    assert_eq!((next(&offers, 10), offers.newest()), (NextFetch::Nothing, 0));
+    assert_eq!((next(&offers, 10), offers.number(source(1))), (NextFetch::Nothing, 0));
 }
