--- /dev/null
+++ b/components/gateway/src/moves/commands.rs
@@ -0,0 +1,94 @@
+//! Commands of a move to the engine that a generation leaves.
+
+use std::net::SocketAddr;
+
+use compact_str::{CompactString, format_compact};
+use tokio::time::Instant;
+
+use super::COPY_TIMEOUT;
+use crate::accept::Call;
+use crate::dialect::{MoveCommand, MoveResult};
+use crate::exchange::{ExchangeError, send_command};
+use crate::shared::Shared;
+use crate::target::Target;
+
+/// Largest response to a move or free command.
+const MAX_RESPONSE_BYTES: usize = 4_096;
+
+/// Result of a stop command.
+#[derive(Debug)]
+pub(crate) enum StopResult {
+    /// The generation is stopped and its KV cache is copied.
+    Copied(CompactString),
+    /// There was nothing to stop: the generation ended, or is queued to
+    /// recompute its prefill.
+    NotRunning,
+    /// The generation is stopped, but its copy is not up to date.
+    Kept,
+    /// The engine accepts no command.
+    Unreachable,
+    /// The generation may still run.
+    Failed,
+}
+
+/// Tells an engine to stop a generation and to copy the rest of its KV cache.
+pub(super) async fn send_stop(
+    shared: &Shared,
+    call: &Call,
+    source: &Target,
+    to: SocketAddr,
+) -> StopResult {
+    match send_move(shared, call, source, to, true).await {
+        Ok(MoveResult::Copied(handle)) => StopResult::Copied(handle),
+        Ok(MoveResult::Kept(_)) => StopResult::Kept,
+        Ok(MoveResult::NotRunning) => StopResult::NotRunning,
+        Err(ExchangeError::NotSent(_)) => StopResult::Unreachable,
+        Ok(MoveResult::Failed) | Err(_) => StopResult::Failed,
+    }
+}
+
+/// Draws the id of a command.
+fn command_id() -> CompactString {
+    format_compact!("{:016x}", rand::random::<u64>())
+}
+
+/// Tells an engine to copy the KV cache of a generation to the engine at `to`; with `stop`, it
+/// stops the generation before.
+pub(super) async fn send_move(
+    shared: &Shared,
+    call: &Call,
+    source: &Target,
+    to: SocketAddr,
+    stop: bool,
+) -> Result<MoveResult, ExchangeError> {
+    let command = MoveCommand { id: &command_id(), request_id: &call.head.id, to, stop };
+    let request = shared.dialect.move_request(&command);
+    let until = Instant::now() + COPY_TIMEOUT;
+    let response =
+        send_command(shared, &call.span, source, (command.id, request), until, MAX_RESPONSE_BYTES)
+            .await;
+    let (result, status) = match response {
+        Ok((status, body)) => {
+            (Ok(shared.dialect.parse_move_response(status, &body)), status.to_string())
+        }
+        Err(error) => {
+            let text = error.to_string();
+            (Err(error), text)
+        }
+    };
+    if !matches!(result, Ok(MoveResult::Copied(_))) {
+        log::info!(request = command.request_id, upstream = source.id.as_str(), to = command.to.to_string().as_str(), stop = command.stop, status = status.as_str(); "engine did not carry out the move command");
+    }
+    result
+}
+
+/// Frees a copy through the engine that it was copied from.
+pub(super) async fn free(shared: &Shared, call: &Call, source: &Target, handle: &str) {
+    let id = command_id();
+    let request = (id.as_str(), shared.dialect.free_copy_request(&id, handle));
+    let until = Instant::now() + COPY_TIMEOUT;
+    let response = send_command(shared, &call.span, source, request, until, MAX_RESPONSE_BYTES);
+    if let Err(error) = response.await {
+        log::info!(upstream = source.id.as_str(), error = error.to_string().as_str(); "cannot free the copy of a KV cache");
+    }
+}
--- a/components/gateway/src/moves.rs
+++ b/components/gateway/src/moves/mod.rs
@@ -6,27 +6,29 @@
 //! the other engine. The first copy is also used if the source exits early. No generation
 //! goes on before its source was told to stop it.
 
+mod commands;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use compact_str::{CompactString, format_compact};
+use compact_str::CompactString;
 use schema::EngineCapacity;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::accept::Call;
-use crate::dialect::{KvCacheRef, MoveCommand, MoveResult};
+use crate::dialect::{KvCacheRef, MoveResult};
 use crate::eligibility::Excluded;
-use crate::exchange::{ExchangeError, send_command};
 use crate::place::reserve_for_move;
 use crate::reservation::Reservation;
 use crate::shared::Shared;
 use crate::target::Target;
+use commands::{free, send_move, send_stop};
+
+pub(crate) use commands::StopResult;
 
-/// Largest response to a move or free command.
-const MAX_RESPONSE_BYTES: usize = 4_096;
 /// Delay before the next attempt to reserve a slot for a copy and to make it.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 /// Timeout of one copy: enough for the whole KV cache of an engine over its
@@ -53,22 +55,6 @@
     pub(crate) cache: KvCacheRef,
 }
 
-/// Result of a stop command.
-#[derive(Debug)]
-pub(crate) enum StopResult {
-    /// The generation is stopped and its KV cache is copied.
-    Copied(CompactString),
-    /// There was nothing to stop: the generation ended, or is queued to
-    /// recompute its prefill.
-    NotRunning,
-    /// The generation is stopped, but its copy is not up to date.
-    Kept,
-    /// The engine accepts no command.
-    Unreachable,
-    /// The generation may still run.
-    Failed,
-}
-
 /// Task whose result is pending; aborted on drop.
 #[derive(Debug)]
 pub(crate) struct PendingTask<T> {
@@ -269,17 +255,6 @@
     MoveState::Stopping(copy, result)
 }
 
-async fn send_stop(shared: &Shared, call: &Call, source: &Target, to: SocketAddr) -> StopResult {
-    let command = MoveCommand { id: &command_id(), request_id: &call.head.id, to, stop: true };
-    match send_move(shared, call, source, command).await {
-        Ok(MoveResult::Copied(handle)) => StopResult::Copied(handle),
-        Ok(MoveResult::Kept(_)) => StopResult::Kept,
-        Ok(MoveResult::NotRunning) => StopResult::NotRunning,
-        Err(ExchangeError::NotSent(_)) => StopResult::Unreachable,
-        Ok(MoveResult::Failed) | Err(_) => StopResult::Failed,
-    }
-}
-
 /// Returns how long it takes to copy all generations of an engine over its
 /// link, which transfers them one after another: a generation that is stopped
 /// earlier waits for the copies of the others.
@@ -300,7 +275,6 @@
     source: &Target,
     events: u64,
 ) -> Option<CacheCopy> {
-    let request_id = call.head.id.as_str();
     let mut excluded: Excluded = [source.id.clone()].into_iter().collect();
     let started = Instant::now();
     while started.elapsed() < COPY_TIMEOUT {
@@ -310,8 +284,7 @@
             continue;
         };
         let to = reservation.target.address;
-        let command = MoveCommand { id: &command_id(), request_id, to, stop: false };
-        match send_move(shared, call, source, command).await {
+        match send_move(shared, call, source, to, false).await {
             Ok(MoveResult::Copied(handle)) => {
                 let cache = KvCacheRef { source: source.address, handle };
                 return Some(CacheCopy { reservation, cache });
@@ -327,37 +300,6 @@
     None
 }
 
-/// Draws the id of a command.
-fn command_id() -> CompactString {
-    format_compact!("{:016x}", rand::random::<u64>())
-}
-
-async fn send_move(
-    shared: &Shared,
-    call: &Call,
-    source: &Target,
-    command: MoveCommand<'_>,
-) -> Result<MoveResult, ExchangeError> {
-    let request = shared.dialect.move_request(&command);
-    let until = Instant::now() + COPY_TIMEOUT;
-    let response =
-        send_command(shared, &call.span, source, (command.id, request), until, MAX_RESPONSE_BYTES)
-            .await;
-    let (result, status) = match response {
-        Ok((status, body)) => {
-            (Ok(shared.dialect.parse_move_response(status, &body)), status.to_string())
-        }
-        Err(error) => {
-            let text = error.to_string();
-            (Err(error), text)
-        }
-    };
-    if !matches!(result, Ok(MoveResult::Copied(_))) {
-        log::info!(request = command.request_id, upstream = source.id.as_str(), to = command.to.to_string().as_str(), stop = command.stop, status = status.as_str(); "engine did not carry out the move command");
-    }
-    result
-}
-
 /// Frees the copy of a move that is no longer needed, once it is complete.
 pub(crate) fn discard(shared: &Rc<Shared>, call: &Rc<Call>, source: &Target, state: MoveState) {
     let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
@@ -389,14 +331,3 @@
     let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
     actix_rt::spawn(async move { free(&shared, &call, &source, &handle).await });
 }
-
-/// Frees a copy through the engine that it was copied from.
-async fn free(shared: &Shared, call: &Call, source: &Target, handle: &str) {
-    let id = command_id();
-    let request = (id.as_str(), shared.dialect.free_copy_request(&id, handle));
-    let until = Instant::now() + COPY_TIMEOUT;
-    let response = send_command(shared, &call.span, source, request, until, MAX_RESPONSE_BYTES);
-    if let Err(error) = response.await {
-        log::info!(upstream = source.id.as_str(), error = error.to_string().as_str(); "cannot free the copy of a KV cache");
-    }
-}
