Send commands to engines without an id of the gateway's own

Cause: since each command to an engine (copy or stop a generation, free a copy) carried an id drawn at random, so that its response can be matched. The id header belongs to callers.

Change: commands carry no id. As nothing in a response then tells it from a late copy of an earlier one, each command has a connection of its own, and a response that names a request is an error. A handle that belongs to the copy of another request is refused. Commands are logged.

--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -99,8 +99,6 @@
 /// Command to copy the KV cache of a running generation to another engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct MoveCommand<'a> {
-    /// Id of the command, which its response repeats.
-    pub id: &'a str,
     /// Id of the request that started the generation.
     pub request_id: &'a str,
     /// Engine that receives the copy.
@@ -147,9 +145,8 @@
     /// Parses the response to a command to copy a KV cache.
     fn parse_move_response(&self, status: StatusCode, body: &[u8]) -> MoveResult;
 
-    /// Builds the request to free a copy, for the engine that it was copied from; its
-    /// response repeats `id`.
-    fn free_copy_request(&self, id: &str, handle: &str) -> Request<Bytes>;
+    /// Builds the request to free a copy, for the engine that it was copied from.
+    fn free_copy_request(&self, handle: &str) -> Request<Bytes>;
 
     /// Parses the id of a stream event.
     fn event_id(&self, event: &[u8]) -> Option<u64>;
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -41,6 +41,15 @@
     TimedOut,
 }
 
+/// Which connection carries a request to an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ConnectionUse {
+    /// An idle one from the pool, or else a new one.
+    Pooled,
+    /// A new one that carries no other request.
+    Exclusive,
+}
+
 /// Sends a request to an upstream and waits for the response head.
 pub(crate) async fn exchange(
     shared: &Shared,
@@ -48,10 +57,21 @@
     target: &Target,
     request: Request<Full<Bytes>>,
     until: Instant,
+) -> Result<UpstreamResponse, ExchangeError> {
+    exchange_on(ConnectionUse::Pooled, shared, parent, target, request, until).await
+}
+
+async fn exchange_on(
+    connection_use: ConnectionUse,
+    shared: &Shared,
+    parent: &Span,
+    target: &Target,
+    request: Request<Full<Bytes>>,
+    until: Instant,
 ) -> Result<UpstreamResponse, ExchangeError> {
     let span = shared.spans.start_client_span("upstream", parent);
     span.set_attribute("upstream", target.id.to_string());
-    let result = timeout_at(until, send(shared, target, request)).await;
+    let result = timeout_at(until, send(connection_use, shared, target, request)).await;
     let result = result.unwrap_or(Err(ExchangeError::TimedOut));
     if let Err(error) = &result {
         span.set_error(error.to_string());
@@ -80,13 +100,14 @@
 }
 
 async fn send(
+    connection_use: ConnectionUse,
     shared: &Shared,
     target: &Target,
     mut request: Request<Full<Bytes>>,
 ) -> Result<UpstreamResponse, ExchangeError> {
     let informational = InformationalResponses::watch(&mut request);
     tokio::select! {
-        result = send_on_connection(shared, target, request) => result,
+        result = send_on_connection(connection_use, shared, target, request) => result,
         () = informational.too_many.notified() => {
             Err(ExchangeError::ConnectionLost("informational responses without end".into()))
         }
@@ -94,11 +115,14 @@
 }
 
 async fn send_on_connection(
+    connection_use: ConnectionUse,
     shared: &Shared,
     target: &Target,
     mut request: Request<Full<Bytes>>,
 ) -> Result<UpstreamResponse, ExchangeError> {
-    if let Some(mut connection) = shared.pool.take(&target.id) {
+    if connection_use == ConnectionUse::Pooled
+        && let Some(mut connection) = shared.pool.take(&target.id)
+    {
         match connection.sender.try_send_request(request).await {
             Ok(response) => return Ok(to_response(response, connection)),
             Err(mut error) => match error.take_message() {
@@ -127,31 +151,32 @@
     UpstreamResponse { head, body, connection }
 }
 
-/// Sends a command with its id to an upstream and returns the status and body of its
-/// response. A response with the id of another command or request is an error, and its
-/// connection is not used again.
+/// Sends a command to an upstream and returns the status and body of its response. Nothing in
+/// the response tells it from a late copy of an earlier one, so the command has a connection
+/// of its own, on which no other response can arrive. A response to a request is an error.
 pub(crate) async fn send_command(
     shared: &Shared,
     parent: &Span,
     target: &Target,
-    (id, request): (&str, Request<Bytes>),
+    request: Request<Bytes>,
     until: Instant,
     max_bytes: usize,
 ) -> Result<(http::StatusCode, Bytes), ExchangeError> {
     if notices::pause_ms(shared, &target.id, target.born_ms) > 0 {
         return Err(ExchangeError::NotSent("the upstream wants no requests".to_string()));
     }
-    let UpstreamResponse { head, body, connection } =
-        exchange(shared, parent, target, request.map(Full::new), until).await?;
+    let request = request.map(Full::new);
+    // The connection closes once the response was read.
+    let UpstreamResponse { head, body, connection: _connection } =
+        exchange_on(ConnectionUse::Exclusive, shared, parent, target, request, until).await?;
     let response = shared.dialect.parse_response(&head);
-    if response.request_id.as_deref().is_some_and(|other| other != id) {
-        record_failure(shared, target, "response to another command");
-        return Err(ExchangeError::ConnectionLost("response to another command".to_string()));
+    if response.request_id.is_some() {
+        record_failure(shared, target, "response to a request");
+        return Err(ExchangeError::ConnectionLost("response to a request".to_string()));
     }
     let collecting = Limited::new(body, max_bytes).collect();
     let body = timeout_at(until, collecting).await.map_err(|_| ExchangeError::TimedOut)?;
     let body = body.map_err(|error| ExchangeError::ConnectionLost(error.to_string()))?.to_bytes();
     notices::apply_to_command(shared, target, &response);
-    shared.return_connection(target, connection);
     Ok((head.status, body))
 }
--- a/components/gateway/src/moves/commands.rs
+++ b/components/gateway/src/moves/commands.rs
@@ -2,13 +2,14 @@
 
 use std::net::SocketAddr;
 
-use compact_str::{CompactString, format_compact};
+use compact_str::CompactString;
 use tokio::time::Instant;
 
 use super::COPY_TIMEOUT;
 use crate::accept::Call;
 use crate::dialect::{MoveCommand, MoveResult};
 use crate::exchange::{ExchangeError, send_command};
+use crate::health::record_failure;
 use crate::shared::Shared;
 use crate::target::Target;
 
@@ -47,11 +48,6 @@
     }
 }
 
-/// Draws the id of a command.
-fn command_id() -> CompactString {
-    format_compact!("{:016x}", rand::random::<u64>())
-}
-
 /// Tells an engine to copy the KV cache of a generation to the engine at `to`; with `stop`, it
 /// stops the generation before.
 pub(super) async fn send_move(
@@ -61,12 +57,12 @@
     to: SocketAddr,
     stop: bool,
 ) -> Result<MoveResult, ExchangeError> {
-    let command = MoveCommand { id: &command_id(), request_id: &call.head.id, to, stop };
+    let command = MoveCommand { request_id: &call.head.id, to, stop };
     let request = shared.dialect.move_request(&command);
     let until = Instant::now() + COPY_TIMEOUT;
+    log::info!(request = command.request_id, upstream = source.id.as_str(), to = command.to.to_string().as_str(), stop = command.stop; "sending move command to engine");
     let response =
-        send_command(shared, &call.span, source, (command.id, request), until, MAX_RESPONSE_BYTES)
-            .await;
+        send_command(shared, &call.span, source, request, until, MAX_RESPONSE_BYTES).await;
     let (result, status) = match response {
         Ok((status, body)) => {
             (Ok(shared.dialect.parse_move_response(status, &body)), status.to_string())
@@ -76,6 +72,12 @@
             (Err(error), text)
         }
     };
+    if let Ok(MoveResult::Copied(handle) | MoveResult::Kept(handle)) = &result
+        && !shared.copies.borrow_mut().claim(source.address, handle, &call.head.id)
+    {
+        record_failure(shared, source, "handle of another generation");
+        return Err(ExchangeError::ConnectionLost("handle of another generation".to_string()));
+    }
     if !matches!(result, Ok(MoveResult::Copied(_))) {
         log::info!(request = command.request_id, upstream = source.id.as_str(), to = command.to.to_string().as_str(), stop = command.stop, status = status.as_str(); "engine did not carry out the move command");
     }
@@ -84,8 +86,9 @@
 
 /// Frees a copy through the engine that it was copied from.
 pub(super) async fn free(shared: &Shared, call: &Call, source: &Target, handle: &str) {
-    let id = command_id();
-    let request = (id.as_str(), shared.dialect.free_copy_request(&id, handle));
+    shared.copies.borrow_mut().release(source.address, handle);
+    let request = shared.dialect.free_copy_request(handle);
+    log::info!(request = call.head.id.as_str(), upstream = source.id.as_str(), handle; "freeing the copy of a KV cache");
     let until = Instant::now() + COPY_TIMEOUT;
     let response = send_command(shared, &call.span, source, request, until, MAX_RESPONSE_BYTES);
     if let Err(error) = response.await {
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -141,6 +141,7 @@
             self.discard_move();
             self.log_end("caller left");
         }
+        self.shared.copies.borrow_mut().release_all(&self.call.head.id);
     }
 }
 
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -27,8 +27,8 @@
 use crate::metrics::Metrics;
 use crate::pool::{Connection, Pool};
 use crate::state::{
-    AppliedRegistries, BufferBudget, KnownLimits, LeavingUpstreams, Quarantine, RegistryPosition,
-    RouteOffers,
+    AppliedRegistries, BufferBudget, KnownCopies, KnownLimits, LeavingUpstreams, Quarantine,
+    RegistryPosition, RouteOffers,
 };
 use crate::target::Target;
 
@@ -80,6 +80,7 @@
     /// Streams that began at this gateway.
     pub(crate) origins: RefCell<OriginLog>,
     pub(crate) leaving: RefCell<LeavingUpstreams>,
+    pub(crate) copies: RefCell<KnownCopies>,
     /// Upstreams that want no requests of this gateway for a time.
     pub(crate) pauses: RefCell<Pauses>,
     placements: RefCell<PlacementNumbers>,
@@ -129,6 +130,7 @@
             control_count: Cell::new(0),
             origins: RefCell::default(),
             leaving: RefCell::default(),
+            copies: RefCell::default(),
             pauses: RefCell::default(),
             placements: RefCell::default(),
             budgets: RefCell::default(),
--- a/components/gateway/src/state/mod.rs
+++ b/components/gateway/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! What a gateway knows of upstreams, requests and streams, without I/O.
 
 mod buffers;
+mod copies;
 mod leaving;
 mod limits;
 mod offers;
@@ -8,6 +9,7 @@
 mod registries;
 
 pub(crate) use buffers::{BufferBudget, BufferReservation, BufferUse};
+pub(crate) use copies::KnownCopies;
 pub(crate) use leaving::LeavingUpstreams;
 pub(crate) use limits::KnownLimits;
 pub(crate) use offers::{NextFetch, RouteOffers};
