--- a/components/control/src/replica/requests.rs
+++ b/components/control/src/replica/requests.rs
@@ -52,6 +52,7 @@
             Body::Crash(report) => self.report_crash(peer, report),
             Body::FindOrigin(find) => ready(self.find_origin(find)),
             Body::FetchRoutes(fetch) => ready(self.fetch_routes(&fetch)),
+            Body::FindGateways(find) => ready(self.find_gateways(&find)),
             _ if !self.node.is_leader() => ready(self.not_leader()),
             Body::Join(join) => ready(self.join(peer, join)),
             Body::Replace(replace) => ready(self.remove_replica(&replace)),
@@ -273,6 +274,8 @@
         | Body::Crash(_)
         | Body::FindOrigin(_)
         | Body::FetchRoutes(_)
+        | Body::FindGateways(_)
+        | Body::Forward(_)
         | Body::Confirm(_) => role == Role::Entry,
     }
 }
@@ -305,6 +308,8 @@
         Body::Crash(_) => "crash",
         Body::FindOrigin(_) => "find_origin",
         Body::FetchRoutes(_) => "fetch_routes",
+        Body::FindGateways(_) => "find_gateways",
+        Body::Forward(_) => "forward",
         Body::QuarantineParts(_) => "quarantine_parts",
         Body::LiftQuarantine(_) => "lift_quarantine",
         Body::GetQuarantine(_) => "get_quarantine",
--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -16,10 +16,11 @@
 use compact_str::CompactString;
 use credentials::Identity;
 use lineage::{Origin, Origins, StreamId};
+use rand::seq::SliceRandom as _;
 use registry::Registry;
 use schema::{
-    EntryPhase, ErrorCode, FetchRoutesRequest, Reply, SyncReply, SyncRequest, UpstreamLimit,
-    UpstreamUse, reply,
+    EntryPhase, ErrorCode, FetchRoutesRequest, FindGatewaysReply, FindGatewaysRequest, GatewayPeer,
+    Reply, SyncReply, SyncRequest, UpstreamLimit, UpstreamUse, reply,
 };
 use tokio::sync::oneshot;
 use wire::error_reply;
@@ -45,6 +46,9 @@
 /// have the complete registry encoded for each of them.
 const MAX_REPLY_UPSTREAMS: usize = 256;
 
+/// Most gateways that one gateway is told of to hand requests to.
+const MAX_PEERS: usize = 8;
+
 /// Interval at which limits are checked for their end.
 const LIMITS_INTERVAL_MS: u64 = 20;
 
@@ -54,7 +58,10 @@
     epoch: u64,
     data_centre: CompactString,
     caller_address: SocketAddr,
+    peer_address: CompactString,
     phase: EntryPhase,
+    /// It reaches no upstream.
+    cut_off: bool,
     /// Version of the upstream registry that the gateway has applied.
     confirmed_version: u64,
     synced_ms: u64,
@@ -139,15 +146,21 @@
     }
 
     /// Returns the caller addresses of ready gateways: those in `data_centre`
-    /// only if there are at least `min_local` of them, else all.
+    /// only if there are at least `min_local` of them, else all. Those that reach no upstream
+    /// are left out, unless none reaches any.
     pub(super) fn ready_gateway_addresses(
         &self,
         data_centre: &str,
         min_local: usize,
         now_ms: u64,
     ) -> Vec<SocketAddr> {
-        let ready =
-            || self.live_gateways(now_ms).filter(|gateway| gateway.phase == EntryPhase::Ready);
+        let is_ready = |gateway: &&GatewayState| gateway.phase == EntryPhase::Ready;
+        let any_connected =
+            self.live_gateways(now_ms).any(|gateway| is_ready(&gateway) && !gateway.cut_off);
+        let ready = || {
+            let ready = self.live_gateways(now_ms).filter(is_ready);
+            ready.filter(|gateway| !any_connected || !gateway.cut_off)
+        };
         let local = ready().filter(|gateway| gateway.data_centre == data_centre);
         let local: Vec<SocketAddr> = local.map(|gateway| gateway.caller_address).collect();
         if local.len() >= min_local {
@@ -156,6 +169,31 @@
         ready().map(|gateway| gateway.caller_address).collect()
     }
 
+    /// Returns gateways that take requests of the one at `vm`: those in its data centre first,
+    /// else in random order.
+    fn peers_of(&self, vm: &str, data_centre: &str, now_ms: u64) -> Vec<GatewayPeer> {
+        let is_live = |gateway: &GatewayState| now_ms < gateway.synced_ms + GATEWAY_TIMEOUT_MS;
+        let mut peers: Vec<_> = self
+            .gateways
+            .iter()
+            .filter(|(name, gateway)| {
+                name.as_str() != vm
+                    && is_live(gateway)
+                    && gateway.phase == EntryPhase::Ready
+                    && !gateway.cut_off
+                    && !gateway.peer_address.is_empty()
+            })
+            .collect();
+        peers.shuffle(&mut rand::rng());
+        peers.sort_by_key(|(_, gateway)| gateway.data_centre != data_centre);
+        let peers = peers.into_iter().take(MAX_PEERS);
+        let to_peer = |(name, gateway): (&CompactString, &GatewayState)| GatewayPeer {
+            vm: name.to_string(),
+            peer_address: gateway.peer_address.to_string(),
+        };
+        peers.map(to_peer).collect()
+    }
+
     /// Returns a receiver that yields true once every live gateway has confirmed
     /// `version` or the confirmation timed out, and false if no gateway is live
     /// by then.
@@ -185,7 +223,9 @@
             epoch: request.epoch,
             data_centre: request.data_centre.as_str().into(),
             caller_address: address,
+            peer_address: request.peer_address.as_str().into(),
             phase: request.phase(),
+            cut_off: request.cut_off,
             confirmed_version,
             synced_ms: now_ms,
         };
@@ -305,6 +345,13 @@
         })
     }
 
+    pub(super) fn find_gateways(&self, find: &FindGatewaysRequest) -> Reply {
+        let now_ms = self.clock.now_ms();
+        let gateways = self.gateway_syncs.peers_of(&find.vm, &find.data_centre, now_ms);
+        let reply = FindGatewaysReply { gateways };
+        Reply { body: Some(reply::Body::FindGateways(reply)) }
+    }
+
     /// Replies to the syncs for which something changed or whose wait is over, then
     /// resolves due confirmations and grants slots.
     pub(super) fn serve_gateways(&mut self) {
--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -84,9 +84,73 @@
     pub(crate) first_event_due: Instant,
     /// Earlier of the route's timeout and the caller's deadline.
     pub(crate) until: Instant,
+    /// Another gateway handed the call on; it is not handed on again.
+    pub(crate) from_peer: bool,
+}
+
+/// What a call is made of.
+pub(crate) struct CallParts<'a> {
+    pub(crate) request_head: RequestHead,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) body_memory: BufferReservation,
+    pub(crate) route: RouteRule,
+    pub(crate) workspace: Option<CompactString>,
+    pub(crate) ranks: (u32, u32),
+    pub(crate) engine_rank: Option<u32>,
+    pub(crate) requirements: Requirements,
+    pub(crate) origin: Option<Origin>,
+    pub(crate) arrived: Instant,
+    pub(crate) first_event_due: Instant,
+    pub(crate) until: Instant,
+    /// Trace context of the caller, or of the gateway that handed the call on.
+    pub(crate) traceparent: &'a str,
+    pub(crate) from_peer: bool,
 }
 
 impl Call {
+    /// Starts the span of a call and derives the rest from its parts.
+    pub(crate) fn new(shared: &Shared, parts: CallParts<'_>) -> Self {
+        let CallParts { request_head, method, uri, headers, body, route, workspace, .. } = parts;
+        let span = shared.spans.start_server_span("request", parts.traceparent);
+        span.set_attribute("request", request_head.id.to_string());
+        span.set_attribute("route", route.name.clone());
+        let caller = workspace.as_deref().unwrap_or_default();
+        let resumable = route.kind() == RepeatKind::ResumableStream;
+        let identity = RequestIdentity {
+            caller,
+            host: &request_head.host,
+            method: method.as_str(),
+            path: uri.path_and_query().map_or("/", PathAndQuery::as_str),
+            body: &body,
+        };
+        let features = request_head.prompt_parts.iter().copied().map(Feature::Part);
+        let features = features.chain([Feature::Request(Fingerprint::of(&identity))]);
+        Call {
+            span,
+            stream: resumable.then(|| StreamId::new(caller, &request_head.id)),
+            features: FeatureSet::new(features),
+            origin: parts.origin,
+            requirements: parts.requirements,
+            head: request_head,
+            method,
+            uri,
+            headers,
+            body,
+            _body_memory: parts.body_memory,
+            route,
+            workspace,
+            ranks: parts.ranks,
+            engine_rank: parts.engine_rank,
+            arrived: parts.arrived,
+            first_event_due: parts.first_event_due,
+            until: parts.until,
+            from_peer: parts.from_peer,
+        }
+    }
+
     /// Returns whether the request may safely run more than once.
     pub(crate) fn may_repeat(&self) -> bool {
         match self.route.kind() {
@@ -182,41 +246,29 @@
     headers.remove(CONTENT_LENGTH);
     headers.remove(EXPECT);
     shared.record_first_attempt(service);
-    let context = headers.get(TRACEPARENT).and_then(|value| value.to_str().ok());
-    let span = shared.spans.start_server_span("request", context.unwrap_or_default());
-    span.set_attribute("request", request_head.id.to_string());
-    span.set_attribute("route", routed.route.name.clone());
-    let uri = origin_form(&head.uri);
-    let caller = workspace.unwrap_or_default();
-    let resumable = routed.route.kind() == RepeatKind::ResumableStream;
-    let identity = RequestIdentity {
-        caller,
-        host: &request_head.host,
-        method: head.method.as_str(),
-        path: uri.path_and_query().map_or("/", PathAndQuery::as_str),
-        body: &body,
-    };
-    let parts = request_head.prompt_parts.iter().copied().map(Feature::Part);
-    Ok(Call {
-        span,
-        stream: resumable.then(|| StreamId::new(caller, &request_head.id)),
-        features: FeatureSet::new(parts.chain([Feature::Request(Fingerprint::of(&identity))])),
-        origin,
-        requirements: Requirements::new(service, engine, request_head.token_counts),
-        head: request_head,
-        method: head.method,
-        uri,
-        headers,
-        body,
-        _body_memory: body_memory,
-        route: routed.route.clone(),
-        workspace: workspace.map(CompactString::from),
-        ranks: routed.ranks(),
-        engine_rank: routed.workspace_rank(),
-        arrived,
-        first_event_due: arrived + target.saturating_sub(spent),
-        until,
-    })
+    let context = headers.get(TRACEPARENT).and_then(|value| value.to_str().ok()).map(str::to_owned);
+    Ok(Call::new(
+        shared,
+        CallParts {
+            requirements: Requirements::new(service, engine, request_head.token_counts),
+            request_head,
+            method: head.method,
+            uri: origin_form(&head.uri),
+            headers,
+            body,
+            body_memory,
+            route: routed.route.clone(),
+            workspace: workspace.map(CompactString::from),
+            ranks: routed.ranks(),
+            engine_rank: routed.workspace_rank(),
+            origin,
+            arrived,
+            first_event_due: arrived + target.saturating_sub(spent),
+            until,
+            traceparent: context.as_deref().unwrap_or_default(),
+            from_peer: false,
+        },
+    ))
 }
 
 /// Picks the service for a request: the one that began the stream, if it goes on.
--- a/components/gateway/src/attempts.rs
+++ b/components/gateway/src/attempts.rs
@@ -7,6 +7,7 @@
 
 use crate::accept::Call;
 use crate::answer::{Body, Refusal};
+use crate::eligibility::Excluded;
 
 /// Maximum number of upstreams that one request is sent to, including those
 /// that reject it.
@@ -40,12 +41,29 @@
     pub(crate) sends: u32,
     /// Upstreams that accepted no connection.
     unreachable: u32,
+    /// Those that the request reached.
+    pub(crate) reached: Excluded,
     /// Server error that an upstream returned, with its id.
     pub(crate) failed: Option<(Response<Body>, CompactString)>,
     pub(crate) error: RequestError<Refusal>,
 }
 
 impl Attempts {
+    /// Returns the attempts that another gateway made before it handed the call on.
+    pub(crate) fn from_peer(runs: u32, sends: u32, reached: Excluded) -> Self {
+        let mut attempts = Attempts { runs, sends, reached, ..Attempts::default() };
+        if runs > 0 {
+            let reason = "an earlier attempt may have run";
+            attempts.refuse(Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, reason));
+        }
+        attempts
+    }
+
+    /// Returns the number of upstreams that accepted no connection.
+    pub(crate) fn unreachable(&self) -> u32 {
+        self.unreachable
+    }
+
     /// Records the refusal of one attempt.
     pub(crate) fn refuse(&mut self, refusal: Refusal) {
         self.error.record(refusal.verdict, refusal);
@@ -55,7 +73,10 @@
     pub(crate) fn record(&mut self, call: &Call, ended: Attempt, upstream: &CompactString) {
         match ended {
             Attempt::Unreachable => self.unreachable += 1,
-            _ => self.sends += 1,
+            _ => {
+                self.sends += 1;
+                self.reached.push(upstream.clone());
+            }
         }
         match ended {
             Attempt::Responded(_) => {}
@@ -69,10 +90,7 @@
                 self.runs += 1;
                 self.failed = Some((response, upstream.clone()));
             }
-            Attempt::Lost(reason) => {
-                self.runs += 1;
-                self.refuse(Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, reason));
-            }
+            Attempt::Lost(reason) => self.record_lost(reason),
             Attempt::Withdrawn(reason) => {
                 self.refuse(Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, reason));
             }
@@ -82,6 +100,12 @@
         }
     }
 
+    /// Records that the response was lost, to an attempt that may have run the request.
+    pub(crate) fn record_lost(&mut self, reason: &'static str) {
+        self.runs += 1;
+        self.refuse(Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, reason));
+    }
+
     /// Returns whether the request may be sent to another upstream.
     pub(crate) fn may_go_on(&self, call: &Call) -> bool {
         let may_run = self.runs == 0 || (call.may_repeat() && self.runs < call.route.max_attempts);
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -144,6 +144,7 @@
     let mut phase = shared.phase.subscribe();
     let mut urgent = shared.urgent_syncs.subscribe();
     let mut departures = shared.departures.subscribe();
+    let mut cut_off = shared.cut_off.subscribe();
     // Number of the last stream that the process knows to have begun here.
     let mut last_stream = 0;
     let mut connected = false;
@@ -167,6 +168,7 @@
             tokio::select! {
                 replied = &mut call => break Some(replied),
                 _ = phase.changed() => break None,
+                _ = cut_off.changed() => break None,
                 _ = urgent.changed(), if is_arbiter => break None,
                 _ = departures.changed() => {
                     if !shared.registry.borrow().ended_elsewhere(address, 1).is_empty() {
@@ -247,6 +249,8 @@
         leaving: shared.leaving.borrow().reports(),
         ended: shared.registry.borrow().ended_elsewhere(address, MAX_ENDED_REPORTS),
         begun: origins::reports_since(shared, last_stream),
+        peer_address: config.peer_address.to_string(),
+        cut_off: shared.is_cut_off(),
     }
 }
 
--- a/components/gateway/src/crashes.rs
+++ b/components/gateway/src/crashes.rs
@@ -6,12 +6,12 @@
 
 use ::quarantine::{Crash, FeatureSet};
 use schema::{CrashReport, Request, reply, request};
-use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout};
 use wire::{CallError, Link};
 
 use crate::accept::Call;
 use crate::place::is_draining_or_gone;
+use crate::reach;
 use crate::shared::Shared;
 use crate::state::AnsweredFeatures;
 use crate::target::Target;
@@ -81,10 +81,16 @@
     sent: Instant,
 ) -> bool {
     let noticed = Instant::now();
+    if shared.is_cut_off() {
+        return true;
+    }
     // An upstream that leaves may close connections and stop listening.
     let leaving = is_draining_or_gone(shared, target);
     let alone = shared.loads.borrow().total(&target.id).running == 0;
-    let crashed = !leaving && refuses_connections(target.address).await;
+    // Links of this gateway that refuse connections to all upstreams look like crashes.
+    let crashed = !leaving
+        && refuses_connections(shared, target.address).await
+        && !reach::confirm_cut_off(shared).await;
     log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(), born_ms = target.born_ms, features = call.features.to_string().as_str(), leaving, alone, crashed; "upstream broke off before an answer began");
     if !crashed {
         return true;
@@ -102,8 +108,8 @@
 }
 
 /// Returns whether nothing listens at the address any more.
-async fn refuses_connections(address: SocketAddr) -> bool {
-    let connecting = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+async fn refuses_connections(shared: &Shared, address: SocketAddr) -> bool {
+    let connecting = timeout(PROBE_TIMEOUT, shared.dialer.connect(address)).await;
     matches!(connecting, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
 }
 
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -73,8 +73,9 @@
     span.set_attribute("upstream", target.id.to_string());
     let result = timeout_at(until, send(connection_use, shared, target, request)).await;
     let result = result.unwrap_or(Err(ExchangeError::TimedOut));
-    if let Err(error) = &result {
-        span.set_error(error.to_string());
+    match &result {
+        Ok(_) => shared.reach.borrow_mut().record_heard(shared.now_ms()),
+        Err(error) => span.set_error(error.to_string()),
     }
     result
 }
@@ -133,7 +134,7 @@
         }
     }
     let limit = Duration::from_millis(shared.config.timers.connect_timeout_ms);
-    let connecting = Connection::open(target.address, limit).await;
+    let connecting = Connection::open(&*shared.dialer, target.address, limit).await;
     let mut connection = connecting.map_err(|error| ExchangeError::NotSent(error.to_string()))?;
     shared.metrics.connections_opened.with_label_values(&[&target.origin.service]).inc();
     match connection.sender.try_send_request(request).await {
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -22,8 +22,10 @@
 use crate::health::{record_failure, record_unreachable};
 use crate::notices;
 use crate::origins::RETRY_AFTER_LOST_STREAM;
+use crate::peer::{self, Forwarded};
 use crate::place::{ReserveError, wait_for_slot};
 use crate::quarantine;
+use crate::reach;
 use crate::relay;
 use crate::reservation::Reservation;
 use crate::shared::{InFlightGuard, Shared};
@@ -38,6 +40,9 @@
 /// before the response is returned, so that a retry can replace a truncated one.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
+/// How often one request is handed to another gateway.
+const MAX_HAND_OVERS: u32 = 2;
+
 /// Reason of the answer to a request in flight at the end of the grace period.
 const GRACE_OVER: &str = "grace period over";
 
@@ -50,19 +55,29 @@
     // Bytes after such a body may be a smuggled request, so the connection is
     // not reused.
     let close_connection = head.headers.contains_key(TRANSFER_ENCODING);
+    let responding = respond(&shared, head, body, arrived, in_flight);
+    let mut response = answer_within_grace(&shared, arrived, responding).await;
+    if close_connection || *shared.phase.borrow() == EntryPhase::Stopping {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Waits for a response until the end of the grace period; after that the outcome is unknown.
+pub(crate) async fn answer_within_grace(
+    shared: &Shared,
+    arrived: Instant,
+    responding: impl Future<Output = Response<Body>>,
+) -> Response<Body> {
     let mut ending = shared.ending.subscribe();
-    let mut response = tokio::select! {
-        response = respond(&shared, head, body, arrived, in_flight) => response,
+    tokio::select! {
+        response = responding => response,
         _ = ending.wait_for(|ending| *ending) => {
             log::warn!(waited_ms = elapsed_ms(arrived); "request cut off at the end of the grace period");
             shared.metrics.requests.with_label_values(&["none", GRACE_OVER]).inc();
             Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, GRACE_OVER).into_response()
         }
-    };
-    if close_connection || *shared.phase.borrow() == EntryPhase::Stopping {
-        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response
 }
 
 async fn respond(
@@ -73,7 +88,7 @@
     in_flight: InFlightGuard,
 ) -> Response<Body> {
     match accept(shared, head, body, arrived).await {
-        Ok(call) => dispatch(shared, Rc::new(call), in_flight).await,
+        Ok(call) => dispatch(shared, Rc::new(call), Attempts::default(), in_flight).await,
         Err((refusal, id)) => {
             log::info!(request = id.as_str(), status = refusal.status.as_u16(), reason = refusal.reason, waited_ms = elapsed_ms(arrived); "request refused");
             shared.metrics.requests.with_label_values(&["none", refusal.reason]).inc();
@@ -82,19 +97,40 @@
     }
 }
 
-/// Sends the request to upstreams until one responds or it may not be retried.
-async fn dispatch(shared: &Rc<Shared>, call: Rc<Call>, in_flight: InFlightGuard) -> Response<Body> {
+/// Sends the request to upstreams until one responds or it may not be retried; hands it to
+/// another gateway if upstreams are out of reach. `attempts` are those made before.
+pub(crate) async fn dispatch(
+    shared: &Rc<Shared>,
+    call: Rc<Call>,
+    mut attempts: Attempts,
+    in_flight: InFlightGuard,
+) -> Response<Body> {
     let mut in_flight = Some(in_flight);
-    let mut excluded = Excluded::new();
-    let mut attempts = Attempts::default();
+    let mut excluded: Excluded = attempts.reached.clone();
+    let mut hand_overs = 0;
     let queue_ms = call.route.target_latency_ms as f64 * QUEUE_TIME_SHARE;
     let queue_until = (call.arrived + Duration::from_millis(queue_ms as u64)).min(call.until);
     let responded = loop {
+        if hand_overs < MAX_HAND_OVERS && peer::is_preferred(shared, &call, &attempts) {
+            hand_overs += 1;
+            match hand_over(shared, &call, &mut attempts, &mut in_flight).await {
+                HandOver::Ended(responded) => break responded,
+                HandOver::Repeat => continue,
+                HandOver::NotTaken => {}
+            }
+        }
         let reservation = match place(shared, &call, &excluded, queue_until).await {
             Ok(reservation) => reservation,
             Err(refusal) => {
                 attempts.refuse(refusal);
-                break None;
+                // Upstreams that accept no connection from here may accept others.
+                if attempts.unreachable() == 0 || call.from_peer || hand_overs >= MAX_HAND_OVERS {
+                    break None;
+                }
+                match hand_over(shared, &call, &mut attempts, &mut in_flight).await {
+                    HandOver::Ended(responded) => break responded,
+                    HandOver::Repeat | HandOver::NotTaken => break None,
+                }
             }
         };
         let (target, sent) = (reservation.target.clone(), reservation.reserved_at());
@@ -126,6 +162,40 @@
     finish(shared, &call, result.map_err(refusal_of), sends)
 }
 
+/// What follows after a call was handed to another gateway.
+enum HandOver {
+    /// The call has ended, with this response if there is one.
+    Ended(Option<(Response<Body>, CompactString)>),
+    /// The call may be handed on again.
+    Repeat,
+    /// No gateway took the call, and an upstream may be reached from here.
+    NotTaken,
+}
+
+/// Hands a call to another gateway.
+async fn hand_over(
+    shared: &Rc<Shared>,
+    call: &Rc<Call>,
+    attempts: &mut Attempts,
+    in_flight: &mut Option<InFlightGuard>,
+) -> HandOver {
+    match peer::forward(shared, call, attempts, in_flight).await {
+        Forwarded::Responded(response, vm) => HandOver::Ended(Some((response, vm))),
+        Forwarded::Lost => {
+            attempts.record_lost("response of another gateway lost");
+            let may_repeat =
+                attempts.may_go_on(call) && shared.try_retry(&call.requirements.service);
+            if may_repeat { HandOver::Repeat } else { HandOver::Ended(None) }
+        }
+        Forwarded::NotTaken if shared.is_cut_off() => {
+            let reason = "upstreams out of reach";
+            attempts.refuse(Refusal::unavailable(reason, RETRY_AFTER_NO_UPSTREAM));
+            HandOver::Ended(None)
+        }
+        Forwarded::NotTaken => HandOver::NotTaken,
+    }
+}
+
 /// Reserves a slot for a request, unless it is quarantined.
 async fn place(
     shared: &Rc<Shared>,
@@ -211,6 +281,10 @@
             log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(); "request withdrawn: upstreams crash under it");
             return Attempt::Withdrawn(reason);
         }
+        () = reach::broken_by_cut(shared, Instant::now()), if call.may_repeat() => {
+            log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(); "request abandoned: upstreams out of reach");
+            return Attempt::Lost("upstreams out of reach");
+        }
     };
     let response = match exchanged {
         Ok(response) => response,
--- a/components/gateway/src/health.rs
+++ b/components/gateway/src/health.rs
@@ -5,6 +5,7 @@
 
 /// Counts an upstream that accepts no connection.
 pub(crate) fn record_unreachable(shared: &Shared, target: &Target) {
+    shared.reach.borrow_mut().record_unreachable(&target.id);
     let now_ms = shared.now_ms();
     let ejected_ms = shared.outlier_detector.borrow_mut().record_unreachable(&target.id, now_ms);
     log_ejection(target, ejected_ms, "unreachable");
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -7,8 +7,9 @@
 //! [`limits`] of upstreams), [`exchange`] and [`pool`] (connections to upstreams) and [`relay`]
 //! (event streams; [`moves`] moves the generation that produces a stream to another
 //! engine). [`crashes`] reports upstreams that crash, and [`quarantine`] rejects requests
-//! under which they do. [`origins`] knows where streams began that callers take up again,
-//! and [`notices`] applies what upstreams say of themselves. [`control`] synchronises state
+//! under which they do. [`origins`] knows where streams began that callers take up again.
+//! [`reach`] detects that no upstream can be reached from here, and [`peer`] hands requests to
+//! other gateways then. [`notices`] applies what upstreams say of themselves. [`control`] synchronises state
 //! with the control processes, and [`route_sets`] fetches the routes from them. [`dialect`] abstracts the headers and commands that callers
 //! and upstreams use. [`state`] holds what the gateway knows; nothing in it imports the
 //! other modules.
@@ -21,6 +22,7 @@
 mod control;
 mod crashes;
 mod dialect;
+mod dialer;
 mod eligibility;
 mod error;
 mod events;
@@ -32,10 +34,12 @@
 mod moves;
 mod notices;
 mod origins;
+mod peer;
 mod place;
 mod pool;
 mod process;
 mod quarantine;
+mod reach;
 mod relay;
 mod reservation;
 mod route_sets;
@@ -51,5 +55,6 @@
     Dialect, ForwardContext, KvCacheRef, MalformedRequest, MoveCommand, MoveResult, PromptParts,
     RequestHead, ResponseHead, Resume,
 };
+pub use dialer::{Dialer, SystemDialer};
 pub use error::StartError;
 pub use process::Gateway;
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -20,6 +20,10 @@
     pub(crate) quarantine_rejections: IntCounter,
     /// Streams that callers took up again, by what is known of their origin.
     pub(crate) taken_up: IntCounterVec,
+    /// Requests that were handed to other gateways, by outcome.
+    pub(crate) forwarded: IntCounterVec,
+    /// 1 while upstreams are out of reach.
+    pub(crate) cut_off: IntGauge,
     /// Requests in progress.
     pub(crate) in_flight: IntGauge,
     /// Upstreams that accept requests.
@@ -59,6 +63,8 @@
             connections_opened: counter("connections_total", "Connections opened.", &["service"])?,
             moves: counter("moves_total", "Moves of generations.", &["outcome"])?,
             taken_up: counter("streams_taken_up_total", "Streams taken up again.", &["origin"])?,
+            forwarded: counter("forwarded_total", "Requests handed on.", &["outcome"])?,
+            cut_off: gauge("cut_off", "1 while upstreams are out of reach.")?,
             in_flight: gauge("in_flight", "Requests in progress.")?,
             upstreams: gauge("upstreams", "Upstreams that take work.")?,
             set_number: gauge("set_number", "Number of the set of routes in force.")?,
--- a/components/gateway/src/moves/mod.rs
+++ b/components/gateway/src/moves/mod.rs
@@ -300,6 +300,38 @@
     None
 }
 
+/// Stops a generation that another gateway no longer reaches, and copies its KV cache to an
+/// engine on which it can resume.
+pub(crate) async fn stop_and_copy(
+    shared: &Rc<Shared>,
+    call: &Call,
+    source: &Target,
+    events: u64,
+) -> Option<CacheCopy> {
+    let excluded: Excluded = [source.id.clone()].into_iter().collect();
+    let started = Instant::now();
+    let reservation = loop {
+        match reserve_for_move(shared, call, &excluded, source, events).await {
+            Ok(reservation) => break reservation,
+            Err(_) if started.elapsed() < COPY_TIMEOUT => sleep(RETRY_DELAY).await,
+            Err(error) => {
+                log::info!(request = call.head.id.as_str(), upstream = source.id.as_str(), error:? = error; "no engine for a generation out of reach of another gateway");
+                return None;
+            }
+        }
+    };
+    match send_stop(shared, call, source, reservation.target.address).await {
+        StopResult::Copied(handle) => {
+            let cache = KvCacheRef { source: source.address, handle };
+            Some(CacheCopy { reservation, cache })
+        }
+        result => {
+            log::info!(request = call.head.id.as_str(), upstream = source.id.as_str(), result:? = result; "generation out of reach of another gateway not stopped");
+            None
+        }
+    }
+}
+
 /// Frees the copy of a move that is no longer needed, once it is complete.
 pub(crate) fn discard(shared: &Rc<Shared>, call: &Rc<Call>, source: &Target, state: MoveState) {
     let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
--- /dev/null
+++ b/components/gateway/src/peer/client.rs
@@ -0,0 +1,209 @@
+//! Hands calls to other gateways.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::{HeaderMap, Response, StatusCode};
+use lineage::Origin;
+use rand::RngExt as _;
+use schema::{ForwardRequest, Request, forward_reply, request};
+use tokio::time::timeout_at;
+use wire::{CallError, ReplyParts};
+
+use super::known::{Asked, PeerUse};
+use super::message::{Begun, to_headers, to_request};
+use crate::accept::Call;
+use crate::answer::{Body, buffered_body};
+use crate::attempts::Attempts;
+use crate::relay;
+use crate::shared::{InFlightGuard, Shared};
+use crate::state::BufferUse;
+use crate::target::Target;
+
+/// Longest wait for a connection to another gateway.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Gateways that are asked to take one call.
+const MAX_ASKED: usize = 3;
+/// Unreachable upstreams after which a call is handed to another gateway.
+const MAX_UNREACHABLE: u32 = 2;
+/// Largest response that is buffered, as for responses of upstreams.
+const MAX_BUFFERED_BYTES: usize = 1 << 20;
+
+/// What became of a call that was handed to other gateways.
+pub(crate) enum Forwarded {
+    /// The response for the caller, and the VM of the gateway that gave it.
+    Responded(Response<Body>, CompactString),
+    /// The response was lost; the request may have run.
+    Lost,
+    /// No gateway took the call.
+    NotTaken,
+}
+
+/// Returns whether a call is to be handed to another gateway before the next attempt here.
+pub(crate) fn is_preferred(shared: &Shared, call: &Call, attempts: &Attempts) -> bool {
+    if call.from_peer {
+        return false;
+    }
+    let share = shared.reach.borrow().local_share();
+    attempts.unreachable() >= MAX_UNREACHABLE || rand::rng().random::<f64>() >= share
+}
+
+/// Hands a call to another gateway and waits for the head of the response, and for all of it
+/// unless it is a stream.
+pub(crate) async fn forward(
+    shared: &Rc<Shared>,
+    call: &Rc<Call>,
+    attempts: &Attempts,
+    in_flight: &mut Option<InFlightGuard>,
+) -> Forwarded {
+    let (status, headers, body) =
+        match send(shared, call, || to_request(call, attempts, None)).await {
+            Sent::Responded(status, headers, body) => (status, headers, body),
+            Sent::Lost => return Forwarded::Lost,
+            Sent::NotTaken => return Forwarded::NotTaken,
+        };
+    let vm = body.vm().clone();
+    if status.is_success() && call.is_stream() {
+        let response =
+            relay::start_from_peer(shared, call, (status, headers), body, in_flight.take());
+        return Forwarded::Responded(response, vm);
+    }
+    let mut memory = shared.buffers.reserve(BufferUse::Answer);
+    let read = timeout_at(call.until, body.read_whole(|bytes| memory.grow_to(bytes))).await;
+    let Ok(Some(bytes)) = read else {
+        log::info!(request = call.head.id.as_str(), peer = vm.as_str(); "response of another gateway broke off");
+        return Forwarded::Lost;
+    };
+    let mut response = Response::new(buffered_body(bytes, memory));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    Forwarded::Responded(response, vm)
+}
+
+/// Has another gateway continue a stream that has begun here; `source` is the engine that still
+/// runs it, if it may not run again.
+pub(crate) async fn continue_stream(
+    shared: &Rc<Shared>,
+    call: &Rc<Call>,
+    attempts: &Attempts,
+    source: Option<Target>,
+    (last_event_id, events): (Option<u64>, u64),
+    origin: &Origin,
+) -> Option<PeerBody> {
+    let begun = Begun { last_event_id, events, source };
+    let message = || to_request(call, attempts, Some((&begun, origin)));
+    match send(shared, call, message).await {
+        Sent::Responded(status, _, body) if status.is_success() => Some(body),
+        Sent::Responded(..) | Sent::Lost | Sent::NotTaken => None,
+    }
+}
+
+enum Sent {
+    Responded(StatusCode, HeaderMap, PeerBody),
+    Lost,
+    NotTaken,
+}
+
+async fn send(shared: &Rc<Shared>, call: &Call, message: impl Fn() -> ForwardRequest) -> Sent {
+    let mut asked = Asked::new();
+    while asked.len() < MAX_ASKED
+        && let Some(peer) = shared.peers.choose(shared, &asked).await
+    {
+        asked.push(peer.vm.clone());
+        let span = shared.spans.start_client_span("forward", &call.span);
+        let request = Request {
+            traceparent: span.traceparent(),
+            body: Some(request::Body::Forward(message())),
+        };
+        let serving = PeerUse::new(&peer);
+        let (id, vm) = (call.head.id.as_str(), peer.vm.as_str());
+        let parts = match peer.link.open(request, CONNECT_TIMEOUT).await {
+            Ok(parts) => parts,
+            Err(error) => {
+                log::info!(request = id, peer = vm, error = error.to_string().as_str(); "request not handed to another gateway");
+                peer.back_off();
+                if matches!(error, CallError::Connect(_)) {
+                    continue;
+                }
+                return Sent::Lost;
+            }
+        };
+        let mut body = PeerBody { parts, serving };
+        let first = timeout_at(call.until, body.parts.next()).await;
+        match first.ok().flatten().and_then(|part| part.body) {
+            Some(forward_reply::Body::NotTaken(reason)) => {
+                log::info!(request = id, peer = vm, reason = reason.as_str(); "request not taken by another gateway");
+                peer.back_off();
+            }
+            Some(forward_reply::Body::Head(head)) => {
+                let status = u16::try_from(head.status).unwrap_or_default();
+                let head = StatusCode::from_u16(status).ok().zip(to_headers(&head.headers));
+                let Some((status, headers)) = head else { return Sent::Lost };
+                log::info!(request = id, peer = vm, status = status.as_u16(); "request served by another gateway");
+                shared.metrics.forwarded.with_label_values(&["served"]).inc();
+                return Sent::Responded(status, headers, body);
+            }
+            _ => {
+                log::info!(request = id, peer = vm; "no response from another gateway");
+                span.set_error("no response".to_string());
+                shared.metrics.forwarded.with_label_values(&["lost"]).inc();
+                return Sent::Lost;
+            }
+        }
+    }
+    shared.metrics.forwarded.with_label_values(&["not taken"]).inc();
+    Sent::NotTaken
+}
+
+/// Part of a response from another gateway.
+#[derive(Debug)]
+pub(crate) enum PeerPart {
+    Data(Bytes),
+    /// The response is complete.
+    End,
+    /// The connection was lost, or the other gateway broke the response off.
+    Lost,
+}
+
+/// Body of a response from another gateway; dropping it cancels the request.
+#[derive(Debug)]
+pub(crate) struct PeerBody {
+    parts: ReplyParts,
+    serving: PeerUse,
+}
+
+impl PeerBody {
+    /// Returns the VM of the gateway that serves the call.
+    pub(crate) fn vm(&self) -> &CompactString {
+        self.serving.vm()
+    }
+
+    /// Waits for the next part.
+    pub(crate) async fn next(&mut self) -> PeerPart {
+        match self.parts.next().await.and_then(|part| part.body) {
+            Some(forward_reply::Body::Data(bytes)) => PeerPart::Data(bytes),
+            Some(forward_reply::Body::End(_)) => PeerPart::End,
+            _ => PeerPart::Lost,
+        }
+    }
+
+    /// Reads the whole body; `None` if it breaks off, is too large or there is no memory.
+    async fn read_whole(mut self, mut reserve: impl FnMut(u64) -> bool) -> Option<Bytes> {
+        let mut whole = Vec::new();
+        loop {
+            match self.next().await {
+                PeerPart::Data(bytes) => {
+                    let length = whole.len() + bytes.len();
+                    if length > MAX_BUFFERED_BYTES || !reserve(length as u64) {
+                        return None;
+                    }
+                    whole.extend_from_slice(&bytes);
+                }
+                PeerPart::End => return Some(whole.into()),
+                PeerPart::Lost => return None,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/peer/mod.rs
@@ -0,0 +1,15 @@
+//! Requests that one gateway hands to another, whose links reach the upstreams.
+//!
+//! [`client`] sends a call and receives the response, [`server`] serves calls of other
+//! gateways, [`known`] keeps the gateways that take them, and [`message`] translates calls. A
+//! call is handed on once at most.
+
+mod client;
+mod known;
+mod message;
+mod server;
+
+pub(crate) use client::{Forwarded, PeerBody, PeerPart, continue_stream, forward, is_preferred};
+pub(crate) use known::Peers;
+pub(crate) use message::Begun;
+pub(crate) use server::{PeerService, serve_calls};
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -12,10 +12,11 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::dialer::Dialer;
+
 /// Buffer of a connection, and so the largest head of a response.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Idle time after which a connection is not reused, unless the upstream sends
@@ -44,8 +45,12 @@
 
 impl Connection {
     /// Connects within `limit` and starts HTTP/1.
-    pub(crate) async fn open(address: SocketAddr, limit: Duration) -> std::io::Result<Self> {
-        let connecting = timeout(limit, TcpStream::connect(address));
+    pub(crate) async fn open(
+        dialer: &dyn Dialer,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> std::io::Result<Self> {
+        let connecting = timeout(limit, dialer.connect(address));
         let stream = connecting.await.map_err(|_| std::io::ErrorKind::TimedOut)??;
         stream.set_nodelay(true)?;
         let handshake =
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -16,8 +16,11 @@
 use crate::accept::DRAIN_ACCEPT_PERIOD;
 use crate::control::ControlLinks;
 use crate::dialect::Dialect;
+use crate::dialer::{Dialer, SystemDialer};
 use crate::error::StartError;
 use crate::metrics::Metrics;
+use crate::peer::{self, PeerService, Peers};
+use crate::reach;
 use crate::route_sets;
 use crate::server;
 use crate::shared::Shared;
@@ -42,6 +45,15 @@
     pub async fn start(
         config: GatewayConfig,
         dialect: Box<dyn Dialect>,
+    ) -> Result<Gateway, StartError> {
+        Gateway::start_on(config, dialect, Box::new(SystemDialer)).await
+    }
+
+    /// The same on another network than the system's.
+    pub async fn start_on(
+        config: GatewayConfig,
+        dialect: Box<dyn Dialect>,
+        dialer: Box<dyn Dialer>,
     ) -> Result<Gateway, StartError> {
         let tls = peer_tls(&config)?;
         let metrics = Metrics::new().map_err(StartError::Metrics)?;
@@ -52,7 +64,8 @@
         let metrics_listener = listen(config.metrics_address).await?;
         let endpoint = Endpoint::bind(config.peer_address, &tls)
             .map_err(|error| StartError::Listen(config.peer_address, error))?;
-        let shared = Rc::new(Shared::new(config, dialect, metrics, spans));
+        let peers = Peers::new(endpoint.clone());
+        let shared = Rc::new(Shared::new(config, (dialect, dialer), metrics, spans, peers));
         let (closing, is_closing) = watch::channel(false);
         let links = ControlLinks::start(shared.clone(), endpoint.clone());
         actix_rt::spawn(server::serve(shared.clone(), caller_listener, is_closing));
@@ -60,6 +73,11 @@
         actix_rt::spawn(status::serve(shared.clone(), metrics_listener, Page::Metrics));
         actix_rt::spawn(route_sets::fetch_sets(shared.clone()));
         actix_rt::spawn(run_maintenance(shared.clone()));
+        actix_rt::spawn(reach::watch_links(shared.clone()));
+        let (service, calls) = PeerService::new();
+        let serving = endpoint.clone();
+        actix_rt::spawn(async move { serving.serve(service).await });
+        actix_rt::spawn(peer::serve_calls(shared.clone(), calls));
         Ok(Gateway { shared, endpoint, links, closing })
     }
 
--- /dev/null
+++ b/components/gateway/src/reach.rs
@@ -0,0 +1,110 @@
+//! Detects that this gateway reaches no upstream, by probes from several sides.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use lineage::Origin;
+use rand::seq::IndexedRandom as _;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::pool::Connection;
+use crate::shared::Shared;
+use crate::target::Target;
+
+/// Interval at which the evidence is looked at.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Upstreams in one round of probes.
+const PROBES: usize = 4;
+/// Fewest upstreams that tell a failure of some from a partition of this gateway.
+const MIN_PROBES: usize = 2;
+/// Wait for a sign of life of any upstream before some are probed, and the interval at which it
+/// is looked for.
+const SIGN_OF_LIFE_WAIT: Duration = Duration::from_millis(100);
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Time without data after which a stream counts as broken while upstreams are out of reach.
+const QUIET_LIMIT: Duration = Duration::from_millis(400);
+
+/// Watches the links to upstreams until the task is dropped.
+pub(crate) async fn watch_links(shared: Rc<Shared>) {
+    loop {
+        sleep(CHECK_INTERVAL).await;
+        if shared.reach.borrow().needs_probe(shared.now_ms()) {
+            probe(&shared).await;
+        }
+    }
+}
+
+/// Returns whether this gateway reaches no upstream: none gives a sign of life, and a round of
+/// probes reaches none.
+pub(crate) async fn confirm_cut_off(shared: &Shared) -> bool {
+    let since_ms = shared.now_ms();
+    let until = Instant::now() + SIGN_OF_LIFE_WAIT;
+    while !shared.is_cut_off() && Instant::now() < until {
+        if shared.reach.borrow().heard_after(since_ms) {
+            return false;
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+    if !shared.is_cut_off() {
+        probe(shared).await;
+    }
+    shared.is_cut_off()
+}
+
+/// Waits until upstreams are out of reach and a stream had no data for [`QUIET_LIMIT`] since
+/// `heard`.
+pub(crate) async fn broken_by_cut(shared: &Shared, heard: Instant) {
+    let mut cut_off = shared.cut_off.subscribe();
+    // Fails only once `shared` is gone.
+    if cut_off.wait_for(|cut_off| *cut_off).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+    sleep_until(heard + QUIET_LIMIT).await;
+}
+
+/// Connects to some upstreams of all services and records whether any is reached.
+async fn probe(shared: &Shared) {
+    let targets = probe_targets(shared);
+    if targets.len() < MIN_PROBES {
+        return;
+    }
+    let limit = Duration::from_millis(shared.config.timers.connect_timeout_ms);
+    let connecting =
+        targets.iter().map(|target| Connection::open(&*shared.dialer, target.address, limit));
+    let results = join_all(connecting).await;
+    let mut reached = 0;
+    for (target, result) in targets.iter().zip(results) {
+        if let Ok(connection) = result {
+            reached += 1;
+            shared.return_connection(target, connection);
+        }
+    }
+    let was_cut_off = shared.is_cut_off();
+    shared.reach.borrow_mut().record_probes(reached > 0, shared.now_ms());
+    let is_cut_off = shared.is_cut_off();
+    if was_cut_off != is_cut_off {
+        log::warn!(probed = targets.len(), reached, cut_off = is_cut_off; "reachability of upstreams changed");
+        shared.metrics.cut_off.set(i64::from(is_cut_off));
+        shared.cut_off.send_replace(is_cut_off);
+        if !is_cut_off {
+            shared.peers.forget();
+        }
+    }
+}
+
+fn probe_targets(shared: &Shared) -> Vec<Target> {
+    let registry = shared.registry.borrow();
+    let ready: Vec<_> = registry.iter().filter(|upstream| upstream.accepts_requests()).collect();
+    let chosen = ready.sample(&mut rand::rng(), PROBES);
+    let to_target = |upstream: &&registry::KnownUpstream| Target {
+        id: upstream.record.id.as_str().into(),
+        origin: Origin {
+            service: upstream.record.service.as_str().into(),
+            version: upstream.record.version.as_str().into(),
+        },
+        address: upstream.address,
+        born_ms: upstream.record.born_ms,
+    };
+    chosen.map(to_target).collect()
+}
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -2,6 +2,7 @@
 //! fails.
 
 mod migration;
+mod peers;
 mod resume;
 
 use std::rc::Rc;
@@ -25,13 +26,17 @@
 use crate::exchange::UpstreamResponse;
 use crate::health::{record_failure, record_unreachable};
 use crate::moves::{MoveEvent, MoveState};
+use crate::peer::{PeerBody, PeerPart};
 use crate::place::is_draining_or_gone;
 use crate::pool::Connection;
 use crate::quarantine;
+use crate::reach;
 use crate::reservation::Reservation;
 use crate::shared::{InFlightGuard, Shared};
 use crate::timing::elapsed_ms;
 
+pub(crate) use peers::{start_from_peer, take_over};
+
 /// Time without an event after which the engine is probed for reachability:
 /// several times the gap between events that callers count as late.
 const PROBE_AFTER: Duration = Duration::from_millis(700);
@@ -55,6 +60,12 @@
     shared: Rc<Shared>,
     call: Rc<Call>,
     source: Option<Source>,
+    /// Gateway that relays the stream from its engine, instead of `source`.
+    peer: Option<PeerBody>,
+    /// When the last bytes of the stream arrived.
+    heard_at: Instant,
+    /// No gateway continued the stream when upstreams came out of reach.
+    peers_refused: bool,
     /// Where the stream began, and so may go on.
     origin: Origin,
     events: EventSplitter,
@@ -85,6 +96,8 @@
     Move(MoveEvent),
     /// No event has arrived for a while.
     Stalled,
+    /// Upstreams are out of reach, and no data arrives.
+    CutOff,
     TimedOut,
 }
 
@@ -109,35 +122,17 @@
     head.headers.remove(CONTENT_LENGTH);
     // The protocol version belongs to the connection to the upstream.
     head.version = Version::HTTP_11;
-    let mut departures = shared.departures.subscribe();
+    let origin = reservation.target.origin.clone();
+    let mut relay = Relay::new(shared, call, origin, earlier_runs + 1, in_flight);
     // The engine may have started to drain before the head arrived.
-    departures.mark_changed();
-    let relay = Relay {
-        shared: shared.clone(),
-        call: call.clone(),
-        origin: reservation.target.origin.clone(),
-        source: Some(Source { body, connection, reservation }),
-        events: EventSplitter::default(),
-        progress: StreamProgress::new(call.head.last_event_id),
-        probe_at: Instant::now() + PROBE_AFTER,
-        resumed: false,
-        runs: earlier_runs + 1,
-        events_of_run: 0,
-        departures,
-        move_state: MoveState::Idle,
-        _in_flight: in_flight,
-    };
-    let frames = unfold(relay, |mut relay| async move {
-        let event = relay.next().await?;
-        Some((event.map(Frame::data), relay))
-    });
-    let body: Body = Box::pin(StreamBody::new(frames));
-    Response::from_parts(head, body)
+    relay.departures.mark_changed();
+    relay.source = Some(Source { body, connection, reservation });
+    Response::from_parts(head, relay.into_body())
 }
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        if self.source.is_some() {
+        if self.source.is_some() || self.peer.is_some() {
             self.discard_move();
             self.log_end("caller left");
         }
@@ -146,6 +141,44 @@
 }
 
 impl Relay {
+    /// Returns a relay that has no source yet. `runs` engines may have run the request.
+    fn new(
+        shared: &Rc<Shared>,
+        call: &Rc<Call>,
+        origin: Origin,
+        runs: u32,
+        in_flight: Option<InFlightGuard>,
+    ) -> Self {
+        let now = Instant::now();
+        Relay {
+            shared: shared.clone(),
+            call: call.clone(),
+            origin,
+            source: None,
+            peer: None,
+            heard_at: now,
+            peers_refused: false,
+            events: EventSplitter::default(),
+            progress: StreamProgress::new(call.head.last_event_id),
+            probe_at: now + PROBE_AFTER,
+            resumed: false,
+            runs,
+            events_of_run: 0,
+            departures: shared.departures.subscribe(),
+            move_state: MoveState::Idle,
+            _in_flight: in_flight,
+        }
+    }
+
+    /// Returns the body of the response that the relay writes.
+    fn into_body(self) -> Body {
+        let frames = unfold(self, |mut relay| async move {
+            let event = relay.next().await?;
+            Some((event.map(Frame::data), relay))
+        });
+        Box::pin(StreamBody::new(frames))
+    }
+
     /// Returns the next event; `None` once the stream is complete.
     async fn next(&mut self) -> Option<Result<Bytes, ResponseTruncated>> {
         loop {
@@ -154,7 +187,9 @@
                     return Some(Ok(event));
                 }
             }
-            self.source.as_ref()?;
+            if self.source.is_none() && self.peer.is_none() {
+                return None;
+            }
             if self.is_flooded() {
                 self.record_engine_failure("no progress");
                 if let Err(truncated) = self.recover("engine sends no new events").await {
@@ -163,7 +198,10 @@
                 continue;
             }
             match self.step().await {
-                Step::Data(bytes) => self.events.push(&bytes),
+                Step::Data(bytes) => {
+                    self.heard_at = Instant::now();
+                    self.events.push(&bytes);
+                }
                 Step::Departures => self.start_move(),
                 Step::Move(MoveEvent::StopDue) if self.is_link_saturated() => {
                     if let Err(truncated) = self.leave_source().await {
@@ -198,10 +236,16 @@
                     }
                     self.probe_at = Instant::now() + PROBE_AFTER;
                 }
+                Step::CutOff => {
+                    if !self.continue_at_peer().await {
+                        self.peers_refused = true;
+                    }
+                }
                 Step::TimedOut => {
                     self.log_end("timed out");
                     self.discard_move();
                     self.source = None;
+                    self.peer = None;
                     return Some(Err(ResponseTruncated));
                 }
             }
@@ -209,17 +253,33 @@
     }
 
     async fn step(&mut self) -> Step {
+        if let Some(peer) = &mut self.peer {
+            return tokio::select! {
+                part = peer.next() => match part {
+                    PeerPart::Data(bytes) => Step::Data(bytes),
+                    PeerPart::End => Step::End,
+                    PeerPart::Lost => Step::Interrupted("lost by another gateway".to_string()),
+                },
+                () = sleep_until(self.call.until) => Step::TimedOut,
+            };
+        }
         let Some(source) = &mut self.source else { return Step::End };
         tokio::select! {
             biased;
             frame = source.body.frame() => match frame {
-                Some(Ok(frame)) => frame.into_data().map_or(Step::Data(Bytes::new()), Step::Data),
+                Some(Ok(frame)) => {
+                    self.shared.reach.borrow_mut().record_heard(self.shared.now_ms());
+                    frame.into_data().map_or(Step::Data(Bytes::new()), Step::Data)
+                }
                 Some(Err(error)) => Step::Interrupted(error.to_string()),
                 None => Step::End,
             },
             Ok(()) = self.departures.changed() => Step::Departures,
             event = self.move_state.next_event() => Step::Move(event),
             () = sleep_until(self.probe_at) => Step::Stalled,
+            () = reach::broken_by_cut(&self.shared, self.heard_at), if !self.peers_refused => {
+                Step::CutOff
+            }
             () = sleep_until(self.call.until) => Step::TimedOut,
         }
     }
@@ -301,7 +361,7 @@
         let Some(source) = &self.source else { return false };
         let target = &source.reservation.target;
         let since_event_ms = elapsed_ms(self.progress.last_event_at);
-        match Connection::open(target.address, PROBE_TIMEOUT).await {
+        match Connection::open(&*self.shared.dialer, target.address, PROBE_TIMEOUT).await {
             Ok(connection) => {
                 self.shared.return_connection(target, connection);
                 true
@@ -316,6 +376,7 @@
 
     fn complete(&mut self) -> Option<Bytes> {
         self.log_end("complete");
+        self.peer = None;
         if let Some(source) = self.source.take() {
             self.shared.return_connection(&source.reservation.target, source.connection);
         }
--- /dev/null
+++ b/components/gateway/src/relay/peers.rs
@@ -0,0 +1,99 @@
+//! Streams that pass through two gateways, because the links of one reach no engine.
+
+use std::rc::Rc;
+
+use http::{HeaderMap, Response, StatusCode};
+use lineage::Origin;
+use schema::RepeatKind;
+
+use super::Relay;
+use crate::accept::Call;
+use crate::answer::Body;
+use crate::attempts::Attempts;
+use crate::eligibility::Excluded;
+use crate::moves;
+use crate::peer::{self, Begun, PeerBody};
+use crate::shared::{InFlightGuard, Shared};
+
+/// Starts to relay a stream that another gateway relays from its engine.
+pub(crate) fn start_from_peer(
+    shared: &Rc<Shared>,
+    call: &Rc<Call>,
+    (status, headers): (StatusCode, HeaderMap),
+    body: PeerBody,
+    in_flight: Option<InFlightGuard>,
+) -> Response<Body> {
+    // The other gateway resumes the stream as long as its origin is needed.
+    let origin = Origin { service: call.requirements.service.clone(), version: "".into() };
+    let mut relay = Relay::new(shared, call, origin, call.route.max_attempts.max(1), in_flight);
+    relay.peer = Some(body);
+    let mut response = Response::new(relay.into_body());
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// Continues a stream that began at another gateway; `None` if that is not possible.
+pub(crate) async fn take_over(
+    shared: &Rc<Shared>,
+    call: &Rc<Call>,
+    begun: Begun,
+    runs: u32,
+    in_flight: InFlightGuard,
+) -> Option<Response<Body>> {
+    let origin = call.origin.clone()?;
+    let mut relay = Relay::new(shared, call, origin, runs, Some(in_flight));
+    relay.progress.last_event_id = begun.last_event_id;
+    relay.progress.relayed = begun.events;
+    let resumed = match &begun.source {
+        Some(source) => {
+            let copy = moves::stop_and_copy(shared, call, source, begun.events).await?;
+            relay.resume_from_copy(copy, source).await
+        }
+        None => relay.run_again(None).await,
+    };
+    resumed.ok()?;
+    Some(Response::new(relay.into_body()))
+}
+
+impl Relay {
+    /// Has another gateway continue the stream; returns whether one does.
+    pub(super) async fn continue_at_peer(&mut self) -> bool {
+        if self.call.from_peer {
+            return false;
+        }
+        let target = self.source.as_ref().map(|source| source.reservation.target.clone());
+        let kind = self.call.route.kind();
+        let may_move = kind == RepeatKind::Stream
+            && target.is_some()
+            && self.call.requirements.engine.as_ref().is_some_and(|engine| engine.moves);
+        let may_run_again = kind == RepeatKind::ResumableStream
+            && self.runs < self.call.route.max_attempts.max(1)
+            && self.shared.try_retry(&self.call.requirements.service);
+        if !may_move && !may_run_again {
+            return false;
+        }
+        let runs = if may_run_again { self.runs + 1 } else { self.runs };
+        let source = target.clone().filter(|_| may_move);
+        let attempts = Attempts::from_peer(runs, runs, Excluded::new());
+        let progress = (self.progress.last_event_id, self.progress.relayed);
+        let continued = peer::continue_stream(
+            &self.shared,
+            &self.call,
+            &attempts,
+            source,
+            progress,
+            &self.origin,
+        );
+        let Some(body) = continued.await else { return false };
+        let upstream = target.as_ref().map_or("", |target| target.id.as_str());
+        log::info!(request = self.call.head.id.as_str(), upstream, peer = body.vm().as_str(), events = self.progress.relayed; "stream continued through another gateway");
+        self.runs = runs;
+        self.discard_move();
+        self.discard_unfinished_event();
+        self.source = None;
+        self.resumed = true;
+        self.peer = Some(body);
+        true
+    }
+}
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -1,5 +1,6 @@
 //! Resumption of a stream on another engine.
 
+use compact_str::CompactString;
 use schema::RepeatKind;
 
 use super::{Relay, Source};
@@ -14,6 +15,7 @@
 use crate::notices;
 use crate::place::{ReserveError, wait_for_slot};
 use crate::quarantine;
+use crate::reach;
 use crate::reservation::Reservation;
 use crate::target::Target;
 
@@ -30,6 +32,9 @@
 impl Relay {
     /// Resumes an interrupted stream on another engine, if that is possible.
     pub(super) async fn recover(&mut self, error: &str) -> Result<(), ResponseTruncated> {
+        if self.shared.is_cut_off() && self.continue_at_peer().await {
+            return Ok(());
+        }
         if let Some(copy) = self.take_copy(true).await {
             return self.go_on_from(copy).await;
         }
@@ -37,13 +42,26 @@
         let may_run = self.runs < self.call.route.max_attempts.max(1);
         if resumable && may_run && self.shared.try_retry(&self.call.requirements.service) {
             self.runs += 1;
-            return self.run_again().await;
+            let failed = self.source.take().map(|source| source.reservation.target.id.clone());
+            return self.run_again(failed).await;
+        }
+        if self.lost_with_all_upstreams().await && self.continue_at_peer().await {
+            return Ok(());
         }
         self.log_end(error);
         self.source = None;
+        self.peer = None;
         Err(ResponseTruncated)
     }
 
+    /// Returns whether the stream was interrupted because this gateway reaches no upstream; its
+    /// generation may still run then.
+    async fn lost_with_all_upstreams(&self) -> bool {
+        self.source.is_some()
+            && !self.is_reachable().await
+            && reach::confirm_cut_off(&self.shared).await
+    }
+
     /// Closes the stream that has ended, and resumes it from a copy of its KV cache.
     pub(super) async fn go_on_from(&mut self, copy: CacheCopy) -> Result<(), ResponseTruncated> {
         let source = self.source.take().ok_or(ResponseTruncated)?;
@@ -78,9 +96,12 @@
     }
 
     /// Runs the request again on another engine, starting after the last event that was
-    /// relayed. Engines that do not run it are passed over.
-    async fn run_again(&mut self) -> Result<(), ResponseTruncated> {
-        let failed = self.source.take().map(|source| source.reservation.target.id.clone());
+    /// relayed, but not on the one that `failed`. Engines that do not run it are passed over.
+    pub(super) async fn run_again(
+        &mut self,
+        failed: Option<CompactString>,
+    ) -> Result<(), ResponseTruncated> {
+        self.peer = None;
         self.discard_unfinished_event();
         let mut excluded: Excluded = failed.into_iter().collect();
         for _ in 0..MAX_SENDS + MAX_UNREACHABLE {
@@ -103,7 +124,12 @@
             let upstream = reservation.target.id.clone();
             match self.resume(reservation, None).await {
                 Ok(()) => return Ok(()),
-                Err(ResumeError::Unreachable) => excluded.push(upstream),
+                Err(ResumeError::Unreachable) => {
+                    excluded.push(upstream);
+                    if reach::confirm_cut_off(&self.shared).await && self.continue_at_peer().await {
+                        return Ok(());
+                    }
+                }
                 Err(ResumeError::NotRun)
                     if self.shared.try_retry(&self.call.requirements.service) =>
                 {
--- a/components/gateway/src/reservation.rs
+++ b/components/gateway/src/reservation.rs
@@ -69,6 +69,7 @@
         cache_tokens: u64,
         prefill_tokens: u64,
     ) -> Self {
+        shared.reach.borrow_mut().start_waiting(shared.now_ms());
         let mut loads = shared.loads.borrow_mut();
         loads.start_request(&target.id, cache_tokens, prefill_tokens);
         Reservation {
@@ -117,6 +118,7 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
+        self.shared.reach.borrow_mut().end_waiting();
         self.release_prefill();
         self.shared.loads.borrow_mut().end_request(&self.target.id, self.cache_tokens);
     }
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -24,11 +24,13 @@
 
 use crate::capacity::max_in_flight;
 use crate::dialect::Dialect;
+use crate::dialer::Dialer;
 use crate::metrics::Metrics;
+use crate::peer::Peers;
 use crate::pool::{Connection, Pool};
 use crate::state::{
     AppliedRegistries, BufferBudget, KnownCopies, KnownLimits, LeavingUpstreams, Quarantine,
-    RegistryPosition, RouteOffers,
+    Reachability, RegistryPosition, RouteOffers,
 };
 use crate::target::Target;
 
@@ -46,6 +48,7 @@
     /// Random number that identifies this incarnation of the gateway.
     pub(crate) epoch: u64,
     pub(crate) dialect: Box<dyn Dialect>,
+    pub(crate) dialer: Box<dyn Dialer>,
     pub(crate) metrics: Metrics,
     pub(crate) spans: Spans,
     pub(crate) table: RefCell<Rc<RouteTable>>,
@@ -92,6 +95,13 @@
     pub(crate) quarantine: RefCell<Quarantine>,
     /// Incremented when the quarantine changes.
     pub(crate) quarantine_changes: watch::Sender<u64>,
+    /// Evidence of whether this gateway reaches upstreams.
+    pub(crate) reach: RefCell<Reachability>,
+    /// Whether upstreams are out of reach.
+    pub(crate) cut_off: watch::Sender<bool>,
+    pub(crate) peers: Peers,
+    /// Calls of other gateways in progress.
+    pub(crate) peer_calls: Cell<u32>,
     in_flight: Cell<u32>,
     /// Memory for whole bodies and answers.
     pub(crate) buffers: Rc<BufferBudget>,
@@ -100,14 +110,16 @@
 impl Shared {
     pub(crate) fn new(
         config: GatewayConfig,
-        dialect: Box<dyn Dialect>,
+        (dialect, dialer): (Box<dyn Dialect>, Box<dyn Dialer>),
         metrics: Metrics,
         spans: Spans,
+        peers: Peers,
     ) -> Self {
         Shared {
             clock: Clock::start(),
             epoch: rand::random_range(1..=u64::MAX >> 11),
             dialect,
+            dialer,
             metrics,
             spans,
             table: RefCell::default(),
@@ -139,6 +151,10 @@
             urgent_syncs: watch::Sender::new(0),
             quarantine: RefCell::default(),
             quarantine_changes: watch::Sender::new(0),
+            reach: RefCell::default(),
+            cut_off: watch::Sender::new(false),
+            peers,
+            peer_calls: Cell::new(0),
             in_flight: Cell::new(0),
             buffers: BufferBudget::new(config.limits.max_buffered_bytes),
             config,
@@ -155,6 +171,11 @@
         positions.iter().all(|(source, position)| applied.includes(*source, *position))
     }
 
+    /// Returns whether upstreams are out of reach.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        self.reach.borrow().is_cut_off()
+    }
+
     pub(crate) fn table(&self) -> Rc<RouteTable> {
         self.table.borrow().clone()
     }
--- a/components/gateway/src/state/mod.rs
+++ b/components/gateway/src/state/mod.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod offers;
 mod quarantine;
+mod reach;
 mod registries;
 
 pub(crate) use buffers::{BufferBudget, BufferReservation, BufferUse};
@@ -14,4 +15,5 @@
 pub(crate) use limits::KnownLimits;
 pub(crate) use offers::{NextFetch, RouteOffers};
 pub(crate) use quarantine::{AnsweredFeatures, MAX_HOLD, Quarantine};
+pub(crate) use reach::Reachability;
 pub(crate) use registries::{AppliedRegistries, RegistryPosition};
--- a/components/schemagen/src/main.rs
+++ b/components/schemagen/src/main.rs
@@ -10,9 +10,10 @@
 
 const PROTO_DIR: &str = "components/schema/proto";
 const OUT_DIR: &str = "components/schema/src/generated";
-const PROTO_FILES: [&str; 6] = [
+const PROTO_FILES: [&str; 7] = [
     "objects.proto",
     "routes.proto",
+    "forward.proto",
     "settings.proto",
     "consensus.proto",
     "state.proto",
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -1,6 +1,7 @@
 //! Requests and messages between the system's processes over QUIC.
 //!
-//! Each request uses its own bidirectional stream. Consensus messages share one
+//! Each request uses its own bidirectional stream; the reply to a forwarded request consists of
+//! several messages. Consensus messages share one
 //! long-lived unidirectional stream per direction, which keeps them in order.
 //! Both sides authenticate with certificates issued by the deployment CA.
 
@@ -8,12 +9,14 @@
 mod error;
 mod frame;
 mod link;
+mod replies;
 mod server;
 mod traffic;
 
 pub use endpoint::Endpoint;
 pub use error::CallError;
 pub use link::Link;
+pub use replies::{ReplyParts, ReplySender};
 pub use server::{Handler, error_reply};
 pub use traffic::{Traffic, traffic};
 
--- a/components/wire/src/link.rs
+++ b/components/wire/src/link.rs
@@ -7,12 +7,12 @@
 use bytes::Bytes;
 use credentials::Role;
 use prost::Message as _;
-use quinn::Connection;
+use quinn::{Connection, RecvStream, SendStream};
 use schema::{ConsensusMessage, Reply, Request, reply};
 use tokio::sync::{Mutex, mpsc};
 use tokio::time::{sleep, timeout};
 
-use crate::{CallError, MAX_MESSAGE_BYTES, frame, traffic};
+use crate::{CallError, MAX_MESSAGE_BYTES, ReplyParts, frame, traffic};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
@@ -55,6 +55,18 @@
         }
     }
 
+    /// Sends a request whose reply consists of several parts; waits up to `connect_limit` for
+    /// the connection. Only [`CallError::Connect`] says that nothing was sent.
+    pub async fn open(
+        &self,
+        request: Request,
+        connect_limit: Duration,
+    ) -> Result<ReplyParts, CallError> {
+        let connecting = timeout(connect_limit, self.inner.open_stream()).await;
+        let stream = connecting.map_err(|_| CallError::Connect("timed out".to_string()))??;
+        self.inner.send(stream, request).await.map(ReplyParts::new)
+    }
+
     /// Queues a consensus message. It is dropped when the queue is full or the
     /// connection is lost.
     pub async fn send(&self, message: ConsensusMessage) {
@@ -70,15 +82,9 @@
 
 impl Inner {
     async fn exchange(&self, request: Request) -> Result<reply::Body, CallError> {
-        let connection = self.connect().await?;
         let lost = |error: &dyn std::fmt::Display| CallError::Lost(error.to_string());
-        let (mut send, mut receive) =
-            connection.open_bi().await.map_err(|error| CallError::Connect(error.to_string()))?;
-        let bytes = Bytes::from(request.encode_to_vec());
-        drop(request);
-        traffic::count_sent(bytes.len());
-        send.write_chunk(bytes).await.map_err(|error| lost(&error))?;
-        send.finish().map_err(|error| lost(&error))?;
+        let stream = self.open_stream().await?;
+        let mut receive = self.send(stream, request).await?;
         let bytes = receive.read_to_end(MAX_MESSAGE_BYTES).await.map_err(|error| lost(&error))?;
         traffic::count_received(bytes.len());
         let reply = Reply::decode(Bytes::from(bytes)).map_err(|error| lost(&error))?;
@@ -89,6 +95,26 @@
         }
     }
 
+    async fn open_stream(&self) -> Result<(SendStream, RecvStream), CallError> {
+        let connection = self.connect().await?;
+        connection.open_bi().await.map_err(|error| CallError::Connect(error.to_string()))
+    }
+
+    /// Sends a request on a new stream and returns the side that receives the reply.
+    async fn send(
+        &self,
+        (mut send, receive): (SendStream, RecvStream),
+        request: Request,
+    ) -> Result<RecvStream, CallError> {
+        let lost = |error: &dyn std::fmt::Display| CallError::Lost(error.to_string());
+        let bytes = Bytes::from(request.encode_to_vec());
+        drop(request);
+        traffic::count_sent(bytes.len());
+        send.write_chunk(bytes).await.map_err(|error| lost(&error))?;
+        send.finish().map_err(|error| lost(&error))?;
+        Ok(receive)
+    }
+
     /// Returns the open connection, or establishes one.
     async fn connect(&self) -> Result<Connection, CallError> {
         let mut current = self.connection.lock().await;
--- /dev/null
+++ b/components/wire/src/replies.rs
@@ -0,0 +1,48 @@
+//! Replies that consist of several messages.
+
+use quinn::{RecvStream, SendStream};
+use schema::ForwardReply;
+
+use crate::CallError;
+use crate::frame;
+
+/// Parts of a reply as they arrive; dropping it cancels the request.
+#[derive(Debug)]
+pub struct ReplyParts {
+    receive: RecvStream,
+}
+
+impl ReplyParts {
+    pub(crate) fn new(receive: RecvStream) -> Self {
+        ReplyParts { receive }
+    }
+
+    /// Waits for the next part; `None` after the last one, or if the connection is lost.
+    pub async fn next(&mut self) -> Option<ForwardReply> {
+        frame::read(&mut self.receive).await
+    }
+}
+
+/// Sends the parts of a reply.
+#[derive(Debug)]
+pub struct ReplySender {
+    send: SendStream,
+}
+
+impl ReplySender {
+    pub(crate) fn new(send: SendStream) -> Self {
+        ReplySender { send }
+    }
+
+    /// Sends a part; fails once the peer wants no more, or the connection is lost.
+    pub async fn send(&mut self, part: &ForwardReply) -> Result<(), CallError> {
+        let sent = frame::write(&mut self.send, part).await;
+        sent.map_err(|error| CallError::Lost(error.to_string()))
+    }
+
+    /// Waits until the peer wants no more parts, or the connection is lost.
+    pub async fn cancelled(&self) {
+        // Both outcomes mean that nobody reads the reply.
+        let _ = self.send.stopped().await;
+    }
+}
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -8,16 +8,37 @@
 use prost::Message as _;
 use quinn::{Connection, RecvStream, SendStream};
 use rustls::pki_types::CertificateDer;
-use schema::{ConsensusMessage, ErrorCode, ErrorReply, Reply, Request, reply};
+use schema::{
+    ConsensusMessage, ErrorCode, ErrorReply, ForwardReply, ForwardRequest, Reply, Request,
+    forward_reply, reply, request,
+};
 use tokio::sync::Semaphore;
 
-use crate::{MAX_MESSAGE_BYTES, frame, traffic};
+use crate::{MAX_MESSAGE_BYTES, ReplySender, frame, traffic};
 
 /// Handles the requests and consensus messages of peer processes.
 pub trait Handler: Send + Sync + 'static {
     /// Handles a request and returns its reply.
     fn handle(&self, peer: Identity, request: Request) -> BoxFuture<'static, Reply>;
 
+    /// Handles a request that another gateway forwards; by default it is not taken.
+    fn handle_forward(
+        &self,
+        peer: Identity,
+        traceparent: String,
+        request: ForwardRequest,
+        mut replies: ReplySender,
+    ) -> BoxFuture<'static, ()> {
+        let _ = (peer, traceparent, request);
+        Box::pin(async move {
+            let reason = "this process forwards no requests".to_string();
+            let part = ForwardReply { body: Some(forward_reply::Body::NotTaken(reason)) };
+            if let Err(error) = replies.send(&part).await {
+                log::debug!(error = error.to_string().as_str(); "reply not sent");
+            }
+        })
+    }
+
     /// Handles a consensus message, which has no reply; the default drops it.
     fn handle_message(&self, peer: &Identity, message: ConsensusMessage) {
         let _ = (peer, message);
@@ -97,6 +118,10 @@
     let Ok(bytes) = receive.read_to_end(MAX_MESSAGE_BYTES).await else { return };
     traffic::count_received(bytes.len());
     let reply = match Request::decode(Bytes::from(bytes)) {
+        Ok(Request { traceparent, body: Some(request::Body::Forward(forward)) }) => {
+            let replies = ReplySender::new(send);
+            return handler.handle_forward(peer, traceparent, forward, replies).await;
+        }
         Ok(request) => handler.handle(peer, request).await,
         Err(error) => error_reply(ErrorCode::Invalid, error.to_string()),
     };
