Box the futures of handed-over requests and share the clock of streams

Suspected cause: each connection of a caller reserves memory for the largest of all futures of a request; and each part of a stream read the clock once more and subscribed to a channel. Rare paths are boxed now, streams keep their subscription, and the evidence of reachability uses the time that streams read anyway.

--- a/components/gateway/src/crashes.rs
+++ b/components/gateway/src/crashes.rs
@@ -90,7 +90,7 @@
     // Links of this gateway that refuse connections to all upstreams look like crashes.
     let crashed = !leaving
         && refuses_connections(shared, target.address).await
-        && !reach::confirm_cut_off(shared).await;
+        && !Box::pin(reach::confirm_cut_off(shared)).await;
     log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(), born_ms = target.born_ms, features = call.features.to_string().as_str(), leaving, alone, crashed; "upstream broke off before an answer began");
     if !crashed {
         return true;
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -74,7 +74,7 @@
     let result = timeout_at(until, send(connection_use, shared, target, request)).await;
     let result = result.unwrap_or(Err(ExchangeError::TimedOut));
     match &result {
-        Ok(_) => shared.reach.borrow_mut().record_heard(shared.now_ms()),
+        Ok(_) => shared.reach.borrow_mut().record_heard(Instant::now()),
         Err(error) => span.set_error(error.to_string()),
     }
     result
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -113,7 +113,9 @@
     let responded = loop {
         if hand_overs < MAX_HAND_OVERS && peer::is_preferred(shared, &call, &attempts) {
             hand_overs += 1;
-            match hand_over(shared, &call, &mut attempts, &mut in_flight).await {
+            let handing_over = hand_over(shared, &call, &mut attempts, &mut in_flight);
+            // Boxed, as connections reserve memory for the largest of all their futures.
+            match Box::pin(handing_over).await {
                 HandOver::Ended(responded) => break responded,
                 HandOver::Repeat => continue,
                 HandOver::NotTaken => {}
@@ -127,7 +129,8 @@
                 if attempts.unreachable() == 0 || call.from_peer || hand_overs >= MAX_HAND_OVERS {
                     break None;
                 }
-                match hand_over(shared, &call, &mut attempts, &mut in_flight).await {
+                let handing_over = hand_over(shared, &call, &mut attempts, &mut in_flight);
+                match Box::pin(handing_over).await {
                     HandOver::Ended(responded) => break responded,
                     HandOver::Repeat | HandOver::NotTaken => break None,
                 }
@@ -274,6 +277,7 @@
     let resume =
         call.head.last_event_id.map(|id| Resume { last_event_id: Some(id), kv_cache: None });
     let request = call.to_request(shared, &target, resume.as_ref());
+    let mut cut_off = shared.cut_off.subscribe();
     let exchanged = tokio::select! {
         exchanged = exchange(shared, &call.span, &target, request, call.until) => exchanged,
         // Engines drop a request whose connection closes before they begin its answer.
@@ -281,7 +285,7 @@
             log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(); "request withdrawn: upstreams crash under it");
             return Attempt::Withdrawn(reason);
         }
-        () = reach::broken_by_cut(shared, Instant::now()), if call.may_repeat() => {
+        () = reach::broken_by_cut(&mut cut_off, Instant::now()), if call.may_repeat() => {
             log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(); "request abandoned: upstreams out of reach");
             return Attempt::Lost("upstreams out of reach");
         }
--- a/components/gateway/src/reach.rs
+++ b/components/gateway/src/reach.rs
@@ -6,6 +6,7 @@
 use futures::future::join_all;
 use lineage::Origin;
 use rand::seq::IndexedRandom as _;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::pool::Connection;
@@ -29,7 +30,7 @@
 pub(crate) async fn watch_links(shared: Rc<Shared>) {
     loop {
         sleep(CHECK_INTERVAL).await;
-        if shared.reach.borrow().needs_probe(shared.now_ms()) {
+        if shared.reach.borrow().needs_probe(Instant::now()) {
             probe(&shared).await;
         }
     }
@@ -38,10 +39,10 @@
 /// Returns whether this gateway reaches no upstream: none gives a sign of life, and a round of
 /// probes reaches none.
 pub(crate) async fn confirm_cut_off(shared: &Shared) -> bool {
-    let since_ms = shared.now_ms();
-    let until = Instant::now() + SIGN_OF_LIFE_WAIT;
+    let since = Instant::now();
+    let until = since + SIGN_OF_LIFE_WAIT;
     while !shared.is_cut_off() && Instant::now() < until {
-        if shared.reach.borrow().heard_after(since_ms) {
+        if shared.reach.borrow().heard_after(since) {
             return false;
         }
         sleep(POLL_INTERVAL).await;
@@ -54,9 +55,8 @@
 
 /// Waits until upstreams are out of reach and a stream had no data for [`QUIET_LIMIT`] since
 /// `heard`.
-pub(crate) async fn broken_by_cut(shared: &Shared, heard: Instant) {
-    let mut cut_off = shared.cut_off.subscribe();
-    // Fails only once `shared` is gone.
+pub(crate) async fn broken_by_cut(cut_off: &mut watch::Receiver<bool>, heard: Instant) {
+    // Fails only once the gateway has stopped.
     if cut_off.wait_for(|cut_off| *cut_off).await.is_err() {
         std::future::pending::<()>().await;
     }
@@ -81,7 +81,7 @@
         }
     }
     let was_cut_off = shared.is_cut_off();
-    shared.reach.borrow_mut().record_probes(reached > 0, shared.now_ms());
+    shared.reach.borrow_mut().record_probes(reached > 0, Instant::now());
     let is_cut_off = shared.is_cut_off();
     if was_cut_off != is_cut_off {
         log::warn!(probed = targets.len(), reached, cut_off = is_cut_off; "reachability of upstreams changed");
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -79,6 +79,7 @@
     /// New events from the current engine.
     events_of_run: u64,
     departures: watch::Receiver<u64>,
+    cut_off: watch::Receiver<bool>,
     move_state: MoveState,
     _in_flight: Option<InFlightGuard>,
 }
@@ -165,6 +166,7 @@
             runs,
             events_of_run: 0,
             departures: shared.departures.subscribe(),
+            cut_off: shared.cut_off.subscribe(),
             move_state: MoveState::Idle,
             _in_flight: in_flight,
         }
@@ -200,6 +202,9 @@
             match self.step().await {
                 Step::Data(bytes) => {
                     self.heard_at = Instant::now();
+                    if self.source.is_some() {
+                        self.shared.reach.borrow_mut().record_heard(self.heard_at);
+                    }
                     self.events.push(&bytes);
                 }
                 Step::Departures => self.start_move(),
@@ -237,7 +242,7 @@
                     self.probe_at = Instant::now() + PROBE_AFTER;
                 }
                 Step::CutOff => {
-                    if !self.continue_at_peer().await {
+                    if !Box::pin(self.continue_at_peer()).await {
                         self.peers_refused = true;
                     }
                 }
@@ -267,17 +272,14 @@
         tokio::select! {
             biased;
             frame = source.body.frame() => match frame {
-                Some(Ok(frame)) => {
-                    self.shared.reach.borrow_mut().record_heard(self.shared.now_ms());
-                    frame.into_data().map_or(Step::Data(Bytes::new()), Step::Data)
-                }
+                Some(Ok(frame)) => frame.into_data().map_or(Step::Data(Bytes::new()), Step::Data),
                 Some(Err(error)) => Step::Interrupted(error.to_string()),
                 None => Step::End,
             },
             Ok(()) = self.departures.changed() => Step::Departures,
             event = self.move_state.next_event() => Step::Move(event),
             () = sleep_until(self.probe_at) => Step::Stalled,
-            () = reach::broken_by_cut(&self.shared, self.heard_at), if !self.peers_refused => {
+            () = reach::broken_by_cut(&mut self.cut_off, self.heard_at), if !self.peers_refused => {
                 Step::CutOff
             }
             () = sleep_until(self.call.until) => Step::TimedOut,
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -32,7 +32,7 @@
 impl Relay {
     /// Resumes an interrupted stream on another engine, if that is possible.
     pub(super) async fn recover(&mut self, error: &str) -> Result<(), ResponseTruncated> {
-        if self.shared.is_cut_off() && self.continue_at_peer().await {
+        if self.shared.is_cut_off() && Box::pin(self.continue_at_peer()).await {
             return Ok(());
         }
         if let Some(copy) = self.take_copy(true).await {
@@ -45,7 +45,7 @@
             let failed = self.source.take().map(|source| source.reservation.target.id.clone());
             return self.run_again(failed).await;
         }
-        if self.lost_with_all_upstreams().await && self.continue_at_peer().await {
+        if self.lost_with_all_upstreams().await && Box::pin(self.continue_at_peer()).await {
             return Ok(());
         }
         self.log_end(error);
@@ -59,7 +59,7 @@
     async fn lost_with_all_upstreams(&self) -> bool {
         self.source.is_some()
             && !self.is_reachable().await
-            && reach::confirm_cut_off(&self.shared).await
+            && Box::pin(reach::confirm_cut_off(&self.shared)).await
     }
 
     /// Closes the stream that has ended, and resumes it from a copy of its KV cache.
@@ -126,7 +126,9 @@
                 Ok(()) => return Ok(()),
                 Err(ResumeError::Unreachable) => {
                     excluded.push(upstream);
-                    if reach::confirm_cut_off(&self.shared).await && self.continue_at_peer().await {
+                    if Box::pin(reach::confirm_cut_off(&self.shared)).await
+                        && Box::pin(self.continue_at_peer()).await
+                    {
                         return Ok(());
                     }
                 }
--- a/components/gateway/src/reservation.rs
+++ b/components/gateway/src/reservation.rs
@@ -69,7 +69,8 @@
         cache_tokens: u64,
         prefill_tokens: u64,
     ) -> Self {
-        shared.reach.borrow_mut().start_waiting(shared.now_ms());
+        let now = Instant::now();
+        shared.reach.borrow_mut().start_waiting(now);
         let mut loads = shared.loads.borrow_mut();
         loads.start_request(&target.id, cache_tokens, prefill_tokens);
         Reservation {
@@ -78,7 +79,7 @@
             target,
             cache_tokens,
             prefill_tokens,
-            reserved_at: Instant::now(),
+            reserved_at: now,
         }
     }
 
--- a/components/gateway/src/state/reach.rs
+++ b/components/gateway/src/state/reach.rs
@@ -1,17 +1,19 @@
 //! Whether a gateway reaches upstreams, judged by its own connections.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use compact_str::CompactString;
+use tokio::time::Instant;
 
 /// Time without a sign of life from any upstream, while requests wait, after which upstreams
 /// are probed.
-const QUIET_MS: u64 = 400;
+const QUIET_LIMIT: Duration = Duration::from_millis(400);
 /// Upstreams that cannot be reached, with no sign of life between them, after which others are
 /// probed.
 const MAX_UNREACHABLE: usize = 2;
 /// Time after successful probes before the next ones, in which a quiet spell is no suspicion.
-const PROBE_PAUSE_MS: u64 = 1_000;
+const PROBE_PAUSE: Duration = Duration::from_millis(1_000);
 /// Rounds of successful probes after which all requests are sent to upstreams again; before
 /// that, a growing share of them.
 const RECOVERY_ROUNDS: u32 = 3;
@@ -35,19 +37,19 @@
     /// Requests that wait for an upstream.
     waiting: u32,
     /// When requests began to wait.
-    waiting_since_ms: u64,
+    waiting_since: Option<Instant>,
     /// Last sign of life of any upstream.
-    heard_ms: u64,
+    heard: Option<Instant>,
     /// Upstreams that could not be reached since the last sign of life.
     unreachable: BTreeSet<CompactString>,
-    probed_ms: Option<u64>,
+    probed: Option<Instant>,
 }
 
 impl Reachability {
     /// Records that a request is about to wait for an upstream.
-    pub(crate) fn start_waiting(&mut self, now_ms: u64) {
+    pub(crate) fn start_waiting(&mut self, now: Instant) {
         if self.waiting == 0 {
-            self.waiting_since_ms = now_ms;
+            self.waiting_since = Some(now);
         }
         self.waiting += 1;
     }
@@ -58,8 +60,8 @@
     }
 
     /// Records bytes or a connection of an upstream.
-    pub(crate) fn record_heard(&mut self, now_ms: u64) {
-        self.heard_ms = now_ms;
+    pub(crate) fn record_heard(&mut self, now: Instant) {
+        self.heard = Some(now);
         self.unreachable.clear();
     }
 
@@ -68,28 +70,28 @@
         self.unreachable.insert(id.into());
     }
 
-    /// Returns whether any upstream gave a sign of life after `since_ms`.
-    pub(crate) fn heard_after(&self, since_ms: u64) -> bool {
-        self.heard_ms > since_ms
+    /// Returns whether any upstream gave a sign of life after `since`.
+    pub(crate) fn heard_after(&self, since: Instant) -> bool {
+        self.heard > Some(since)
     }
 
     /// Returns whether other upstreams should be probed, to tell a failure of some upstreams
     /// from one of this gateway's links.
-    pub(crate) fn needs_probe(&self, now_ms: u64) -> bool {
+    pub(crate) fn needs_probe(&self, now: Instant) -> bool {
         if self.is_cut_off() || self.unreachable.len() >= MAX_UNREACHABLE {
             return true;
         }
-        let quiet_since_ms = self.heard_ms.max(self.waiting_since_ms);
-        let quiet = self.waiting > 0 && now_ms.saturating_sub(quiet_since_ms) >= QUIET_MS;
-        let probed_lately = self.probed_ms.is_some_and(|at_ms| now_ms < at_ms + PROBE_PAUSE_MS);
+        let quiet_since = self.heard.max(self.waiting_since);
+        let quiet = self.waiting > 0 && quiet_since.is_some_and(|at| now >= at + QUIET_LIMIT);
+        let probed_lately = self.probed.is_some_and(|at| now < at + PROBE_PAUSE);
         quiet && !probed_lately
     }
 
     /// Records a round of probes of several upstreams, of which some or none were `reached`.
-    pub(crate) fn record_probes(&mut self, reached: bool, now_ms: u64) {
-        self.probed_ms = Some(now_ms);
+    pub(crate) fn record_probes(&mut self, reached: bool, now: Instant) {
+        self.probed = Some(now);
         if reached {
-            self.record_heard(now_ms);
+            self.record_heard(now);
         }
         self.links = match (self.links, reached) {
             (_, false) => Links::CutOff,
