Relay only true continuations of interrupted streams

Cause: a resumed run was believed if its status was any success, it was signed and named no other request. Text without fields passed as an event without data, and a body without an event ended the stream. Of a run that began again, the events that the caller had were dropped and the rest was relayed. A stream whose engine closed right after its head, without length and chunks, was complete and empty.

A response goes on with a stream only if it is a signed 200 of an event stream (or names no media type) and its first event has an id after the last one that was relayed; in a stream whose ids had no gap, the next one. Nothing of the run is relayed before. A run that ends without an event has broken off. The same holds for the response to a caller that takes a stream up; a success that is no stream counts as lost there. As before, a further engine is tried where the route allows it, and otherwise the last chunk is missing. Ids that are not consecutive are accepted, as the protocol only says that they increase.

An answer on a route of streams that is no event stream, and goes on with none, is now delivered whole. It was cut if it did not end with a blank line.

Not told apart: an empty stream after the last event of a whole one is taken for a failed run, and the stream stays truncated.

--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -70,6 +70,24 @@
     Repeated,
 }
 
+/// How the ids of the events of a stream follow on each other.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum IdSteps {
+    Unknown,
+    Consecutive,
+    Sparse,
+}
+
+impl IdSteps {
+    /// Returns the steps of a stream that goes on with the event `id` after `last`.
+    fn and(self, last: u64, id: u64) -> Self {
+        match (self, id.checked_sub(last)) {
+            (IdSteps::Unknown | IdSteps::Consecutive, Some(1)) => IdSteps::Consecutive,
+            (_, _) => IdSteps::Sparse,
+        }
+    }
+}
+
 /// Progress of a stream, over all engines that it comes from.
 #[derive(Debug)]
 pub(crate) struct StreamProgress {
@@ -80,6 +98,7 @@
     pub(crate) bytes_without_event: usize,
     pub(crate) last_event_at: Instant,
     pub(crate) longest_pause: Duration,
+    id_steps: IdSteps,
 }
 
 impl StreamProgress {
@@ -90,6 +109,7 @@
             bytes_without_event: 0,
             last_event_at: Instant::now(),
             longest_pause: Duration::ZERO,
+            id_steps: IdSteps::Unknown,
         }
     }
 
@@ -103,6 +123,9 @@
             self.bytes_without_event += event.len();
             return EventKind::WithoutData;
         }
+        if let (Some(last), Some(id)) = (self.last_event_id, id) {
+            self.id_steps = self.id_steps.and(last, id);
+        }
         let gap = self.last_event_at.elapsed();
         self.last_event_id = id.or(self.last_event_id);
         self.relayed += 1;
@@ -111,6 +134,23 @@
         self.last_event_at = Instant::now();
         EventKind::New(gap)
     }
+
+    /// Returns whether a run that goes on after the last event may begin with an event with
+    /// this id. Ids increase; a gap counts only in a stream that had none before.
+    pub(crate) fn may_go_on_with(&self, id: Option<u64>) -> bool {
+        match (self.last_event_id, id, self.id_steps) {
+            (None, _, _) => true,
+            (Some(_), None, _) => false,
+            (Some(last), Some(id), IdSteps::Consecutive) => id.checked_sub(last) == Some(1),
+            (Some(last), Some(id), IdSteps::Unknown | IdSteps::Sparse) => id > last,
+        }
+    }
+}
+
+/// Returns whether an event has nothing but comments.
+pub(crate) fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii);
+    lines.all(|line| line.is_empty() || line.starts_with(b":"))
 }
 
 /// Returns whether an event has data; comments and blank events have none.
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -234,8 +234,7 @@
             return Attempt::Lost("upstream sent an answer that is not its own");
         }
     }
-    let succeeded = response.head.status.is_success();
-    if succeeded && call.is_stream() {
+    if call.is_stream() && relay::is_event_stream(&response.head) {
         shared.outlier_detector.borrow_mut().record_success(&target.id);
         return Attempt::Responded(relay::start(
             shared,
@@ -246,6 +245,11 @@
             in_flight.take(),
         ));
     }
+    let goes_on = call.is_stream() && call.head.last_event_id.is_some();
+    if goes_on && response.head.status.is_success() {
+        record_failure(shared, &target, "stream not continued");
+        return Attempt::Lost("upstream did not go on with the stream");
+    }
     buffer_response(shared, call, &target, response).await
 }
 
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use futures::stream::unfold;
-use http::header::CONTENT_LENGTH;
-use http::{Response, Version};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use http::{HeaderValue, Response, StatusCode, Version, response};
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Frame, Incoming};
 use lineage::Origin;
@@ -21,7 +21,7 @@
 use crate::accept::Call;
 use crate::answer::{Body, ResponseTruncated, strip_hop_by_hop};
 use crate::crashes;
-use crate::events::{EventKind, EventSplitter, StreamProgress};
+use crate::events::{EventKind, EventSplitter, StreamProgress, is_comment};
 use crate::exchange::UpstreamResponse;
 use crate::health::{record_failure, record_unreachable};
 use crate::moves::{MoveEvent, MoveState};
@@ -43,6 +43,9 @@
 /// comments, blank or repeated events, before its stream counts as lost.
 const MAX_BYTES_WITHOUT_EVENT: usize = 256 << 10;
 
+/// Media type of streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Engine that the stream currently comes from.
 #[derive(Debug)]
 struct Source {
@@ -61,7 +64,7 @@
     progress: StreamProgress,
     /// When the engine of a stalled stream is probed next.
     probe_at: Instant,
-    /// The stream was resumed on another engine, whose first event is pending.
+    /// The engine was told to go on after an event; its first event is pending.
     resumed: bool,
     /// Engines that may have run the request.
     runs: u32,
@@ -72,6 +75,9 @@
     _in_flight: Option<InFlightGuard>,
 }
 
+/// The events of a resumed run do not follow on those that were relayed.
+struct Discontinuity;
+
 /// What the relay has to react to next.
 enum Step {
     Data(Bytes),
@@ -88,6 +94,15 @@
     TimedOut,
 }
 
+/// Returns whether a response is a stream; a head may leave the media type out.
+pub(crate) fn is_event_stream(head: &response::Parts) -> bool {
+    let is_stream = |value: &HeaderValue| {
+        let media_type = value.to_str().unwrap_or_default().split(';').next().unwrap_or_default();
+        media_type.trim().eq_ignore_ascii_case(EVENT_STREAM)
+    };
+    head.status == StatusCode::OK && head.headers.get(CONTENT_TYPE).is_none_or(is_stream)
+}
+
 /// Starts to relay a stream whose response head has arrived, after `earlier_runs` engines
 /// that may have run the request.
 pub(crate) fn start(
@@ -120,7 +135,7 @@
         events: EventSplitter::default(),
         progress: StreamProgress::new(call.head.last_event_id),
         probe_at: Instant::now() + PROBE_AFTER,
-        resumed: false,
+        resumed: call.head.last_event_id.is_some(),
         runs: earlier_runs + 1,
         events_of_run: 0,
         departures,
@@ -149,8 +164,14 @@
     async fn next(&mut self) -> Option<Result<Bytes, ResponseTruncated>> {
         loop {
             while let Some(event) = self.events.next() {
-                if let Some(event) = self.accept_event(event) {
-                    return Some(Ok(event));
+                match self.accept_event(event) {
+                    Ok(Some(event)) => return Some(Ok(event)),
+                    Ok(None) => {}
+                    Err(Discontinuity) => {
+                        if let Err(truncated) = self.leave_wrong_run().await {
+                            return Some(Err(truncated));
+                        }
+                    }
                 }
             }
             self.source.as_ref()?;
@@ -176,12 +197,14 @@
                             return Some(Err(truncated));
                         }
                     }
-                    None if self.events.has_partial_event() => {
-                        if let Err(truncated) = self.interrupt("ended inside an event").await {
-                            return Some(Err(truncated));
+                    None => match self.find_broken_end() {
+                        Some(error) => {
+                            if let Err(truncated) = self.interrupt(error).await {
+                                return Some(Err(truncated));
+                            }
                         }
-                    }
-                    None => return self.complete().map(Ok),
+                        None => return self.complete().map(Ok),
+                    },
                 },
                 Step::Interrupted(error) => {
                     if let Err(truncated) = self.interrupt(&error).await {
@@ -223,14 +246,39 @@
         }
     }
 
-    /// Returns the event unless the caller already has it.
-    fn accept_event(&mut self, event: Bytes) -> Option<Bytes> {
-        match self.progress.accept(self.shared.dialect.event_id(&event), &event) {
+    /// Returns the event unless the caller already has it. Until the first event of a resumed
+    /// run shows that it goes on with the stream, nothing of it is returned.
+    fn accept_event(&mut self, event: Bytes) -> Result<Option<Bytes>, Discontinuity> {
+        let id = self.shared.dialect.event_id(&event);
+        let resumed = self.resumed;
+        if resumed && !is_comment(&event) && !self.progress.may_go_on_with(id) {
+            log::warn!(request = self.call.head.id.as_str(), event_id:? = id, last_event_id:? = self.progress.last_event_id; "event does not follow on the stream");
+            return Err(Discontinuity);
+        }
+        match self.progress.accept(id, &event) {
             EventKind::New(gap) => self.record_event(gap),
-            EventKind::WithoutData => {}
-            EventKind::Repeated => return None,
+            EventKind::WithoutData if !resumed => {}
+            EventKind::WithoutData | EventKind::Repeated => return Ok(None),
+        }
+        Ok(Some(event))
+    }
+
+    /// Returns why the end of the source is not the end of the stream. A generation has at
+    /// least one event, and a run that adds none to its stream has not gone on with it.
+    fn find_broken_end(&self) -> Option<&'static str> {
+        match (self.events.has_partial_event(), self.events_of_run) {
+            (true, _) => Some("ended inside an event"),
+            (false, 0) => Some("ended without an event"),
+            (false, _) => None,
         }
-        Some(event)
+    }
+
+    /// Leaves an engine that did not go on with the stream.
+    async fn leave_wrong_run(&mut self) -> Result<(), ResponseTruncated> {
+        self.record_engine_failure("stream not continued");
+        // The copy of a wrong run's KV cache continues that run.
+        self.discard_move();
+        self.recover("events do not follow on").await
     }
 
     /// Records a new event, `gap` after the one before it.
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -2,7 +2,7 @@
 
 use schema::RepeatKind;
 
-use super::{Relay, Source};
+use super::{Relay, Source, is_event_stream};
 use crate::answer::ResponseTruncated;
 use crate::attempts::{MAX_SENDS, MAX_UNREACHABLE};
 use crate::crashes;
@@ -135,7 +135,7 @@
         if id_matches && !head.misdirected {
             notices::apply(&self.shared, target, &head);
         }
-        if !response.head.status.is_success() || !head.signed || !id_matches {
+        if !is_event_stream(&response.head) || !head.signed || !id_matches {
             let status = response.head.status.as_u16();
             log::warn!(request = self.call.head.id.as_str(), upstream = target.id.as_str(), status, not_run = head.not_run; "engine did not resume the stream");
             let is_not_run = head.request_id.is_some() && id_matches && head.not_run;
--- a/components/gateway/tests/unit/events.rs
+++ b/components/gateway/tests/unit/events.rs
@@ -1,6 +1,6 @@
 //! Splitting of events that arrive in several chunks.
 
-use super::{EventKind, EventSplitter, StreamProgress};
+use super::{EventKind, EventSplitter, StreamProgress, is_comment};
 
 #[test]
 fn events_split_across_chunks_are_reassembled() {
@@ -35,3 +35,45 @@
     assert_eq!((bytes_before, progress.bytes_without_event), (20, 0));
     assert_eq!((progress.last_event_id, progress.relayed), (Some(4), 2));
 }
+
+/// Returns the progress of a stream that had events with these ids.
+fn progress_after(ids: &[u64]) -> StreamProgress {
+    let mut progress = StreamProgress::new(None);
+    for id in ids {
+        progress.accept(Some(*id), b"data: a\n\n");
+    }
+    progress
+}
+
+#[test]
+fn run_goes_on_after_the_last_event_and_without_a_gap_if_there_was_none() {
+    let cases: [(&[u64], Option<u64>, bool); 12] = [
+        (&[], None, true),
+        (&[], Some(1), true),
+        (&[1], None, false),
+        (&[1], Some(1), false),
+        (&[1], Some(3), true),
+        (&[1, 2], Some(1), false),
+        (&[1, 2], Some(2), false),
+        (&[1, 2], Some(3), true),
+        (&[1, 2], Some(4), false),
+        (&[1, 3, 4], Some(6), true),
+        (&[1, 2, 4], Some(4), false),
+        (&[u64::MAX - 1, u64::MAX], Some(0), false),
+    ];
+    for (ids, next, expected) in cases {
+        let progress = progress_after(ids);
+
+        assert_eq!(progress.may_go_on_with(next), expected, "{next:?} after {ids:?}");
+    }
+}
+
+#[test]
+fn comments_have_no_field() {
+    for comment in [": a\n\n", "\n\n", "\r\n\r\n", ": a\r\n: b\r\n\r\n"] {
+        assert!(is_comment(comment.as_bytes()), "{comment:?}");
+    }
+    for event in ["data: a\n\n", "id: 1\n\n", "the engine failed\n\n", ": a\nretry: 1\n\n"] {
+        assert!(!is_comment(event.as_bytes()), "{event:?}");
+    }
+}
