Do not resume streams whose last event had no id

The gateway now resumes a stream, by a new run or from a copy of its KV cache, only if its last event had an id, and otherwise leaves the response visibly truncated. A stream without any event yet runs again as before.

interrupted_stream_without_ids_does_not_go_on failed before: the caller had the event three times. broken_heads, broken_streams, ended_runs, moves, streams, unframed and versions pass.

--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -99,6 +99,8 @@
     pub(crate) last_event_at: Instant,
     pub(crate) longest_pause: Duration,
     id_steps: IdSteps,
+    /// The last new event had an id.
+    is_identified: bool,
 }
 
 impl StreamProgress {
@@ -110,6 +112,7 @@
             last_event_at: Instant::now(),
             longest_pause: Duration::ZERO,
             id_steps: IdSteps::Unknown,
+            is_identified: true,
         }
     }
 
@@ -126,6 +129,7 @@
         if let (Some(last), Some(id)) = (self.last_event_id, id) {
             self.id_steps = self.id_steps.and(last, id);
         }
+        self.is_identified = id.is_some();
         let gap = self.last_event_at.elapsed();
         self.last_event_id = id.or(self.last_event_id);
         self.relayed += 1;
@@ -135,6 +139,11 @@
         EventKind::New(gap)
     }
 
+    /// Returns whether an engine can be told after which event it has to go on.
+    pub(crate) fn is_resumable(&self) -> bool {
+        self.is_identified
+    }
+
     /// Returns whether a run that goes on after the last event may begin with an event with
     /// this id. Ids increase; a gap counts only in a stream that had none before.
     pub(crate) fn may_go_on_with(&self, id: Option<u64>) -> bool {
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -35,7 +35,12 @@
         }
         let resumable = self.call.route.kind() == RepeatKind::ResumableStream;
         let may_run = self.runs < self.call.route.max_attempts.max(1);
-        if resumable && may_run && self.shared.try_retry(&self.call.requirements.service) {
+        let has_place = self.progress.is_resumable();
+        if resumable
+            && may_run
+            && has_place
+            && self.shared.try_retry(&self.call.requirements.service)
+        {
             self.runs += 1;
             return self.run_again().await;
         }
@@ -121,6 +126,10 @@
         mut reservation: Reservation,
         kv_cache: Option<KvCacheRef>,
     ) -> Result<(), ResumeError> {
+        if !self.progress.is_resumable() {
+            log::warn!(request = self.call.head.id.as_str(); "stream not resumed: its last event has no id");
+            return Err(ResumeError::Failed);
+        }
         let resume = Resume { last_event_id: self.progress.last_event_id, kv_cache };
         let target = &reservation.target;
         let request = self.call.to_request(&self.shared, target, Some(&resume));
