--- a/components/gateway/src/peer/client.rs
+++ b/components/gateway/src/peer/client.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use http::{HeaderMap, Response, StatusCode};
+use http::{Response, response};
 use lineage::Origin;
 use rand::RngExt as _;
 use schema::{ForwardRequest, Request, forward_reply, request};
@@ -13,7 +13,7 @@
 use wire::{CallError, ReplyParts};
 
 use super::known::{Asked, PeerUse};
-use super::message::{Begun, to_headers, to_request};
+use super::message::{Begun, to_head, to_request};
 use crate::accept::Call;
 use crate::answer::{Body, buffered_body};
 use crate::attempts::Attempts;
@@ -58,16 +58,14 @@
     attempts: &Attempts,
     in_flight: &mut Option<InFlightGuard>,
 ) -> Forwarded {
-    let (status, headers, body) =
-        match send(shared, call, || to_request(call, attempts, None)).await {
-            Sent::Responded(status, headers, body) => (status, headers, body),
-            Sent::Lost => return Forwarded::Lost,
-            Sent::NotTaken => return Forwarded::NotTaken,
-        };
+    let (head, body) = match send(shared, call, || to_request(call, attempts, None)).await {
+        Sent::Responded(head, body) => (*head, body),
+        Sent::Lost => return Forwarded::Lost,
+        Sent::NotTaken => return Forwarded::NotTaken,
+    };
     let vm = body.vm().clone();
-    if status.is_success() && call.is_stream() {
-        let response =
-            relay::start_from_peer(shared, call, (status, headers), body, in_flight.take());
+    if call.is_stream() && relay::is_event_stream(&head) {
+        let response = relay::start_from_peer(shared, call, head, body, in_flight.take());
         return Forwarded::Responded(response, vm);
     }
     let mut memory = shared.buffers.reserve(BufferUse::Answer);
@@ -76,10 +74,7 @@
         log::info!(request = call.head.id.as_str(), peer = vm.as_str(); "response of another gateway broke off");
         return Forwarded::Lost;
     };
-    let mut response = Response::new(buffered_body(bytes, memory));
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
-    Forwarded::Responded(response, vm)
+    Forwarded::Responded(Response::from_parts(head, buffered_body(bytes, memory)), vm)
 }
 
 /// Has another gateway continue a stream that has begun here; `source` is the engine that still
@@ -95,13 +90,13 @@
     let begun = Begun { last_event_id, events, source };
     let message = || to_request(call, attempts, Some((&begun, origin)));
     match send(shared, call, message).await {
-        Sent::Responded(status, _, body) if status.is_success() => Some(body),
+        Sent::Responded(head, body) if head.status.is_success() => Some(body),
         Sent::Responded(..) | Sent::Lost | Sent::NotTaken => None,
     }
 }
 
 enum Sent {
-    Responded(StatusCode, HeaderMap, PeerBody),
+    Responded(Box<response::Parts>, PeerBody),
     Lost,
     NotTaken,
 }
@@ -138,12 +133,13 @@
                 peer.back_off();
             }
             Some(forward_reply::Body::Head(head)) => {
-                let status = u16::try_from(head.status).unwrap_or_default();
-                let head = StatusCode::from_u16(status).ok().zip(to_headers(&head.headers));
-                let Some((status, headers)) = head else { return Sent::Lost };
-                log::info!(request = id, peer = vm, status = status.as_u16(); "request served by another gateway");
+                let Some(parts) = to_head(&head) else {
+                    log::warn!(request = id, peer = vm, status = head.status; "malformed response of another gateway");
+                    return Sent::Lost;
+                };
+                log::info!(request = id, peer = vm, status = head.status; "request served by another gateway");
                 shared.metrics.forwarded.with_label_values(&["served"]).inc();
-                return Sent::Responded(status, headers, body);
+                return Sent::Responded(Box::new(parts), body);
             }
             _ => {
                 log::info!(request = id, peer = vm; "no response from another gateway");
--- a/components/gateway/src/peer/message.rs
+++ b/components/gateway/src/peer/message.rs
@@ -4,9 +4,13 @@
 use std::time::Duration;
 
 use displaydoc::Display;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, response,
+};
 use lineage::Origin;
-use schema::{BegunStream, EngineAddress, ForwardRequest, ForwardedHeader, StreamOrigin};
+use schema::{
+    BegunStream, EngineAddress, ForwardRequest, ForwardedHead, ForwardedHeader, StreamOrigin,
+};
 use tokio::time::Instant;
 
 use crate::accept::{Call, CallParts};
@@ -160,7 +164,15 @@
     headers.collect()
 }
 
-pub(super) fn to_headers(messages: &[ForwardedHeader]) -> Option<HeaderMap> {
+/// Returns the head in a message; `None` if it is malformed.
+pub(super) fn to_head(message: &ForwardedHead) -> Option<response::Parts> {
+    let mut response = Response::new(());
+    *response.status_mut() = StatusCode::from_u16(u16::try_from(message.status).ok()?).ok()?;
+    *response.headers_mut() = to_headers(&message.headers)?;
+    Some(response.into_parts().0)
+}
+
+fn to_headers(messages: &[ForwardedHeader]) -> Option<HeaderMap> {
     let mut headers = HeaderMap::with_capacity(messages.len());
     for message in messages {
         let name = HeaderName::from_bytes(message.name.as_bytes()).ok()?;
--- a/components/gateway/src/relay/peers.rs
+++ b/components/gateway/src/relay/peers.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use http::{HeaderMap, Response, StatusCode};
+use http::{Response, response};
 use lineage::Origin;
 use schema::RepeatKind;
 
@@ -19,7 +19,7 @@
 pub(crate) fn start_from_peer(
     shared: &Rc<Shared>,
     call: &Rc<Call>,
-    (status, headers): (StatusCode, HeaderMap),
+    head: response::Parts,
     body: PeerBody,
     in_flight: Option<InFlightGuard>,
 ) -> Response<Body> {
@@ -27,10 +27,7 @@
     let origin = Origin { service: call.requirements.service.clone(), version: "".into() };
     let mut relay = Relay::new(shared, call, origin, call.route.max_attempts.max(1), in_flight);
     relay.peer = Some(body);
-    let mut response = Response::new(relay.into_body());
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
-    response
+    Response::from_parts(head, relay.into_body())
 }
 
 /// Continues a stream that began at another gateway; `None` if that is not possible.
@@ -59,7 +56,7 @@
 impl Relay {
     /// Has another gateway continue the stream; returns whether one does.
     pub(super) async fn continue_at_peer(&mut self) -> bool {
-        if self.call.from_peer {
+        if self.call.from_peer || !self.progress.is_resumable() {
             return false;
         }
         let target = self.source.as_ref().map(|source| source.reservation.target.clone());
@@ -93,6 +90,7 @@
         self.discard_unfinished_event();
         self.source = None;
         self.resumed = true;
+        self.events_of_run = 0;
         self.peer = Some(body);
         true
     }
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -3,7 +3,7 @@
 use compact_str::CompactString;
 use schema::RepeatKind;
 
-use super::{Relay, Source};
+use super::{Relay, Source, is_event_stream};
 use crate::answer::ResponseTruncated;
 use crate::attempts::{MAX_SENDS, MAX_UNREACHABLE};
 use crate::crashes;
@@ -40,7 +40,12 @@
         }
         let resumable = self.call.route.kind() == RepeatKind::ResumableStream;
         let may_run = self.runs < self.call.route.max_attempts.max(1);
-        if resumable && may_run && self.shared.try_retry(&self.call.requirements.service) {
+        let has_place = self.progress.is_resumable();
+        if resumable
+            && may_run
+            && has_place
+            && self.shared.try_retry(&self.call.requirements.service)
+        {
             self.runs += 1;
             let failed = self.source.take().map(|source| source.reservation.target.id.clone());
             return self.run_again(failed).await;
@@ -149,6 +154,10 @@
         mut reservation: Reservation,
         kv_cache: Option<KvCacheRef>,
     ) -> Result<(), ResumeError> {
+        if !self.progress.is_resumable() {
+            log::warn!(request = self.call.head.id.as_str(); "stream not resumed: its last event has no id");
+            return Err(ResumeError::Failed);
+        }
         let resume = Resume { last_event_id: self.progress.last_event_id, kv_cache };
         let target = &reservation.target;
         let request = self.call.to_request(&self.shared, target, Some(&resume));
@@ -163,7 +172,7 @@
         if id_matches && !head.misdirected {
             notices::apply(&self.shared, target, &head);
         }
-        if !response.head.status.is_success() || !head.signed || !id_matches {
+        if !is_event_stream(&response.head) || !head.signed || !id_matches {
             let status = response.head.status.as_u16();
             log::warn!(request = self.call.head.id.as_str(), upstream = target.id.as_str(), status, not_run = head.not_run; "engine did not resume the stream");
             let is_not_run = head.request_id.is_some() && id_matches && head.not_run;
