Sync the data folder before its stale files are removed

A control process that ended between the rename of a new log segment and the sync of the folder, started again, removed the old segment and then lost power could not start any more: "log-0.segment is missing although the replica has voted before". The same held for the identity's name after a first start.

Cause: opening a folder took the names that it found for durable. A power loss may keep the removal and lose the rename.

Change: opening syncs the folder before it removes anything and before the replica votes; the sync at the end of a first start is this one.

--- a/components/journal/src/folder.rs
+++ b/components/journal/src/folder.rs
@@ -41,6 +41,9 @@
         if !identity_path.exists() {
             initialise(path, disk.as_ref())?;
         }
+        // The last process may have ended between a rename and this sync. Its renames must
+        // be durable before the files that they replace are removed.
+        sync_folder(disk.as_ref(), path)?;
         let text =
             std::fs::read(&identity_path).map_err(JournalError::io("read", &identity_path))?;
         let identity: Identity = serde_json::from_slice(&text)
@@ -122,7 +125,8 @@
     }
 }
 
-/// Creates the first segment and then the identity in an empty folder.
+/// Creates the first segment and then the identity in an empty folder. The identity's
+/// name is durable only once the folder is synced.
 fn initialise(path: &Path, disk: &dyn Disk) -> Result<(), JournalError> {
     let found = indices(path, SEGMENT_PREFIX, SEGMENT_SUFFIX)?;
     let snapshots = indices(path, SNAPSHOT_PREFIX, SNAPSHOT_SUFFIX)?;
@@ -143,8 +147,7 @@
     // The id fits in 53 bits, which JSON numbers represent exactly.
     let identity = Identity { replica_id: rand::random_range(1..=u64::MAX >> 11) };
     let text = serde_json::to_vec(&identity).expect("identity serializes to JSON");
-    write_file_atomically(disk, &path.join(IDENTITY_FILE), &text)?;
-    sync_folder(disk, path)
+    write_file_atomically(disk, &path.join(IDENTITY_FILE), &text)
 }
 
 fn lock(path: &Path) -> Result<File, JournalError> {
