Report an identity that cannot be read instead of a missing one

Found by reading. While the disk returns errors, a control process that starts took its identity file for missing: it ended with "log-0.segment is missing although the replica has voted before", or drew a new identity if its log was empty.

Cause: Path::exists returns false for every error.

Change: try_exists. The error is transient, so the process waits and opens the folder again, as it does on a full disk.

Test: identity_that_cannot_be_read_does_not_count_as_missing, with a link to itself in place of the file (failed before).

--- a/components/journal/src/folder.rs
+++ b/components/journal/src/folder.rs
@@ -38,7 +38,9 @@
         std::fs::create_dir_all(path).map_err(JournalError::io("create", path))?;
         let lock = lock(&path.join(LOCK_FILE))?;
         let identity_path = path.join(IDENTITY_FILE);
-        if !identity_path.exists() {
+        let has_identity =
+            identity_path.try_exists().map_err(JournalError::io("read", &identity_path))?;
+        if !has_identity {
             initialise(path, disk.as_ref())?;
         }
         // The last process may have ended between a rename and this sync. Its renames must
--- a/components/journal/tests/damage.rs
+++ b/components/journal/tests/damage.rs
@@ -224,3 +224,18 @@
 
     assert!(matches!(error, JournalError::Corrupt { .. }), "{error}");
 }
+
+// Guards against a process that stops for good, or draws a new identity, because its disk
+// returns errors for a while.
+#[test]
+fn identity_that_cannot_be_read_does_not_count_as_missing() {
+    let folder = folder_with_ten_entries();
+    let identity = folder.path().join("identity.json");
+    std::fs::remove_file(&identity).expect("the identity exists");
+    // Following a link to itself fails with an error other than "not found".
+    std::os::unix::fs::symlink(&identity, &identity).expect("a link can be created");
+
+    let error = Journal::open(folder.path()).expect_err("the identity cannot be read");
+
+    assert!(matches!(error, JournalError::Io { .. }) && error.is_transient(), "{error}");
+}
