Write unmarked records again when a data folder is opened

A sync fails, the process ends, and starts again on the same disk: it read the record, synced successfully, and reported the vote or entry as durable. After a power loss it was gone. A vote that is lost in this way can be given twice.

Cause: opening relied on a sync alone. After a failed sync, Linux keeps the pages readable and takes them for clean, so that the next sync succeeds without writing them. Appends that are repeated in the same process write their bytes again and were not affected.

Change: opening writes the records of the last write, which the header does not mark as synced, again in place, and syncs then. A disk that is full refuses that but has lost nothing; it is synced only, so that the folder still opens on it.

--- a/components/journal/src/segment.rs
+++ b/components/journal/src/segment.rs
@@ -1,6 +1,7 @@
 //! Log segment: one file of log records.
 
 use std::fs::{File, OpenOptions};
+use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 
 use schema::{HardState, LogEntry};
@@ -50,12 +51,12 @@
         Ok(segment)
     }
 
-    /// Opens a segment, reads its records and syncs them. Writes nothing, so that a
-    /// full disk can be opened; the next write truncates an unfinished last one.
+    /// Opens a segment, reads its records and makes them durable. Needs no space, so that
+    /// a full disk can be opened; the next write truncates an unfinished last one.
     pub(crate) fn open(disk: &dyn Disk, path: &Path) -> Result<(Segment, Contents), JournalError> {
         let bytes = match std::fs::read(path) {
             Ok(bytes) => bytes,
-            Err(error) if error.kind() == std::io::ErrorKind::NotFound => {
+            Err(error) if error.kind() == ErrorKind::NotFound => {
                 return Err(JournalError::missing(path.to_path_buf()));
             }
             Err(error) => return Err(JournalError::io("read", path)(error)),
@@ -68,15 +69,30 @@
             .write(true)
             .open(path)
             .map_err(JournalError::io("open", path))?;
-        // A process that was killed between its write and the sync left records that
-        // can be read but are not durable yet.
-        disk.sync(&file).map_err(JournalError::io("sync", path))?;
         let header = Header { written_bytes: end, ..header };
         let segment =
             Segment { file, path: path.to_path_buf(), header, has_unfinished_write: true };
+        segment.write_unmarked_again(disk, &bytes)?;
         Ok((segment, contents))
     }
 
+    /// Writes the records again that are not marked as synced, and syncs them. The process
+    /// that wrote them may have ended before its sync, or after one that failed: such
+    /// records can be read, but another sync alone would succeed without writing them.
+    fn write_unmarked_again(&self, disk: &dyn Disk, bytes: &[u8]) -> Result<(), JournalError> {
+        let Header { synced_bytes, written_bytes, .. } = self.header;
+        let offset = |at: u64| usize::try_from(at).unwrap_or(usize::MAX);
+        let unmarked = bytes.get(offset(synced_bytes)..offset(written_bytes)).unwrap_or_default();
+        if !unmarked.is_empty() {
+            match disk.write_at(&self.file, unmarked, synced_bytes) {
+                // A full disk refuses the bytes that it holds, too, but has lost none.
+                Err(error) if is_lack_of_space(&error) => {}
+                written => written.map_err(JournalError::io("write", &self.path))?,
+            }
+        }
+        disk.sync(&self.file).map_err(JournalError::io("sync", &self.path))
+    }
+
     pub(crate) fn path(&self) -> &Path {
         &self.path
     }
@@ -139,6 +155,10 @@
     }
 }
 
+fn is_lack_of_space(error: &std::io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::StorageFull | ErrorKind::QuotaExceeded)
+}
+
 /// Decodes all records up to the first unreadable one and returns their end. Fails
 /// if a synced record is unreadable.
 fn read_records(
--- a/components/journal/tests/power_loss/disk.rs
+++ b/components/journal/tests/power_loss/disk.rs
@@ -19,6 +19,9 @@
     Full,
     /// Returns errors for all operations.
     Errors,
+    /// Returns errors for all operations. What a failed sync should have made durable
+    /// can be read, but no later sync writes it, as on Linux.
+    ErrorsThatLoseWrites,
 }
 
 /// What of the changes since the last sync outlasts a power loss.
@@ -112,7 +115,9 @@
         let failure = contents.failing_from.filter(|(from, _)| number >= *from);
         match failure {
             Some((_, Failure::Full)) if !is_sync => Err(Error::from_raw_os_error(NO_SPACE)),
-            Some((_, Failure::Errors)) => Err(Error::from_raw_os_error(IO_ERROR)),
+            Some((_, Failure::Errors | Failure::ErrorsThatLoseWrites)) => {
+                Err(Error::from_raw_os_error(IO_ERROR))
+            }
             Some((_, Failure::Full)) | None => Ok(()),
         }
     }
@@ -178,8 +183,15 @@
         let admitted = self.admit(true);
         let number = metadata(file).ino();
         let mut contents = self.contents();
+        let loses_writes =
+            matches!(contents.failing_from, Some((_, Failure::ErrorsThatLoseWrites)));
         let inode = contents.inodes.entry(number).or_default();
-        admitted?;
+        if admitted.is_err() {
+            if loses_writes {
+                inode.unsynced.clear();
+            }
+            return admitted;
+        }
         inode.sync();
         if let Some(path) = inode.created_as.take() {
             contents.names.insert(path, number);
@@ -203,9 +215,8 @@
         Ok(())
     }
 
-    fn sync_folder(&self, path: &Path) -> Result<()> {
+    fn sync_folder(&self, _: &Path) -> Result<()> {
         self.admit(true)?;
-        SystemDisk.sync_folder(path)?;
         let mut contents = self.contents();
         for change in std::mem::take(&mut contents.unsynced_names) {
             match change {
--- a/components/journal/tests/power_loss/main.rs
+++ b/components/journal/tests/power_loss/main.rs
@@ -11,7 +11,7 @@
 use disk::{Failure, Kept, VolatileDisk};
 use support::{CHANGES, apply, held_after, held_by};
 
-const FAILURES: [Failure; 2] = [Failure::Full, Failure::Errors];
+const FAILURES: [Failure; 3] = [Failure::Full, Failure::Errors, Failure::ErrorsThatLoseWrites];
 
 /// All combinations of what may outlast a power loss.
 fn kept() -> Vec<Kept> {
