--- a/components/journal/src/folder.rs
+++ b/components/journal/src/folder.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::segment::Segment;
-use crate::{AppendBatch, Disk, JournalError, with_suffix};
+use crate::{AppendBatch, Disk, JournalError, TEMPORARY_SUFFIX, with_suffix};
 
 const IDENTITY_FILE: &str = "identity.json";
 const LOCK_FILE: &str = "lock";
@@ -98,6 +98,7 @@
         let encoded = snapshot.encode_to_vec();
         let crc = crc32fast::hash(&encoded);
         let path = snapshot_path(&self.path, snapshot.index);
+        self.remove_temporary()?;
         let bytes = [crc.to_le_bytes().as_slice(), &encoded].concat();
         write_file_atomically(self.disk(), &path, &bytes)?;
         self.sync()
@@ -118,6 +119,16 @@
         Ok(())
     }
 
+    /// Removes files that a process left which ended before it renamed them.
+    fn remove_temporary(&self) -> Result<(), JournalError> {
+        for name in file_names(&self.path)? {
+            if name.ends_with(TEMPORARY_SUFFIX) {
+                self.remove(&self.path.join(name))?;
+            }
+        }
+        Ok(())
+    }
+
     fn remove(&self, path: &Path) -> Result<(), JournalError> {
         self.disk.remove(path).map_err(JournalError::io("remove", path))
     }
@@ -187,22 +198,24 @@
 
 /// Returns the indices in the names of all files with this prefix and suffix.
 fn indices(folder: &Path, prefix: &str, suffix: &str) -> Result<Vec<u64>, JournalError> {
-    let mut indices = Vec::new();
+    let index = |name: String| name.strip_prefix(prefix)?.strip_suffix(suffix)?.parse().ok();
+    Ok(file_names(folder)?.into_iter().filter_map(index).collect())
+}
+
+/// Returns the names of all files, except those that are not UTF-8.
+fn file_names(folder: &Path) -> Result<Vec<String>, JournalError> {
+    let mut names = Vec::new();
     for file in std::fs::read_dir(folder).map_err(JournalError::io("list", folder))? {
         let name = file.map_err(JournalError::io("list", folder))?.file_name();
-        let number = name
-            .to_str()
-            .and_then(|name| name.strip_prefix(prefix))
-            .and_then(|name| name.strip_suffix(suffix));
-        indices.extend(number.and_then(|number| number.parse::<u64>().ok()));
+        names.extend(name.into_string());
     }
-    Ok(indices)
+    Ok(names)
 }
 
 /// Writes a temporary file, syncs it and renames it to `path`. The rename is
 /// durable only once the folder is synced.
 fn write_file_atomically(disk: &dyn Disk, path: &Path, bytes: &[u8]) -> Result<(), JournalError> {
-    let temporary = with_suffix(path, ".tmp");
+    let temporary = with_suffix(path, TEMPORARY_SUFFIX);
     let file = disk.create(&temporary).map_err(JournalError::io("create", &temporary))?;
     disk.write_at(&file, bytes, 0).map_err(JournalError::io("write", &temporary))?;
     disk.sync(&file).map_err(JournalError::io("sync", &temporary))?;
--- a/components/journal/src/lib.rs
+++ b/components/journal/src/lib.rs
@@ -30,6 +30,9 @@
 use folder::Folder;
 use segment::Segment;
 
+/// Suffix of files that are written and then renamed.
+const TEMPORARY_SUFFIX: &str = ".tmp";
+
 /// Durable state found in a data folder when it is opened.
 #[derive(Clone, Debug, Default)]
 pub struct RecoveredState {
--- a/components/journal/src/segment.rs
+++ b/components/journal/src/segment.rs
@@ -8,7 +8,7 @@
 
 use crate::codec::{self, Record};
 use crate::header::{HEADER_BYTES, Header};
-use crate::{AppendBatch, Disk, JournalError, with_suffix};
+use crate::{AppendBatch, Disk, JournalError, TEMPORARY_SUFFIX, with_suffix};
 
 /// Open log segment.
 #[derive(Debug)]
@@ -37,7 +37,7 @@
         path: &Path,
         batch: AppendBatch<'_>,
     ) -> Result<Segment, JournalError> {
-        let temporary = with_suffix(path, ".tmp");
+        let temporary = with_suffix(path, TEMPORARY_SUFFIX);
         let file = disk.create(&temporary).map_err(JournalError::io("create", &temporary))?;
         let header =
             Header { sequence: 0, synced_bytes: HEADER_BYTES, written_bytes: HEADER_BYTES };
--- a/components/journal/tests/failing_disk.rs
+++ b/components/journal/tests/failing_disk.rs
@@ -2,12 +2,13 @@
 
 mod support;
 
-use std::fs::File;
+use std::fs::{DirEntry, File};
 use std::io::{Error, ErrorKind, Result};
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 
 use journal::{Disk, Journal, SystemDisk};
+use schema::Snapshot;
 
 use support::{CHANGES, Change, apply, held_after, held_by};
 
@@ -170,3 +171,33 @@
     let error = apply(&mut journal, Change::Entries(10, 10)).expect_err("the disk is full");
     assert!(error.is_transient(), "{error}");
 }
+
+/// Returns the names of the files in a data folder.
+fn file_names(folder: &Path) -> Vec<String> {
+    let files = std::fs::read_dir(folder).expect("the folder can be read");
+    let name = |file: Result<DirEntry>| file.expect("a file").file_name().into_string();
+    files.map(|file| name(file).expect("names are UTF-8")).collect()
+}
+
+// Guards against space that is never freed: each process that ended while it wrote a
+// snapshot left its temporary files.
+#[test]
+fn files_that_an_ended_process_did_not_rename_are_removed_with_the_next_snapshot() {
+    for first in 0..operation_count() {
+        let folder = tempfile::tempdir().expect("a temporary folder is created");
+        let disk = FailingDisk::failing_at(first..u32::MAX);
+        if let Ok((mut journal, _)) = Journal::open_on(folder.path(), Box::new(disk)) {
+            let ended = CHANGES.iter().find(|change| apply(&mut journal, **change).is_err());
+            assert!(ended.is_some(), "operation {first}");
+        }
+
+        let mut journal = open(folder.path(), &FailingDisk::default());
+        let snapshot = Snapshot { index: 20, term: 1, ..Snapshot::default() };
+        journal.install_snapshot(&snapshot, &[]).expect("the disk does not fail");
+
+        let mut names = file_names(folder.path());
+        names.sort();
+        let expected = ["identity.json", "lock", "log-20.segment", "snapshot-20.image"];
+        assert_eq!(names, expected, "operation {first}");
+    }
+}
