Let a replica that starts no election forget a silent leader

Found by reading. A learner whose replies stop for 10 s, because its disk refuses writes or its links are cut, is removed from the group and is meant to join again when it is back. It never did, until its process was started again, and passed operators' requests on to a leader that may have changed.

Cause: a replica asks to join while it knows of no leader, and only the start of a pre-vote cleared the leader. Learners start none.

Change: a replica that may not start an election forgets the leader when its election timeout passes without contact.

Test: replica_that_starts_no_election_forgets_a_leader_that_is_silent (failed before: replica 2 was still named as the leader).

--- a/components/consensus/src/node/mod.rs
+++ b/components/consensus/src/node/mod.rs
@@ -160,6 +160,8 @@
             self.reset_election_deadline();
             if self.is_eligible() {
                 self.start_pre_vote();
+            } else {
+                self.leader_id = NO_REPLICA;
             }
         }
     }
--- a/components/consensus/tests/rules.rs
+++ b/components/consensus/tests/rules.rs
@@ -292,6 +292,28 @@
     assert_eq!(later.len(), 2, "pre-vote requests to both other voters");
 }
 
+// Guards against a learner that is removed while it is cut off or its disk is full: it
+// asks to join again only once it knows of no leader.
+#[test]
+fn replica_that_starts_no_election_forgets_a_leader_that_is_silent() {
+    let learner = |id: u64| Replica { id, voter: id != 1, ..Replica::default() };
+    let configuration = Configuration { replicas: (1..=3).map(learner).collect() };
+    let entry =
+        LogEntry { index: 2, term: 1, payload: Some(Payload::Configuration(configuration)) };
+    let learner = restore_replica(1, vec![entry]);
+    let mut without_space = restore_replica(1, Vec::new());
+    without_space.set_may_campaign(false);
+
+    for mut node in [learner, without_space] {
+        node.step(0, message(2, 1, append(LogPosition { term: 1, index: 1 }, 1, Vec::new())));
+        node.tick(ELECTION_MS - 1);
+        let before = node.leader_id();
+        node.tick(2 * ELECTION_MS);
+
+        assert_eq!((before, node.leader_id(), node.term()), (2, consensus::NO_REPLICA, 1));
+    }
+}
+
 #[test]
 fn leadership_is_transferred_to_a_voter_that_still_replies() {
     let mut node = restore_replica(1, Vec::new());
