Test disks of control processes that fail one after another

The tests let the disks of three control processes refuse writes (no space, I/O errors) in each of the six orders, beside changes; also with the process killed and started while its disk refuses, and with leadership handed over meanwhile. Each change is accepted, and all three processes catch up.

The failure of the report was not reproduced.

--- a/tests/disk_faults.rs
+++ b/tests/disk_faults.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use control::Control;
 use support::deployment::DeploymentOptions;
 use support::disk::DiskFault;
 use support::{Deployment, eventually};
@@ -124,3 +125,108 @@
         wait_until_caught_up(&deployment, follower, 1).await;
     });
 }
+
+/// All orders in which the disks of three control processes can fail.
+const ORDERS: [[usize; 3]; 6] = [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]];
+/// Few enough that snapshots are written while disks refuse them.
+const SNAPSHOT_ENTRIES: u64 = 10;
+
+/// What happens while a disk refuses writes.
+#[derive(Clone, Copy, Debug)]
+enum Beside {
+    Changes,
+    /// The process with this disk is killed and starts again.
+    Restart,
+    /// The leader hands over leadership.
+    Transfer,
+}
+
+/// Publishes the next revision and checks that it was accepted.
+async fn publish_next(deployment: &Deployment, revision: &mut u64, case: &str) {
+    let outcome = deployment.publish(&format!("set-{revision}"), *revision).await;
+    assert!(outcome.is_some_and(|outcome| outcome.accepted), "{case}, after revision {revision}");
+    *revision += 1;
+}
+
+/// Lets the disk of one control process refuse writes for a while, beside changes.
+async fn fail_disk(
+    deployment: &mut Deployment,
+    control: usize,
+    (fault, beside): (DiskFault, Beside),
+    revision: &mut u64,
+) {
+    let case = format!("{fault:?} on {control}, {beside:?}");
+    deployment.disks[control].set_fault(fault);
+    publish_next(deployment, revision, &case).await;
+    match beside {
+        Beside::Changes => {}
+        Beside::Restart => deployment.kill_control(control).await,
+        Beside::Transfer => {
+            let leader = deployment.leader().await;
+            deployment.controls[leader].as_ref().expect("it runs").transfer_leadership().await;
+        }
+    }
+    if deployment.controls[control].is_none() {
+        let started = restart_while_failing(deployment, control, revision, &case).await;
+        deployment.controls[control] = Some(started);
+    } else {
+        publish_next(deployment, revision, &case).await;
+        deployment.disks[control].set_fault(DiskFault::None);
+    }
+    publish_next(deployment, revision, &case).await;
+}
+
+/// Starts a control process on a disk that refuses writes until a change was accepted.
+async fn restart_while_failing(
+    deployment: &Deployment,
+    control: usize,
+    revision: &mut u64,
+    case: &str,
+) -> Control {
+    let disk_recovers = async {
+        publish_next(deployment, revision, case).await;
+        deployment.disks[control].set_fault(DiskFault::None);
+    };
+    let starts = deployment.try_start_control(control);
+    let (started, ()) = futures::future::join(starts, disk_recovers).await;
+    started.expect("the process starts")
+}
+
+fn disks_fail_one_after_another(beside: Beside) {
+    for fault in [DiskFault::Full, DiskFault::Errors] {
+        support::run_async(async move {
+            let options =
+                DeploymentOptions { snapshot_entries: SNAPSHOT_ENTRIES, ..Default::default() };
+            let mut deployment = Deployment::start(3, 1, options).await;
+            let mut revision = 1;
+
+            for order in ORDERS {
+                for control in order {
+                    fail_disk(&mut deployment, control, (fault, beside), &mut revision).await;
+                }
+                for control in order {
+                    wait_until_caught_up(&deployment, control, revision).await;
+                }
+            }
+        });
+    }
+}
+
+// Guards against changes that are refused or unanswered for good after the disks of all
+// control processes were full in turn.
+#[test]
+fn changes_are_accepted_after_disks_failed_one_after_another() {
+    disks_fail_one_after_another(Beside::Changes);
+}
+
+// The same, with the process killed and started while its disk refuses writes.
+#[test]
+fn changes_are_accepted_after_processes_restarted_on_failing_disks() {
+    disks_fail_one_after_another(Beside::Restart);
+}
+
+// The same, with leadership handed over while a disk refuses writes.
+#[test]
+fn changes_are_accepted_after_leadership_moved_beside_failing_disks() {
+    disks_fail_one_after_another(Beside::Transfer);
+}
--- a/tests/support/disk.rs
+++ b/tests/support/disk.rs
@@ -73,4 +73,19 @@
         self.admit(false)?;
         SystemDisk.sync(file)
     }
+
+    fn rename(&self, from: &Path, to: &Path) -> Result<()> {
+        self.admit(true)?;
+        SystemDisk.rename(from, to)
+    }
+
+    fn remove(&self, path: &Path) -> Result<()> {
+        self.admit(true)?;
+        SystemDisk.remove(path)
+    }
+
+    fn sync_folder(&self, path: &Path) -> Result<()> {
+        self.admit(false)?;
+        SystemDisk.sync_folder(path)
+    }
 }
