Test that removed replicas join again after their disks were full

Four control processes, three of them voters, that make up for one lost VM: the disk of each is full until its replica is removed from the group, and the last one's a second time, when it is a learner. Each has to join again and to catch up.

The number of voters and of tolerated losses can be set for a deployment of the tests; the defaults are as before.

--- a/tests/disk_faults.rs
+++ b/tests/disk_faults.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use control::Control;
-use support::deployment::DeploymentOptions;
+use support::deployment::{DeploymentOptions, control_vm};
 use support::disk::DiskFault;
 use support::{Deployment, eventually};
 
@@ -230,3 +230,42 @@
 fn changes_are_accepted_after_leadership_moved_beside_failing_disks() {
     disks_fail_one_after_another(Beside::Transfer);
 }
+
+/// Returns whether the leader's configuration lists a control process.
+async fn is_member(deployment: &Deployment, control: usize) -> bool {
+    let Some((_, status)) = deployment.leader_status().await else { return true };
+    let members = status.configuration.unwrap_or_default().replicas;
+    members.iter().any(|member| member.vm == control_vm(control))
+}
+
+// Guards against replicas that are removed from the group while their disk refuses writes
+// and never become members again.
+#[test]
+fn replicas_that_were_removed_while_their_disks_were_full_join_again() {
+    support::run_async(async {
+        let options = DeploymentOptions {
+            target_voters: Some(3),
+            tolerated_losses: 1,
+            ..DeploymentOptions::default()
+        };
+        let deployment = Deployment::start(4, 1, options).await;
+        let mut revision = 1;
+
+        // A replica that joins again is a learner, so the last one is not a voter the second
+        // time.
+        for control in [0, 1, 2, 3, 3] {
+            let case = format!("disk of {control}");
+            deployment.disks[control].set_fault(DiskFault::Full);
+            publish_next(&deployment, &mut revision, &case).await;
+            let removed = || async { !is_member(&deployment, control).await };
+            eventually(&format!("{case}: the replica is removed"), removed).await;
+            publish_next(&deployment, &mut revision, &case).await;
+            deployment.disks[control].set_fault(DiskFault::None);
+            publish_next(&deployment, &mut revision, &case).await;
+
+            let joined = || async { is_member(&deployment, control).await };
+            eventually(&format!("{case}: the replica joins"), joined).await;
+            wait_until_caught_up(&deployment, control, revision).await;
+        }
+    });
+}
--- a/tests/support/deployment.rs
+++ b/tests/support/deployment.rs
@@ -56,6 +56,10 @@
 /// Settings that differ between tests.
 #[derive(Clone, Debug)]
 pub struct DeploymentOptions {
+    /// Number of voters among the control processes; all of them if `None`.
+    pub target_voters: Option<usize>,
+    /// Number of VMs whose loss the group makes up for by itself.
+    pub tolerated_losses: u64,
     pub snapshot_entries: u64,
     pub address_max_age_ms: u64,
     pub resume_window_ms: u64,
@@ -69,6 +73,8 @@
 impl Default for DeploymentOptions {
     fn default() -> Self {
         DeploymentOptions {
+            target_voters: None,
+            tolerated_losses: 0,
             snapshot_entries: 10_000,
             address_max_age_ms: 200,
             resume_window_ms: 3_000,
@@ -88,7 +94,7 @@
             deployment.start_control(index).await;
         }
         deployment.bootstrap().await;
-        deployment.wait_for_voters(controls).await;
+        deployment.wait_for_voters(controls.min(deployment.target_voters())).await;
         for index in 0..entries {
             deployment.start_entry(index).await;
         }
@@ -358,7 +364,8 @@
             "data_path": self.data_path(index).display().to_string(),
             "control_addresses": self.control_addresses(),
             "tls": self.tls_json(&format!("control-{}", control_vm(index))),
-            "target_voters": self.controls.len() | 1,
+            "target_voters": self.target_voters(),
+            "tolerated_losses": self.options.tolerated_losses,
             "timers": {
                 "tick_ms": 10, "heartbeat_ms": 50, "election_ms": 300, "entry_lease_ms": 2500,
             },
@@ -398,6 +405,10 @@
         settings::load_entry(&path).expect("valid settings")
     }
 
+    fn target_voters(&self) -> usize {
+        self.options.target_voters.unwrap_or(self.controls.len() | 1)
+    }
+
     fn control_addresses(&self) -> Vec<String> {
         self.control_relays.iter().map(|relay| relay.address().to_string()).collect()
     }
