Place requests to brittle upstreams within their slots

What callers would see: an upstream says in its responses that it falls over when it has to reject more than N requests in a second (Server-Brittle). Gateways fill the queues of plain services, up to four requests per slot, and each of them tries an upstream that rejects again. When the queues shrink, all upstreams fall, and their requests are lost.

Cause: nothing read the header, and the rejections of an upstream are a sum over gateways that know each other's load a sync interval late.

Evidence: a simulation with ten upstreams at twice their load, whose queues shrink after 3 s (components/balance/tests/brittle.rs), in which entries do not heed the notice: more than the three falls that are allowed with 3, 9 and 95 entries and N of 10.

Change: the notice is learned, reported and ended like a limit. While a service is brittle the arbiter places its requests, within the slots and within the room that an upstream has had lately; a rejection reaches the arbiter at once and makes the room smaller at all gateways; after half of N rejections in a second the upstream gets nothing until that is over. Gateways send their load with each request for a place. Without an arbiter each uses an even share of three quarters of the slots. A request is sent to one other upstream at most after a rejection. A report of the load that a later one has overtaken is now ignored.

Why it works: within its slots an upstream queues nothing, so a smaller queue rejects nothing; what no gateway counts (requests whose callers are gone) shows as a single rejection, and not more than N requests are on the way to an upstream that is half full while that is reported.

Tests: five of the eight in platform/tests/brittle.rs failed with the header ignored (three upstream pairs crashed); the other three check that calm services are served as before. With rejections not reported to the arbiter, the one with less room than slots failed; with shares but no room at the gateway, the one without an arbiter. Literals of ObservedLimit in components/balance/tests/limits.rs name the new field; no check there is changed.

--- a/components/balance/src/arbiter.rs
+++ b/components/balance/src/arbiter.rs
@@ -16,10 +16,13 @@
 use crate::load::{Candidate, Loads, PlacementDemand, UpstreamLoad};
 use crate::pace::Paces;
 use crate::prefill::FirstEventTarget;
+use crate::room::Rooms;
 
 /// Extra cost of an engine that takes twice the mean time for an event, where 1 is a
 /// fully loaded upstream.
 const PACE_COST: f64 = 1.0;
+/// Time for which the rejections that an entry reported are kept.
+const REJECTIONS_PERIOD_MS: u64 = 30_000;
 
 /// Upstream on which a slot may be reserved.
 #[derive(Clone, Debug)]
@@ -94,6 +97,10 @@
         self.target?.max_prefill_tokens(self.demand.prefill_tokens, now_ms)
     }
 
+    fn candidate_ids(&self) -> impl Iterator<Item = &str> {
+        self.candidates.iter().map(|candidate| candidate.id.as_str())
+    }
+
     /// Returns the demand at `now_ms`: a request that can still be in time is not
     /// placed behind prompts that would make it late.
     fn demand_at(&self, now_ms: u64) -> PlacementDemand {
@@ -121,7 +128,21 @@
 #[derive(Debug, Default)]
 struct EntryLoad {
     reported: Vec<(CompactString, UpstreamLoad)>,
+    placed_through: u64,
     grants: Vec<Grant>,
+    /// Requests that upstreams rejected since the entry started, as it reported.
+    rejections: HashMap<CompactString, Rejections>,
+}
+
+/// Requests that one incarnation of an upstream rejected for want of room.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Rejections {
+    /// Start time of the incarnation, in Unix milliseconds.
+    pub born_ms: u64,
+    /// Number since the entry that reports them started.
+    pub count: u32,
+    /// When the last of them arrived.
+    pub last_ms: u64,
 }
 
 /// Reserves slots on upstreams for the requests of all entries.
@@ -135,6 +156,8 @@
     grants: HashMap<CompactString, GrantHistory>,
     paces: Paces,
     limits: UpstreamLimits,
+    /// Room at upstreams that are brittle.
+    rooms: Rooms,
     /// Part of all entries that this arbiter serves.
     limit_share: f64,
 }
@@ -147,6 +170,7 @@
             grants: HashMap::new(),
             paces: Paces::default(),
             limits: UpstreamLimits::default(),
+            rooms: Rooms::default(),
             limit_share: 1.0,
         }
     }
@@ -154,7 +178,8 @@
 
 impl<T> Arbiter<T> {
     /// Applies the load that an entry reports. The load includes each of its
-    /// reservations up to the number `placed_through` that was not released.
+    /// reservations up to the number `placed_through` that was not released. A report that a
+    /// later one has overtaken is ignored.
     pub fn report_load(
         &mut self,
         entry: &str,
@@ -162,10 +187,41 @@
         placed_through: u64,
     ) {
         let load = self.entries.entry(entry.into()).or_default();
+        if placed_through < load.placed_through {
+            return;
+        }
+        load.placed_through = placed_through;
         load.reported = reported;
         load.grants.retain(|grant| grant.number > placed_through);
     }
 
+    /// Records the requests that a brittle upstream rejected, as an entry reports them.
+    /// Returns what the upstream may hold from now on, if there are new ones.
+    pub fn report_rejections(
+        &mut self,
+        entry: &str,
+        id: &str,
+        rejections: Rejections,
+        now_ms: u64,
+    ) -> Option<u32> {
+        let load = self.entries.entry(entry.into()).or_default();
+        load.rejections.retain(|_, known| now_ms < known.last_ms + REJECTIONS_PERIOD_MS);
+        let known = load.rejections.insert(id.into(), rejections).unwrap_or_default();
+        let is_same = known.born_ms == rejections.born_ms;
+        let count = rejections.count.saturating_sub(if is_same { known.count } else { 0 });
+        if count == 0 {
+            return None;
+        }
+        let held = self.held(id);
+        Some(self.rooms.record_rejections(id, (count, rejections.last_ms), held, now_ms))
+    }
+
+    /// Returns what a brittle upstream may hold, and how many requests it has rejected;
+    /// `None` if no request asked for it lately.
+    pub fn room(&self, id: &str) -> Option<(u32, u64)> {
+        self.rooms.status(id)
+    }
+
     /// Records the pace of an engine's streams at one entry; see [`Paces::record`].
     pub fn report_pace(&mut self, id: &str, events: u32, elapsed_ms: u32, now_ms: u64) {
         self.paces.record(id, events, elapsed_ms, now_ms);
@@ -227,6 +283,8 @@
             return Vec::new();
         }
         self.limits.refill(now_ms, self.limit_share);
+        self.rooms.expire(now_ms);
+        let limit_share = self.limit_share;
         let mut loads = self.loads();
         let mut finished = Vec::new();
         self.paces.expire(now_ms);
@@ -238,8 +296,18 @@
         for (request, reply) in waiting {
             let paces = &self.paces;
             let limits = &self.limits;
+            let rooms = &mut self.rooms;
+            let max_rejections = limits.max_rejections(request.candidate_ids(), now_ms);
+            let has_room = |candidate: &&OwnedCandidate| {
+                max_rejections.is_none_or(|max_rejections| {
+                    let held = loads.total(&candidate.id).running;
+                    let slots = share_of_slots(candidate.slots, limit_share);
+                    rooms.has_room(&candidate.id, held, slots, max_rejections, now_ms)
+                })
+            };
             let allowed = request.candidates.iter().filter(|c| limits.has_token(&c.id));
-            let candidates = allowed.map(|candidate| {
+            let allowed: Vec<&OwnedCandidate> = allowed.filter(has_room).collect();
+            let candidates = allowed.into_iter().map(|candidate| {
                 let slowness = paces.relative(&candidate.id, mean_gap_ms) - 1.0;
                 let extra_cost = candidate.extra_cost + PACE_COST * slowness;
                 Candidate { extra_cost, ..candidate.as_candidate() }
@@ -248,6 +316,7 @@
             let granted = loads.choose(candidates, demand, rng).map(CompactString::from);
             match granted {
                 Some(id) => {
+                    self.rooms.take(&id, loads.total(&id).running, now_ms);
                     loads.start_request(&id, demand.cache_tokens, demand.prefill_tokens);
                     self.limits.take(&id);
                     self.grant(&request, id.clone(), now_ms);
@@ -276,16 +345,22 @@
     }
 
     /// Refuses a request all of whose upstreams are limited and will not have a token in
-    /// its queue time; returns when its caller may come back.
+    /// its queue time, or are held back for longer; returns when its caller may come back.
     fn refuse_limited(
         &mut self,
         request: &ReservationRequest,
         ahead: usize,
         now_ms: u64,
     ) -> Option<u64> {
-        let ids = || request.candidates.iter().map(|candidate| candidate.id.as_str());
-        let wait_ms = self.limits.expected_wait_ms(ids(), ahead)?;
+        let ids = || request.candidate_ids();
         let queue_timeout_ms = request.queue_until_ms.saturating_sub(now_ms);
+        if let Some(max_rejections) = self.limits.max_rejections(ids(), now_ms) {
+            let held_back_ms = self.rooms.held_back_ms(ids(), max_rejections, now_ms);
+            if held_back_ms > queue_timeout_ms {
+                return Some(held_back_ms);
+            }
+        }
+        let wait_ms = self.limits.expected_wait_ms(ids(), ahead)?;
         (wait_ms > queue_timeout_ms as f64)
             .then(|| self.limits.refuse(&request.service, ids(), now_ms))
     }
@@ -307,6 +382,17 @@
         entry.grants.push(Grant { number: request.request_number, id, load });
     }
 
+    /// Returns how many requests all entries have at an upstream.
+    fn held(&self, id: &str) -> u32 {
+        let at_entry = |entry: &EntryLoad| {
+            let reported = entry.reported.iter().filter(|(known, _)| known.as_str() == id);
+            let granted = entry.grants.iter().filter(|grant| grant.id.as_str() == id);
+            reported.map(|(_, load)| load.running).sum::<u32>()
+                + granted.map(|grant| grant.load.running).sum::<u32>()
+        };
+        self.entries.values().map(at_entry).sum()
+    }
+
     fn loads(&self) -> Loads {
         let mut loads = Loads::default();
         for entry in self.entries.values() {
@@ -318,3 +404,9 @@
         loads
     }
 }
+
+/// Returns the slots of a brittle upstream that an arbiter grants which serves this part of
+/// all entries; one at least, or nobody would learn that it is brittle no more.
+fn share_of_slots(slots: u32, share: f64) -> u32 {
+    ((f64::from(slots) * share) as u32).max(1)
+}
--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -16,9 +16,10 @@
 mod prefill;
 mod rate;
 mod recent;
+mod room;
 mod tokens;
 
-pub use arbiter::{Arbiter, OwnedCandidate, ReservationOutcome, ReservationRequest};
+pub use arbiter::{Arbiter, OwnedCandidate, Rejections, ReservationOutcome, ReservationRequest};
 pub use attempts::DeadlineHistory;
 pub use backlog::GrantHistory;
 pub use budget::{RetryBudget, RetryLimits};
@@ -30,4 +31,5 @@
 pub use pauses::Pauses;
 pub use prefill::{FirstEventTarget, PrefillRate};
 pub use rate::{InvalidRate, RequestRate};
+pub use room::{Rooms, rejection_pause_ms, slot_share};
 pub use tokens::{GROWTH_RESERVE_TOKENS, TokenCounts};
--- a/components/balance/src/limits.rs
+++ b/components/balance/src/limits.rs
@@ -31,6 +31,9 @@
     pub born_ms: u64,
     /// Requests from all entries; `None` if the response named no limit.
     pub rate: Option<RequestRate>,
+    /// Requests that it may reject in a second before it falls over; `None` unless the
+    /// response named a number.
+    pub brittle: Option<u32>,
     /// When the response arrived.
     pub observed_ms: u64,
 }
@@ -48,12 +51,23 @@
         let age_ms = MIN_AGE_MS.max((AGE_REQUESTS * 1_000.0 / per_second) as u64);
         (now_ms < self.observed_ms + age_ms).then_some(per_second)
     }
+
+    /// Returns the requests that it may reject in a second; `None` if it is not brittle, or
+    /// once that is too old.
+    pub fn max_rejections(&self, now_ms: u64) -> Option<u32> {
+        self.brittle.filter(|_| now_ms < self.observed_ms + MIN_AGE_MS)
+    }
+
+    /// Returns whether requests to the upstream need a grant of the arbiter.
+    pub fn is_in_force(&self, now_ms: u64) -> bool {
+        self.per_second(now_ms).is_some() || self.max_rejections(now_ms).is_some()
+    }
 }
 
 /// Limit of one upstream and its tokens, as [`UpstreamLimits::iter`] shows them.
 #[derive(Clone, Copy, Debug)]
 pub struct LimitStatus {
-    /// Requests per second that the upstream names.
+    /// Requests per second that the upstream names; 0 if it names none.
     pub per_second: f64,
     /// Requests that were granted under the limit.
     pub granted: u64,
@@ -76,7 +90,7 @@
 /// use balance::{ObservedLimit, RequestRate, UpstreamLimits};
 /// let mut limits = UpstreamLimits::default();
 /// let rate = Some(RequestRate::new(10.0).unwrap());
-/// limits.observe("engine", ObservedLimit { born_ms: 1, rate, observed_ms: 0 }, 0);
+/// limits.observe("engine", ObservedLimit { born_ms: 1, rate, brittle: None, observed_ms: 0 }, 0);
 /// assert!(!limits.has_token("engine") && limits.has_token("another"));
 /// limits.refill(200, 1.0);
 /// assert!(limits.has_token("engine"));
@@ -97,12 +111,13 @@
     pub fn observe(&mut self, id: &str, observed: ObservedLimit, now_ms: u64) -> bool {
         match self.by_id.get_mut(id) {
             Some(limit) if observed.is_newer_than(&limit.observed) => {
-                let changed = limit.observed.rate != observed.rate;
+                let changed = limit.observed.rate != observed.rate
+                    || limit.observed.brittle != observed.brittle;
                 limit.observed = observed;
                 self.version += u64::from(changed);
                 changed
             }
-            None if observed.per_second(now_ms).is_some() => {
+            None if observed.is_in_force(now_ms) => {
                 let limit =
                     Limit { observed, tokens: 0.0, filled_ms: now_ms, granted: 0, refused: 0 };
                 self.by_id.insert(id.into(), limit);
@@ -120,7 +135,9 @@
     pub fn refill(&mut self, now_ms: u64, share: f64) {
         let before = self.by_id.len();
         self.by_id.retain(|_, limit| {
-            let Some(per_second) = limit.observed.per_second(now_ms) else { return false };
+            let Some(per_second) = limit.observed.per_second(now_ms) else {
+                return limit.observed.is_in_force(now_ms);
+            };
             let per_second = per_second * (1.0 - FALLBACK_SHARE) * share;
             let elapsed_s = now_ms.saturating_sub(limit.filled_ms) as f64 / 1_000.0;
             let most = (per_second * BURST_S).max(1.0);
@@ -139,12 +156,23 @@
 
     /// Returns whether the upstream names a limit.
     pub fn is_limited(&self, id: &str) -> bool {
-        self.by_id.contains_key(id)
+        self.by_id.get(id).is_some_and(|limit| limit.observed.rate.is_some())
+    }
+
+    /// Returns how many requests one of the upstreams may reject in a second; `None` if
+    /// none of them is brittle.
+    pub fn max_rejections<'a>(
+        &self,
+        ids: impl Iterator<Item = &'a str>,
+        now_ms: u64,
+    ) -> Option<u32> {
+        ids.filter_map(|id| self.by_id.get(id)?.observed.max_rejections(now_ms)).min()
     }
 
     /// Returns whether the upstream may get one more request now.
     pub fn has_token(&self, id: &str) -> bool {
-        self.by_id.get(id).is_none_or(|limit| limit.tokens >= 1.0)
+        let limit = self.by_id.get(id).filter(|limit| limit.observed.rate.is_some());
+        limit.is_none_or(|limit| limit.tokens >= 1.0)
     }
 
     /// Counts a request that is granted to the upstream.
--- a/components/balance/src/load.rs
+++ b/components/balance/src/load.rs
@@ -171,6 +171,11 @@
         self.own.iter().map(|(id, load)| (id.as_str(), *load))
     }
 
+    /// Returns how many requests this entry has at an upstream.
+    pub fn own_running(&self, id: &str) -> u32 {
+        self.own.get(id).map_or(0, |load| load.running)
+    }
+
     /// Returns the load of an upstream from all entries.
     pub fn total(&self, id: &str) -> UpstreamLoad {
         let mut total = self.own.get(id).copied().unwrap_or_default();
--- a/components/balance/tests/limits.rs
+++ b/components/balance/tests/limits.rs
@@ -16,7 +16,7 @@
 
 fn observed(per_second: f64, observed_ms: u64) -> ObservedLimit {
     let rate = Some(RequestRate::new(per_second).unwrap());
-    ObservedLimit { born_ms: 1, rate, observed_ms }
+    ObservedLimit { born_ms: 1, rate, brittle: None, observed_ms }
 }
 
 fn request(ids: &[&str], number: u64, now_ms: u64, queue_ms: u64) -> ReservationRequest {
--- a/components/bench/src/shared_costs.rs
+++ b/components/bench/src/shared_costs.rs
@@ -197,6 +197,7 @@
         born_ms: 1_700_000_000_000,
         per_second: Some(5.2),
         age_ms: 900,
+        ..UpstreamLimit::default()
     };
     SyncReply { limits: (0..ENGINE_COUNT).map(limit).collect(), ..SyncReply::default() }
 }
@@ -207,7 +208,7 @@
     let ids: Vec<String> = (0..ENGINE_COUNT).map(|number| format!("engine-{number}")).collect();
     let rate = RequestRate::new(5.2).ok();
     for id in &ids {
-        limits.observe(id, ObservedLimit { born_ms: 1, rate, observed_ms: 0 }, 0);
+        limits.observe(id, ObservedLimit { born_ms: 1, rate, brittle: None, observed_ms: 0 }, 0);
     }
     let started = Instant::now();
     for round in 0..REFILLS {
--- a/components/control/src/replica/places.rs
+++ b/components/control/src/replica/places.rs
@@ -5,6 +5,7 @@
 use actix::ResponseFuture;
 use balance::{
     FirstEventTarget, OwnedCandidate, PlacementDemand, ReservationOutcome, ReservationRequest,
+    UpstreamLoad,
 };
 use compact_str::CompactString;
 use credentials::Identity;
@@ -79,6 +80,13 @@
         let now_ms = self.clock.now_ms();
         let (result, receiver) = oneshot::channel();
         let waiting = WaitingPlacement { result, stream: PlacedStream::of(&request) };
+        if let Some(placed_through) = request.placed_through {
+            let loads = request.r#use.iter();
+            let loads =
+                loads.map(|load| (load.id.as_str().into(), UpstreamLoad::from_message(load)));
+            let arbiter = &mut self.gateway_syncs.arbiter;
+            arbiter.report_load(&request.vm, loads.collect(), placed_through);
+        }
         self.gateway_syncs.arbiter.enqueue(to_reservation_request(request, now_ms), waiting);
         self.gateway_syncs.next_scheduling_ms = 0;
         Box::pin(async move {
@@ -137,11 +145,19 @@
         syncs.next_limit_metrics_ms = now_ms + LIMIT_METRICS_INTERVAL_MS;
         let metrics = &self.metrics.limits;
         metrics.reset();
-        for (upstream, _, limit) in syncs.arbiter.limits().iter() {
+        for (upstream, observed, limit) in syncs.arbiter.limits().iter() {
             let set = |value, number| metrics.with_label_values(&[upstream, value]).set(number);
-            set("per_second", limit.per_second);
-            set("granted", limit.granted as f64);
-            set("refused", limit.refused as f64);
+            if observed.rate.is_some() {
+                set("per_second", limit.per_second);
+                set("granted", limit.granted as f64);
+                set("refused", limit.refused as f64);
+            }
+            if let Some(max_rejections) = observed.brittle {
+                let (room, rejected) = syncs.arbiter.room(upstream).unwrap_or_default();
+                set("max_rejections", f64::from(max_rejections));
+                set("room", f64::from(room));
+                set("rejected", rejected as f64);
+            }
         }
     }
 }
--- a/components/control/src/replica/status.rs
+++ b/components/control/src/replica/status.rs
@@ -39,6 +39,7 @@
 
     fn limit_statuses(&self) -> Vec<LimitStatus> {
         let limits = self.gateway_syncs.arbiter.limits().iter();
+        let limits = limits.filter(|(_, observed, _)| observed.rate.is_some());
         let to_message = |(id, _, status): (&str, _, balance::LimitStatus)| LimitStatus {
             upstream: id.to_string(),
             per_second: status.per_second,
--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 
 use actix::ResponseFuture;
-use balance::{Arbiter, ObservedLimit, RequestRate, UpstreamLoad};
+use balance::{Arbiter, ObservedLimit, Rejections, RequestRate, UpstreamLoad};
 use compact_str::CompactString;
 use credentials::Identity;
 use lineage::{Origin, Origins, StreamId};
@@ -199,13 +199,7 @@
         }
         self.arbiter.report_load(&vm, loads.collect(), request.placed_through);
         for limit in &request.limits {
-            let rate = limit.per_second.and_then(|per_second| RequestRate::new(per_second).ok());
-            let observed_ms = now_ms.saturating_sub(limit.age_ms);
-            let observed = ObservedLimit { born_ms: limit.born_ms, rate, observed_ms };
-            if self.arbiter.limits_mut().observe(&limit.id, observed, now_ms) {
-                let per_second = limit.per_second.unwrap_or_default();
-                log::info!(upstream = limit.id.as_str(), per_second, vm = request.vm.as_str(), age_ms = limit.age_ms; "request limit of upstream changed");
-            }
+            self.record_limit(&vm, limit, now_ms);
         }
         for begun in &request.begun {
             let origin = Origin {
@@ -230,6 +224,23 @@
         self.gateways.insert(vm, gateway);
     }
 
+    /// Records what an upstream said of itself in a response to a gateway.
+    fn record_limit(&mut self, vm: &str, limit: &UpstreamLimit, now_ms: u64) {
+        let rate = limit.per_second.and_then(|per_second| RequestRate::new(per_second).ok());
+        let observed_ms = now_ms.saturating_sub(limit.age_ms);
+        let brittle = limit.max_rejections;
+        let observed = ObservedLimit { born_ms: limit.born_ms, rate, brittle, observed_ms };
+        if self.arbiter.limits_mut().observe(&limit.id, observed, now_ms) {
+            let per_second = limit.per_second.unwrap_or_default();
+            log::info!(upstream = limit.id.as_str(), per_second, max_rejections:? = brittle, vm, age_ms = limit.age_ms; "request limit of upstream changed");
+        }
+        let last_ms = now_ms.saturating_sub(limit.rejection_age_ms);
+        let rejections = Rejections { born_ms: limit.born_ms, count: limit.rejections, last_ms };
+        if let Some(room) = self.arbiter.report_rejections(vm, &limit.id, rejections, now_ms) {
+            log::info!(upstream = limit.id.as_str(), rejections = limit.rejections, room, vm; "brittle upstream rejected requests");
+        }
+    }
+
     fn expire(&mut self, now_ms: u64) {
         self.gateways.retain(|vm, gateway| {
             let live = now_ms < gateway.synced_ms + GATEWAY_TIMEOUT_MS;
@@ -261,23 +272,31 @@
         }
         let mut list: Vec<UpstreamLimit> = limits
             .iter()
-            .map(|(id, observed, status)| UpstreamLimit {
+            .map(|(id, observed, _)| UpstreamLimit {
                 id: id.to_string(),
                 born_ms: observed.born_ms,
-                per_second: Some(status.per_second),
+                per_second: observed.rate.map(RequestRate::per_second),
                 age_ms: now_ms.saturating_sub(observed.observed_ms),
+                max_rejections: observed.brittle,
+                ..UpstreamLimit::default()
             })
             .collect();
         list.sort_unstable_by(|a, b| a.id.cmp(&b.id));
         let mut hasher = DefaultHasher::new();
         for limit in &list {
             let per_second = limit.per_second.unwrap_or_default().to_bits();
-            (&limit.id, limit.born_ms, per_second).hash(&mut hasher);
+            (&limit.id, limit.born_ms, per_second, limit.max_rejections).hash(&mut hasher);
         }
         let digest = if list.is_empty() { 0 } else { hasher.finish().max(1) };
         self.limit_list = LimitList { version: limits.version(), digest, limits: list };
     }
 
+    /// Returns the position of a gateway among those that are connected.
+    fn position_of(&self, vm: &str) -> u32 {
+        let before = self.gateways.keys().take_while(|known| known.as_str() < vm).count();
+        u32::try_from(before).unwrap_or(u32::MAX)
+    }
+
     fn load_of_other_gateways(&self, vm: &str) -> Vec<UpstreamUse> {
         let loads = self.arbiter.load_of_others(vm).into_iter();
         loads.map(|(id, load)| load.to_message(id)).collect()
@@ -361,6 +380,7 @@
             data_centre: self.config.data_centre.to_string(),
             r#use: others,
             entries: u32::try_from(syncs.gateways.len()).unwrap_or(u32::MAX),
+            entry_index: syncs.position_of(&request.vm),
             limits_digest: syncs.limit_list.digest,
             limits: if limits_changed { syncs.limit_list.limits.clone() } else { Vec::new() },
             quarantine_digest: quarantine.digest(),
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -266,7 +266,7 @@
     });
     if links.aggregates_load(address) {
         let mut limits = shared.limits.borrow_mut();
-        limits.apply(reply.limits_digest, &reply.limits, now_ms);
+        limits.apply((reply.limits_digest, &reply.limits), reply.entry_index, now_ms);
         let others = reply.r#use.iter();
         let others = others.map(|load| (load.id.as_str().into(), UpstreamLoad::from_message(load)));
         shared.loads.borrow_mut().set_others(others);
--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -90,6 +90,11 @@
     pub request_id: Option<CompactString>,
     /// Requests that the upstream takes from all gateways together, if it names a limit.
     pub request_limit: Option<RequestRate>,
+    /// The upstream rejects the request because it has no room for it.
+    pub no_room: bool,
+    /// Requests that the upstream may reject in a second before it fails, if it names a
+    /// number.
+    pub max_rejections: Option<u32>,
     /// The upstream says that it leaves.
     pub leaving: bool,
     /// The upstream turns the request away, and wants none from this gateway for so long.
--- a/components/gateway/src/eligibility.rs
+++ b/components/gateway/src/eligibility.rs
@@ -108,7 +108,10 @@
     origin.may_continue_at(&upstream.record.service, &upstream.record.version)
 }
 
-/// Returns for how long an upstream wants no requests; 0 if it takes them.
+/// Returns for how long an upstream wants no requests, or is to get none after a rejection;
+/// 0 if it takes them.
 fn pause_ms(shared: &Shared, upstream: &KnownUpstream) -> u64 {
-    notices::pause_ms(shared, &upstream.record.id, upstream.record.born_ms)
+    let (id, born_ms) = (upstream.record.id.as_str(), upstream.record.born_ms);
+    let after_rejection = shared.limits.borrow().rejection_pause_ms(id, born_ms, shared.now_ms());
+    notices::pause_ms(shared, id, born_ms).max(after_rejection)
 }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -20,6 +20,7 @@
 use crate::eligibility::Excluded;
 use crate::exchange::{ExchangeError, UpstreamResponse, exchange};
 use crate::health::{record_failure, record_unreachable};
+use crate::limits;
 use crate::notices;
 use crate::origins::RETRY_AFTER_LOST_STREAM;
 use crate::place::{ReserveError, wait_for_slot};
@@ -104,7 +105,8 @@
         let may_follow = match &ended {
             Attempt::Responded(_) | Attempt::Withdrawn(_) | Attempt::TimedOut => false,
             Attempt::Lost(_) => crashes::handle_break_off(shared, &call, &target, sent).await,
-            Attempt::Unreachable | Attempt::Rejected(_) | Attempt::Failed(_) => true,
+            Attempt::Rejected(_) => limits::may_send_rejected(shared, &upstream, attempts.sends),
+            Attempt::Unreachable | Attempt::Failed(_) => true,
         };
         // A refused connection puts no load on any upstream.
         let needs_budget = !matches!(ended, Attempt::Unreachable);
--- a/components/gateway/src/notices.rs
+++ b/components/gateway/src/notices.rs
@@ -10,8 +10,8 @@
 
 /// Applies what the head of an upstream's response says of the upstream.
 pub(crate) fn apply(shared: &Shared, target: &Target, head: &ResponseHead) {
-    record_limit(shared, target, head.request_limit);
     apply_to_command(shared, target, head);
+    record_limit(shared, target, head);
 }
 
 /// Applies what the head of the response to a command says of the upstream; limits count
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -206,7 +206,12 @@
         // The number stays pending until the slot is part of the load that this
         // gateway reports.
         let pending = shared.start_placement();
-        let place = to_place_request(shared, &eligible, params, pending.number(), since, wait);
+        let mut place = to_place_request(shared, &eligible, params, pending.number(), since, wait);
+        if limits::max_rejections(shared, &eligible).is_some() {
+            place.r#use =
+                shared.loads.borrow().own().map(|(id, load)| load.to_message(id)).collect();
+            place.placed_through = Some(shared.placed_through());
+        }
         let body = request::Body::Place(place);
         let request = Request { traceparent: params.span.traceparent(), body: Some(body) };
         match arbiter.call(request, wait + ARBITER_REPLY_TIMEOUT).await {
@@ -231,6 +236,7 @@
     }
     let selected = select_locally(shared, &eligible, params);
     let selected = selected.ok_or(ReserveError::Full)?;
+    limits::take_fallback_room(shared, &selected);
     reserve_at(shared, params, &selected).ok_or(ReserveError::Full)
 }
 
@@ -254,7 +260,7 @@
         sample_size: sample,
     };
     let mut eligible = eligible.to_vec();
-    eligible.retain(|upstream| limits::try_take_fallback(shared, &upstream.id));
+    limits::retain_fallback(shared, &mut eligible);
     let candidates = eligible.iter().map(OwnedCandidate::as_candidate);
     let selected = shared.loads.borrow().choose(candidates, demand, &mut rand::rng());
     selected.map(CompactString::from)
@@ -305,6 +311,7 @@
         waited_ms: elapsed_ms(since),
         service: params.eligibility.requirements.service.to_string(),
         queue_timeout_ms: u64::try_from(queue_timeout.as_millis()).unwrap_or(u64::MAX),
+        ..PlaceRequest::default()
     }
 }
 
