--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -20,6 +20,7 @@
 use crate::eligibility::Excluded;
 use crate::exchange::{ExchangeError, UpstreamResponse, exchange};
 use crate::health::{record_failure, record_unreachable};
+use crate::limits;
 use crate::notices;
 use crate::origins::RETRY_AFTER_LOST_STREAM;
 use crate::peer::{self, Forwarded};
@@ -143,7 +144,8 @@
         let may_follow = match &ended {
             Attempt::Responded(_) | Attempt::Withdrawn(_) | Attempt::TimedOut => false,
             Attempt::Lost(_) => crashes::handle_break_off(shared, &call, &target, sent).await,
-            Attempt::Unreachable | Attempt::Rejected(_) | Attempt::Failed(_) => true,
+            Attempt::Rejected(_) => limits::may_send_rejected(shared, &upstream, attempts.sends),
+            Attempt::Unreachable | Attempt::Failed(_) => true,
         };
         // A refused connection puts no load on any upstream.
         let needs_budget = !matches!(ended, Attempt::Unreachable);
