End connections to upstreams that have gone silent

Callers waited until their deadline (504) if the connection to the upstream had gone silent, without a reset, before or while their request ran on it. That holds for idle connections, which stay in the pool until their idle timeout, and for streams: their engine accepts the connection of the probe, so it counts as reachable, though nothing more can arrive on the connection of the stream.

Cause: nothing bounded how long sent data may stay unacknowledged (Linux gives up after 15 retransmissions, about 15 minutes), and a connection on which only the upstream sends was not probed at all. No library in use sets a user timeout or keep-alive probes on these sockets.

Connections are now opened by `socket::connect`, which sets, before the handshake, a user timeout of 3,500 ms and keep-alive probes after 1 s, each second. A failed connection is reported as any lost one: the request may have run, it goes on elsewhere only if it may run again, and it is no crash, as the upstream does not refuse connections.

Why not 1,500 ms: a user timeout replaces the number of probes, and Linux counts their times in whole seconds. With 1,500 ms the connection ends at the second probe if one was lost.

The user timeout also ends a connection whose peer acknowledges, but takes no more of a request's body for 3.5 s.

Tests: a socket filter on the upstream's side makes open connections silent while new ones work.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! A request passes through [`server`] (connections of callers), [`accept`]
 //! (routing, request body; [`buffering`] bounds what bodies hold), [`forward`] and [`attempts`] (attempts, retries,
 //! verdict), [`eligibility`] and [`place`] (upstream selection, slot reservation, with the
-//! [`limits`] of upstreams), [`exchange`] and [`pool`] (connections to upstreams) and [`relay`]
+//! [`limits`] of upstreams), [`exchange`], [`pool`] and [`socket`] (connections to upstreams) and [`relay`]
 //! (event streams; [`moves`] moves the generation that produces a stream to another
 //! engine). [`crashes`] reports upstreams that crash, and [`quarantine`] rejects requests
 //! under which they do. [`origins`] knows where streams began that callers take up again,
@@ -41,6 +41,7 @@
 mod route_sets;
 mod server;
 mod shared;
+mod socket;
 mod state;
 mod status;
 mod target;
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -12,10 +12,11 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::socket;
+
 /// Buffer of a connection, and so the largest head of a response.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Idle time after which a connection is not reused, unless the upstream sends
@@ -45,9 +46,8 @@
 impl Connection {
     /// Connects within `limit` and starts HTTP/1.
     pub(crate) async fn open(address: SocketAddr, limit: Duration) -> std::io::Result<Self> {
-        let connecting = timeout(limit, TcpStream::connect(address));
+        let connecting = timeout(limit, socket::connect(address));
         let stream = connecting.await.map_err(|_| std::io::ErrorKind::TimedOut)??;
-        stream.set_nodelay(true)?;
         let handshake =
             http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(std::io::Error::other)?;
