Relay events that arrive while a stalled stream's engine is probed

A stream that may be resumed got no event for up to 1.2 s, although its engine had sent them, and was then run again at another engine, which read its prompt anew, if the engine's machine was too busy to accept a connection in that time.

Cause: after 0.7 s without an event the relay opened a connection to the engine and waited for nothing else until it was accepted or had timed out (1.2 s). An engine that is silent for a second goes on in that time: its SYN is retransmitted only after 1 s. Departures of upstreams, moves and the end of the request's time had to wait as well.

The probe is now one of the things that the relay waits for. A new event drops it; a failed probe counts only if none came.

--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -2,8 +2,10 @@
 //! fails.
 
 mod migration;
+mod probe;
 mod resume;
 
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,7 +25,7 @@
 use crate::crashes;
 use crate::events::{EventKind, EventSplitter, StreamProgress};
 use crate::exchange::UpstreamResponse;
-use crate::health::{record_failure, record_unreachable};
+use crate::health::record_failure;
 use crate::moves::{MoveEvent, MoveState};
 use crate::place::is_draining_or_gone;
 use crate::pool::Connection;
@@ -31,13 +33,11 @@
 use crate::reservation::Reservation;
 use crate::shared::{InFlightGuard, Shared};
 use crate::timing::elapsed_ms;
+use probe::Probe;
 
 /// Time without an event after which the engine is probed for reachability:
 /// several times the gap between events that callers count as late.
 const PROBE_AFTER: Duration = Duration::from_millis(700);
-/// Timeout for connecting to the engine of a stalled stream: a lost SYN packet
-/// is retransmitted after 1 s.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Bytes that an engine may send without a new event, in an incomplete event,
 /// comments, blank or repeated events, before its stream counts as lost.
@@ -49,6 +49,7 @@
     body: Incoming,
     connection: Connection,
     reservation: Reservation,
+    probe: Probe,
 }
 
 struct Relay {
@@ -85,6 +86,8 @@
     Move(MoveEvent),
     /// No event has arrived for a while.
     Stalled,
+    /// The engine of a stalled stream has accepted a connection, or does not.
+    Probed(io::Result<Connection>),
     TimedOut,
 }
 
@@ -116,7 +119,7 @@
         shared: shared.clone(),
         call: call.clone(),
         origin: reservation.target.origin.clone(),
-        source: Some(Source { body, connection, reservation }),
+        source: Some(Source { body, connection, reservation, probe: Probe::default() }),
         events: EventSplitter::default(),
         progress: StreamProgress::new(call.head.last_event_id),
         probe_at: Instant::now() + PROBE_AFTER,
@@ -188,14 +191,14 @@
                         return Some(Err(truncated));
                     }
                 }
-                Step::Stalled => {
-                    if self.is_recoverable()
-                        && !self.is_reachable().await
+                Step::Stalled => self.start_probe(),
+                Step::Probed(connected) => {
+                    if !self.is_reachable(connected)
+                        && self.is_recoverable()
                         && let Err(truncated) = self.recover("engine unreachable").await
                     {
                         return Some(Err(truncated));
                     }
-                    self.probe_at = Instant::now() + PROBE_AFTER;
                 }
                 Step::TimedOut => {
                     self.log_end("timed out");
@@ -218,7 +221,8 @@
             },
             Ok(()) = self.departures.changed() => Step::Departures,
             event = self.move_state.next_event() => Step::Move(event),
-            () = sleep_until(self.probe_at) => Step::Stalled,
+            connected = source.probe.connected() => Step::Probed(connected),
+            () = sleep_until(self.probe_at), if source.probe.is_idle() => Step::Stalled,
             () = sleep_until(self.call.until) => Step::TimedOut,
         }
     }
@@ -245,6 +249,7 @@
         if let Some(source) = &mut self.source {
             source.reservation.record_progress(&self.call.requirements, self.progress.relayed);
             self.shared.record_event_gap(&source.reservation.target.id, gap);
+            source.probe = Probe::default();
         }
         self.probe_at = Instant::now() + PROBE_AFTER;
     }
@@ -295,24 +300,6 @@
         copied || self.call.route.kind() == RepeatKind::ResumableStream
     }
 
-    /// Returns whether the engine of a stalled stream accepts connections.
-    async fn is_reachable(&self) -> bool {
-        let Some(source) = &self.source else { return false };
-        let target = &source.reservation.target;
-        let since_event_ms = elapsed_ms(self.progress.last_event_at);
-        match Connection::open(target.address, PROBE_TIMEOUT).await {
-            Ok(connection) => {
-                self.shared.return_connection(target, connection);
-                true
-            }
-            Err(error) => {
-                log::warn!(request = self.call.head.id.as_str(), upstream = target.id.as_str(), since_event_ms, error = error.to_string().as_str(); "engine of a stalled stream is unreachable");
-                record_unreachable(&self.shared, target);
-                false
-            }
-        }
-    }
-
     fn complete(&mut self) -> Option<Bytes> {
         self.log_end("complete");
         if let Some(source) = self.source.take() {
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -2,6 +2,7 @@
 
 use schema::RepeatKind;
 
+use super::probe::Probe;
 use super::{Relay, Source};
 use crate::answer::ResponseTruncated;
 use crate::attempts::{MAX_SENDS, MAX_UNREACHABLE};
@@ -146,7 +147,7 @@
         reservation.record_first_event();
         reservation.record_progress(&self.call.requirements, self.progress.relayed);
         let UpstreamResponse { body, connection, .. } = response;
-        self.source = Some(Source { body, connection, reservation });
+        self.source = Some(Source { body, connection, reservation, probe: Probe::default() });
         self.start_move();
         Ok(())
     }
