Eject a reachable upstream for the first duration again

A sound engine that is silent for a second now and then got no requests from a gateway for 2, 4 and then 8 s after each time, since a connection attempt had timed out in the silence (400 ms), and callers were refused if it was the last one of its service. The first failed request after an ejection, even an error that the upstream returned, ejected it once more for twice the time.

Cause: ejections as unreachable and those by the failure rate shared a count and set the rate to just below its threshold. Seven successful requests in a row cleared them, which takes more than a minute at an engine that gets a request each ten seconds from a gateway.

An ejection as unreachable now doubles only while no request succeeds in between, and leaves the failure rate alone. An upstream that stays unreachable is ejected for 1, 2, 4 and 8 s as before, as is one that fails.

Tests in components/balance/tests/choice.rs: two of the three new ones failed before (1, 2, 4 and 8 s for four silent seconds 10 s apart; 2 s after one failure), the third pins the doubling.

--- a/components/balance/src/health.rs
+++ b/components/balance/src/health.rs
@@ -16,7 +16,10 @@
 #[derive(Debug, Default)]
 struct UpstreamHealth {
     failure_rate: f64,
+    /// Ejections by the failure rate.
     ejections: u32,
+    /// Ejections since the upstream was last reached.
+    unreachable_ejections: u32,
     ejected_until_ms: u64,
 }
 
@@ -28,9 +31,11 @@
 
 impl OutlierDetector {
     /// Records a successful request; clears the history of the upstream once its
-    /// failure rate is low.
+    /// failure rate is low. The upstream is reachable, so its next ejection as unreachable is
+    /// a first one.
     pub fn record_success(&mut self, id: &str) {
         if let Some(health) = self.by_id.get_mut(id) {
+            health.unreachable_ejections = 0;
             health.failure_rate *= 1.0 - RESULT_WEIGHT;
             if health.failure_rate < RESULT_WEIGHT / 2.0 {
                 self.by_id.remove(id);
@@ -46,14 +51,26 @@
         if health.failure_rate < EJECT_FAILURE_RATE || now_ms < health.ejected_until_ms {
             return None;
         }
-        Some(health.eject(now_ms))
+        let ejected_ms = ejection_ms(health.ejections);
+        health.ejections += 1;
+        health.ejected_until_ms = now_ms + ejected_ms;
+        // One more failure after the ejection reaches the threshold again.
+        health.failure_rate = EJECT_FAILURE_RATE * (1.0 - RESULT_WEIGHT);
+        Some(ejected_ms)
     }
 
     /// Ejects an upstream that cannot be reached; returns the duration of
-    /// the ejection in milliseconds, `None` if it is already ejected.
+    /// the ejection in milliseconds, `None` if it is already ejected. Does not change the
+    /// failure rate: a sound upstream may be silent for a second.
     pub fn record_unreachable(&mut self, id: &str, now_ms: u64) -> Option<u64> {
         let health = self.by_id.entry(id.into()).or_default();
-        (now_ms >= health.ejected_until_ms).then(|| health.eject(now_ms))
+        if now_ms < health.ejected_until_ms {
+            return None;
+        }
+        let ejected_ms = ejection_ms(health.unreachable_ejections);
+        health.unreachable_ejections += 1;
+        health.ejected_until_ms = now_ms + ejected_ms;
+        Some(ejected_ms)
     }
 
     /// Clears the history of an earlier incarnation.
@@ -67,14 +84,7 @@
     }
 }
 
-impl UpstreamHealth {
-    fn eject(&mut self, now_ms: u64) -> u64 {
-        let period_ms =
-            BASE_EJECTION_MS.saturating_mul(1 << self.ejections.min(8)).min(MAX_EJECTION_MS);
-        self.ejections += 1;
-        self.ejected_until_ms = now_ms + period_ms;
-        // One more failure after the ejection reaches the threshold again.
-        self.failure_rate = EJECT_FAILURE_RATE * (1.0 - RESULT_WEIGHT);
-        period_ms
-    }
+/// Returns the duration of an ejection after `earlier` ones.
+fn ejection_ms(earlier: u32) -> u64 {
+    BASE_EJECTION_MS.saturating_mul(1 << earlier.min(8)).min(MAX_EJECTION_MS)
 }
--- a/components/balance/tests/choice.rs
+++ b/components/balance/tests/choice.rs
@@ -97,6 +97,40 @@
     assert_eq!(detector.record_failure("a", 1_100), Some(2_000));
 }
 
+/// Guards against ejections of 2, 4 and 8 s of a sound upstream that is silent for a second
+/// now and then, and serves requests in between.
+#[test]
+fn upstream_that_was_reached_again_is_ejected_for_the_first_duration() {
+    let mut detector = OutlierDetector::default();
+    let mut ejections_ms = Vec::new();
+    for now_ms in [0, 10_000, 20_000, 30_000] {
+        ejections_ms.push(detector.record_unreachable("a", now_ms));
+        detector.record_success("a");
+    }
+
+    assert_eq!(ejections_ms, [Some(1_000); 4]);
+}
+
+#[test]
+fn upstream_that_stays_unreachable_is_ejected_with_exponential_backoff() {
+    let mut detector = OutlierDetector::default();
+
+    let ejections_ms = [0, 1_000, 3_000, 7_000, 15_000]
+        .map(|now_ms| detector.record_unreachable("a", now_ms).unwrap_or_default());
+
+    assert_eq!(ejections_ms, [1_000, 2_000, 4_000, 8_000, 8_000]);
+}
+
+/// Guards against an ejection by the first failed request after a silent second.
+#[test]
+fn single_failure_after_an_upstream_was_unreachable_does_not_eject_it() {
+    let mut detector = OutlierDetector::default();
+    detector.record_unreachable("a", 0);
+
+    assert_eq!(detector.record_failure("a", 1_000), None);
+    assert!(!detector.is_ejected("a", 1_000));
+}
+
 #[test]
 fn single_failure_does_not_eject_an_upstream() {
     let mut detector = OutlierDetector::default();
