Close idle connections to a gateway's readiness and metrics pages

A caller of these pages that went silent left its connection open for ever, with a file descriptor and a task: nothing is sent on an idle connection, so the kernel never finds out, and hyper applies its timeout for heads only if it has a timer. The pages are asked each second, so a link that drops connections now and then uses up the descriptors.

They now have the timer and close after 10 s without a request.

Test: idle_connections_to_readiness_and_metrics_pages_are_closed; it failed before (still open after 20 s).

--- a/components/gateway/src/status.rs
+++ b/components/gateway/src/status.rs
@@ -2,18 +2,22 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::Full;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use schema::EntryPhase;
 use tokio::net::TcpListener;
 
 use crate::shared::Shared;
 
+/// Time without a request after which a connection is closed: its caller may be gone.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// What an address serves, on any path.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Page {
@@ -33,7 +37,10 @@
                 let response = render(&shared, page);
                 async move { Ok::<_, Infallible>(response) }
             });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
                 log::debug!(error = error.to_string().as_str(); "status connection failed");
             }
