--- a/components/gateway/src/dialer.rs
+++ b/components/gateway/src/dialer.rs
@@ -6,6 +6,8 @@
 use futures::future::LocalBoxFuture;
 use tokio::net::TcpStream;
 
+use crate::socket;
+
 /// Opens connections to upstreams; tests replace it to cut a gateway off.
 pub trait Dialer: std::fmt::Debug {
     /// Connects to an upstream. The caller limits the time.
@@ -18,6 +20,6 @@
 
 impl Dialer for SystemDialer {
     fn connect(&self, address: SocketAddr) -> LocalBoxFuture<'static, std::io::Result<TcpStream>> {
-        TcpStream::connect(address).boxed_local()
+        socket::connect(address).boxed_local()
     }
 }
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -134,7 +134,7 @@
         }
     }
     let limit = Duration::from_millis(shared.config.timers.connect_timeout_ms);
-    let connecting = Connection::open(&*shared.dialer, target.address, limit).await;
+    let connecting = Connection::open(shared.dialer.connect(target.address), limit).await;
     let mut connection = connecting.map_err(|error| ExchangeError::NotSent(error.to_string()))?;
     shared.metrics.connections_opened.with_label_values(&[&target.origin.service]).inc();
     match connection.sender.try_send_request(request).await {
--- a/components/gateway/src/reach.rs
+++ b/components/gateway/src/reach.rs
@@ -71,7 +71,7 @@
     }
     let limit = Duration::from_millis(shared.config.timers.connect_timeout_ms);
     let connecting =
-        targets.iter().map(|target| Connection::open(&*shared.dialer, target.address, limit));
+        targets.iter().map(|target| Connection::open(shared.dialer.connect(target.address), limit));
     let results = join_all(connecting).await;
     let mut reached = 0;
     for (target, result) in targets.iter().zip(results) {
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -3,6 +3,7 @@
 use compact_str::CompactString;
 use schema::RepeatKind;
 
+use super::probe::{self, Probe};
 use super::{Relay, Source, is_event_stream};
 use crate::answer::ResponseTruncated;
 use crate::attempts::{MAX_SENDS, MAX_UNREACHABLE};
@@ -61,10 +62,10 @@
 
     /// Returns whether the stream was interrupted because this gateway reaches no upstream; its
     /// generation may still run then.
-    async fn lost_with_all_upstreams(&self) -> bool {
-        self.source.is_some()
-            && !self.is_reachable().await
-            && Box::pin(reach::confirm_cut_off(&self.shared)).await
+    async fn lost_with_all_upstreams(&mut self) -> bool {
+        let Some(source) = &self.source else { return false };
+        let connected = probe::connect(&self.shared, source.reservation.target.address).await;
+        !self.is_reachable(connected) && Box::pin(reach::confirm_cut_off(&self.shared)).await
     }
 
     /// Closes the stream that has ended, and resumes it from a copy of its KV cache.
@@ -183,7 +184,7 @@
         reservation.record_first_event();
         reservation.record_progress(&self.call.requirements, self.progress.relayed);
         let UpstreamResponse { body, connection, .. } = response;
-        self.source = Some(Source { body, connection, reservation });
+        self.source = Some(Source { body, connection, reservation, probe: Probe::default() });
         self.start_move();
         Ok(())
     }
