Count a run of unknown outcome at another gateway

Callers would see: nothing but truncated streams.

Cause: a gateway that took a stream over and failed to continue it replied "not taken", though an engine may have run the request. The first gateway then asked the next one, without an attempt or a retry counted, and again at the next interruption.

Evidence: a stream whose engines reset each continued run, two other gateways, two attempts allowed: 5 runs on.

Change: "not taken" says that nothing was sent to an engine. Otherwise the other gateway ends the reply without a head, which the first one takes for an unknown outcome: the run counts, and no further gateway is asked.

--- a/components/gateway/src/moves/mod.rs
+++ b/components/gateway/src/moves/mod.rs
@@ -300,6 +300,15 @@
     None
 }
 
+/// Why a generation cannot go on from a copy of its KV cache.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum NotCopied {
+    /// No engine has received a command that could stop it.
+    NotStopped,
+    /// It may have been stopped.
+    MayBeStopped,
+}
+
 /// Stops a generation that another gateway no longer reaches, and copies its KV cache to an
 /// engine on which it can resume.
 pub(crate) async fn stop_and_copy(
@@ -307,7 +316,7 @@
     call: &Call,
     source: &Target,
     events: u64,
-) -> Option<CacheCopy> {
+) -> Result<CacheCopy, NotCopied> {
     let excluded: Excluded = [source.id.clone()].into_iter().collect();
     let started = Instant::now();
     let reservation = loop {
@@ -316,18 +325,23 @@
             Err(_) if started.elapsed() < COPY_TIMEOUT => sleep(RETRY_DELAY).await,
             Err(error) => {
                 log::info!(request = call.head.id.as_str(), upstream = source.id.as_str(), error:? = error; "no engine for a generation out of reach of another gateway");
-                return None;
+                return Err(NotCopied::NotStopped);
             }
         }
     };
     match send_stop(shared, call, source, reservation.target.address).await {
         StopResult::Copied(handle) => {
             let cache = KvCacheRef { source: source.address, handle };
-            Some(CacheCopy { reservation, cache })
+            Ok(CacheCopy { reservation, cache })
         }
         result => {
-            log::info!(request = call.head.id.as_str(), upstream = source.id.as_str(), result:? = result; "generation out of reach of another gateway not stopped");
-            None
+            log::info!(request = call.head.id.as_str(), upstream = source.id.as_str(), result:? = result; "generation out of reach of another gateway not copied");
+            Err(match result {
+                StopResult::NotRunning | StopResult::Unreachable => NotCopied::NotStopped,
+                StopResult::Copied(_) | StopResult::Kept | StopResult::Failed => {
+                    NotCopied::MayBeStopped
+                }
+            })
         }
     }
 }
--- a/components/gateway/src/peer/client.rs
+++ b/components/gateway/src/peer/client.rs
@@ -77,6 +77,16 @@
     Forwarded::Responded(Response::from_parts(head, buffered_body(bytes, memory)), vm)
 }
 
+/// What became of a stream that other gateways were to continue.
+pub(crate) enum Continued {
+    /// The rest of the stream.
+    Stream(PeerBody),
+    /// The outcome is unknown: the generation may have been stopped, or may run again.
+    Unknown,
+    /// No gateway took the stream.
+    NotTaken,
+}
+
 /// Has another gateway continue a stream that has begun here; `source` is the engine that still
 /// runs it, if it may not run again.
 pub(crate) async fn continue_stream(
@@ -86,12 +96,13 @@
     source: Option<Target>,
     (last_event_id, events): (Option<u64>, u64),
     origin: &Origin,
-) -> Option<PeerBody> {
+) -> Continued {
     let begun = Begun { last_event_id, events, source };
     let message = || to_request(call, attempts, Some((&begun, origin)));
     match send(shared, call, message).await {
-        Sent::Responded(head, body) if head.status.is_success() => Some(body),
-        Sent::Responded(..) | Sent::Lost | Sent::NotTaken => None,
+        Sent::Responded(head, body) if head.status.is_success() => Continued::Stream(body),
+        Sent::Responded(..) | Sent::Lost => Continued::Unknown,
+        Sent::NotTaken => Continued::NotTaken,
     }
 }
 
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -9,7 +9,9 @@
 mod message;
 mod server;
 
-pub(crate) use client::{Forwarded, PeerBody, PeerPart, continue_stream, forward, is_preferred};
+pub(crate) use client::{
+    Continued, Forwarded, PeerBody, PeerPart, continue_stream, forward, is_preferred,
+};
 pub(crate) use known::Peers;
 pub(crate) use message::Begun;
 pub(crate) use server::{PeerService, serve_calls};
--- a/components/gateway/src/peer/server.rs
+++ b/components/gateway/src/peer/server.rs
@@ -18,7 +18,7 @@
 use crate::answer::Body;
 use crate::attempts::Attempts;
 use crate::forward;
-use crate::relay;
+use crate::relay::{self, TakeOverError};
 use crate::shared::Shared;
 
 /// Calls of other gateways that are served at once; further ones are not taken.
@@ -103,11 +103,15 @@
         }
     };
     match response {
-        Some(response) => write_response(&call, response, &mut replies).await,
-        None => {
+        Ok(response) => write_response(&call, response, &mut replies).await,
+        Err(TakeOverError::NotSent) => {
             let reason = "the stream cannot continue".to_string();
             send(&mut replies, forward_reply::Body::NotTaken(reason)).await;
         }
+        // A reply without a head says that the outcome is unknown.
+        Err(TakeOverError::Unknown) => {
+            log::info!(request = call.head.id.as_str(), peer = peer.name.as_str(); "stream of another gateway not continued");
+        }
     }
 }
 
@@ -116,12 +120,12 @@
     call: &Rc<Call>,
     attempts: Attempts,
     begun: Option<Begun>,
-) -> Option<Response<Body>> {
+) -> Result<Response<Body>, TakeOverError> {
     let in_flight = shared.track_in_flight();
     match begun {
         None => {
             let serving = forward::dispatch(shared, call.clone(), attempts, in_flight);
-            Some(forward::answer_within_grace(shared, call.arrived, serving).await)
+            Ok(forward::answer_within_grace(shared, call.arrived, serving).await)
         }
         Some(begun) => relay::take_over(shared, call, begun, attempts.runs, in_flight).await,
     }
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -38,7 +38,7 @@
 use crate::timing::elapsed_ms;
 use probe::Probe;
 
-pub(crate) use peers::{start_from_peer, take_over};
+pub(crate) use peers::{TakeOverError, start_from_peer, take_over};
 
 /// Time without an event after which the engine is probed for reachability:
 /// several times the gap between events that callers count as late.
--- a/components/gateway/src/relay/peers.rs
+++ b/components/gateway/src/relay/peers.rs
@@ -11,8 +11,8 @@
 use crate::answer::Body;
 use crate::attempts::Attempts;
 use crate::eligibility::Excluded;
-use crate::moves;
-use crate::peer::{self, Begun, PeerBody};
+use crate::moves::{self, NotCopied};
+use crate::peer::{self, Begun, Continued, PeerBody};
 use crate::shared::{InFlightGuard, Shared};
 
 /// Starts to relay a stream that another gateway relays from its engine.
@@ -30,27 +30,40 @@
     Response::from_parts(head, relay.into_body())
 }
 
-/// Continues a stream that began at another gateway; `None` if that is not possible.
+/// Why a stream of another gateway does not go on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum TakeOverError {
+    /// Nothing was sent to any engine.
+    NotSent,
+    /// Its generation may have been stopped, or an engine may have run the request again.
+    Unknown,
+}
+
+/// Continues a stream that began at another gateway.
 pub(crate) async fn take_over(
     shared: &Rc<Shared>,
     call: &Rc<Call>,
     begun: Begun,
     runs: u32,
     in_flight: InFlightGuard,
-) -> Option<Response<Body>> {
-    let origin = call.origin.clone()?;
+) -> Result<Response<Body>, TakeOverError> {
+    let origin = call.origin.clone().ok_or(TakeOverError::NotSent)?;
     let mut relay = Relay::new(shared, call, origin, runs, Some(in_flight));
     relay.progress.last_event_id = begun.last_event_id;
     relay.progress.relayed = begun.events;
     let resumed = match &begun.source {
         Some(source) => {
-            let copy = moves::stop_and_copy(shared, call, source, begun.events).await?;
+            let copied = moves::stop_and_copy(shared, call, source, begun.events).await;
+            let copy = copied.map_err(|reason| match reason {
+                NotCopied::NotStopped => TakeOverError::NotSent,
+                NotCopied::MayBeStopped => TakeOverError::Unknown,
+            })?;
             relay.resume_from_copy(copy, source).await
         }
         None => relay.run_again(None).await,
     };
-    resumed.ok()?;
-    Some(Response::new(relay.into_body()))
+    resumed.map_err(|_| TakeOverError::Unknown)?;
+    Ok(Response::new(relay.into_body()))
 }
 
 impl Relay {
@@ -82,7 +95,14 @@
             progress,
             &self.origin,
         );
-        let Some(body) = continued.await else { return false };
+        let body = match continued.await {
+            Continued::Stream(body) => body,
+            Continued::NotTaken => return false,
+            Continued::Unknown => {
+                self.runs = runs;
+                return false;
+            }
+        };
         let upstream = target.as_ref().map_or("", |target| target.id.as_str());
         log::info!(request = self.call.head.id.as_str(), upstream, peer = body.vm().as_str(), events = self.progress.relayed; "stream continued through another gateway");
         self.runs = runs;
