Truncate streams that another gateway may have stopped

Cause: another gateway stops the generation to copy its KV cache. If it then cannot continue the stream, the first gateway goes on reading from the engine. An engine ends the stream of a generation that it stopped like one that is complete, and the first gateway knows of no move.

Change: after an unknown outcome of such a command, the end of the stream from the engine truncates the response. Events are relayed until then.

--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -70,6 +70,9 @@
     heard_at: Instant,
     /// No gateway continued the stream when upstreams came out of reach.
     peers_refused: bool,
+    /// Another gateway may have stopped the generation: the end of the source's stream does not
+    /// show that it is complete.
+    may_be_stopped: bool,
     /// Where the stream began, and so may go on.
     origin: Origin,
     events: EventSplitter,
@@ -177,6 +180,7 @@
             peer: None,
             heard_at: now,
             peers_refused: false,
+            may_be_stopped: false,
             events: EventSplitter::default(),
             progress: StreamProgress::new(call.head.last_event_id),
             probe_at: now + PROBE_AFTER,
@@ -244,6 +248,11 @@
                             return Some(Err(truncated));
                         }
                     }
+                    None if self.may_be_stopped => {
+                        self.log_end("stopped by another gateway");
+                        self.source = None;
+                        return Some(Err(ResponseTruncated));
+                    }
                     None => match self.find_broken_end() {
                         Some(error) => {
                             if let Err(truncated) = self.interrupt(error).await {
--- a/components/gateway/src/relay/peers.rs
+++ b/components/gateway/src/relay/peers.rs
@@ -100,6 +100,7 @@
             Continued::NotTaken => return false,
             Continued::Unknown => {
                 self.runs = runs;
+                self.may_be_stopped |= may_move;
                 return false;
             }
         };
