Probe an upstream of each service before a gateway counts as cut off

Callers would see 503 ("upstreams out of reach") from a service that is up, while a larger one is down everywhere.

Cause: the round of probes that tells a partition from a failure drew four upstreams at random. Where most upstreams are of one service, all four often are, and none answers.

Evidence: 24 upstreams that refuse connections beside a healthy engine: requests to the engine got 503 on.

Change: each round probes one upstream of each service, and others up to four. One service that answers is enough to be connected.

Measured: failure_of_a_large_service_is_no_partition failed on and passes; partitioned passes.

--- a/components/gateway/src/reach.rs
+++ b/components/gateway/src/reach.rs
@@ -1,11 +1,12 @@
 //! Detects that this gateway reaches no upstream, by probes from several sides.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures::future::join_all;
 use lineage::Origin;
-use rand::seq::IndexedRandom as _;
+use rand::seq::SliceRandom as _;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -15,7 +16,8 @@
 
 /// Interval at which the evidence is looked at.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Upstreams in one round of probes.
+/// Upstreams in one round of probes, of which one is of each service; more if there are more
+/// services.
 const PROBES: usize = 4;
 /// Fewest upstreams that tell a failure of some from a partition of this gateway.
 const MIN_PROBES: usize = 2;
@@ -95,9 +97,15 @@
 
 fn probe_targets(shared: &Shared) -> Vec<Target> {
     let registry = shared.registry.borrow();
-    let ready: Vec<_> = registry.iter().filter(|upstream| upstream.accepts_requests()).collect();
-    let chosen = ready.sample(&mut rand::rng(), PROBES);
-    let to_target = |upstream: &&registry::KnownUpstream| Target {
+    let mut ready: Vec<_> =
+        registry.iter().filter(|upstream| upstream.accepts_requests()).collect();
+    ready.shuffle(&mut rand::rng());
+    // A large service that is down must not be taken for all of them.
+    let mut services = HashSet::new();
+    let (mut chosen, others): (Vec<_>, Vec<_>) =
+        ready.into_iter().partition(|upstream| services.insert(&upstream.record.service));
+    chosen.extend(others.into_iter().take(PROBES.saturating_sub(chosen.len())));
+    let to_target = |upstream: &registry::KnownUpstream| Target {
         id: upstream.record.id.as_str().into(),
         origin: Origin {
             service: upstream.record.service.as_str().into(),
@@ -106,5 +114,5 @@
         address: upstream.address,
         born_ms: upstream.record.born_ms,
     };
-    chosen.map(to_target).collect()
+    chosen.into_iter().map(to_target).collect()
 }
