End a partition where one upstream is left to be probed

Callers would be served through other gateways for ever, or refused with 503 where there is none, though their gateway reaches the upstream.

Cause: a round of probes of fewer than two upstreams is not recorded. A gateway that is cut off, and whose other upstreams leave meanwhile, never records a round that would end that state.

Evidence: two upstreams, the links cut, one upstream draining, the links healed: shallottray_gateway_cut_off stayed 1 for the 5 s that the test waits on.

Change: two upstreams are needed to begin the state, one to end it.

Measured: gateway_with_one_upstream_left_recovers_from_a_partition failed on and passes; partitioned passes.

--- a/components/gateway/src/reach.rs
+++ b/components/gateway/src/reach.rs
@@ -19,7 +19,7 @@
 /// Upstreams in one round of probes, of which one is of each service; more if there are more
 /// services.
 const PROBES: usize = 4;
-/// Fewest upstreams that tell a failure of some from a partition of this gateway.
+/// Fewest upstreams that tell a failure of some from the start of a partition of this gateway.
 const MIN_PROBES: usize = 2;
 /// Wait for a sign of life of any upstream before some are probed, and the interval at which it
 /// is looked for.
@@ -68,7 +68,9 @@
 /// Connects to some upstreams of all services and records whether any is reached.
 async fn probe(shared: &Shared) {
     let targets = probe_targets(shared);
-    if targets.len() < MIN_PROBES {
+    // One that is reached is enough to end a partition.
+    let fewest = if shared.is_cut_off() { 1 } else { MIN_PROBES };
+    if targets.len() < fewest {
         return;
     }
     let limit = Duration::from_millis(shared.config.timers.connect_timeout_ms);
