Keep requests in flight once a partition has ended

Callers would see 502, or a second run of their request, after their gateway was cut off for less than 400 ms. Requests that may be repeated were abandoned though their upstream was in reach again; each cost a retry.

Cause: a request waits for the state "cut off" and then for the end of 400 ms without data. Whether the state still held was not looked at.

Evidence: the wait ended 400 ms after the request was sent though the state had ended before.

Measured: partition_that_has_ended_breaks_no_request failed with the code before (moved to a function of its own) and passes; the unit tests of gateway and platform/tests/partitioned.rs pass.

--- a/components/gateway/src/reach.rs
+++ b/components/gateway/src/reach.rs
@@ -58,11 +58,15 @@
 /// Waits until upstreams are out of reach and a stream had no data for [`QUIET_LIMIT`] since
 /// `heard`.
 pub(crate) async fn broken_by_cut(cut_off: &mut watch::Receiver<bool>, heard: Instant) {
-    // Fails only once the gateway has stopped.
-    if cut_off.wait_for(|cut_off| *cut_off).await.is_err() {
-        std::future::pending::<()>().await;
+    // Waiting fails only once the sender is gone.
+    while cut_off.wait_for(|cut_off| *cut_off).await.is_ok() {
+        tokio::select! {
+            biased;
+            Ok(_) = cut_off.wait_for(|cut_off| !*cut_off) => {}
+            () = sleep_until(heard + QUIET_LIMIT) => return,
+        }
     }
-    sleep_until(heard + QUIET_LIMIT).await;
+    std::future::pending().await
 }
 
 /// Connects to some upstreams of all services and records whether any is reached.
@@ -118,3 +122,7 @@
     };
     chosen.into_iter().map(to_target).collect()
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/broken_by_cut.rs"]
+mod tests;
