Deliver replies to other gateways before a gateway stops

Callers would see 502 for a request that ran once and was answered, where the gateway that serves it for theirs stops as planned.

Cause: a gateway that stops waits for requests in flight, then closes its QUIC connections at once. A call of another gateway left that count when its response was ready, before it was sent.

Evidence: six answers of 900 kB that become ready after the drain period: 502 on.

Change: a reply is ended, and its call counted, until the other gateway has acknowledged all of it; the stop waits for these calls too, within the grace period.

--- a/components/gateway/src/peer/server.rs
+++ b/components/gateway/src/peer/server.rs
@@ -113,6 +113,8 @@
             log::info!(request = call.head.id.as_str(), peer = peer.name.as_str(); "stream of another gateway not continued");
         }
     }
+    // A gateway that stops closes its connections once no call is left.
+    replies.finish().await;
 }
 
 async fn respond(
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -101,10 +101,11 @@
         let grace_end = self.shared.grace_end().unwrap_or(started);
         sleep_until((started + DRAIN_ACCEPT_PERIOD).min(grace_end)).await;
         self.closing.send_replace(true);
-        while self.shared.in_flight() > 0 && Instant::now() < grace_end {
+        let is_serving = || self.shared.in_flight() > 0 || self.shared.peer_calls.get() > 0;
+        while is_serving() && Instant::now() < grace_end {
             sleep(DRAIN_POLL_INTERVAL).await;
         }
-        if self.shared.in_flight() > 0 {
+        if is_serving() {
             self.shared.ending.send_replace(true);
             sleep(ANSWER_DELAY).await;
         }
--- a/components/wire/src/replies.rs
+++ b/components/wire/src/replies.rs
@@ -40,6 +40,15 @@
         sent.map_err(|error| CallError::Lost(error.to_string()))
     }
 
+    /// Ends the reply and waits until the peer has all of it, or wants no more of it, or the
+    /// connection is lost.
+    pub async fn finish(mut self) {
+        // Fails only if the peer wants no more parts.
+        if self.send.finish().is_ok() {
+            self.cancelled().await;
+        }
+    }
+
     /// Waits until the peer wants no more parts, or the connection is lost.
     pub async fn cancelled(&self) {
         // Both outcomes mean that nobody reads the reply.
