Tell copies of restarted engines apart

A gateway refuses a handle that belongs to the copy of another request. The engine was known by its address only: one that starts again, and counts its handles anew, would have had a sound handle refused for as long as a stream of its earlier incarnation lasted. Found by review, by reading; no test failed before.

--- a/components/gateway/src/moves/commands.rs
+++ b/components/gateway/src/moves/commands.rs
@@ -73,7 +73,7 @@
         }
     };
     if let Ok(MoveResult::Copied(handle) | MoveResult::Kept(handle)) = &result
-        && !shared.copies.borrow_mut().claim(source.address, handle, &call.head.id)
+        && !shared.copies.borrow_mut().claim(source.incarnation(), handle, &call.head.id)
     {
         record_failure(shared, source, "handle of another generation");
         return Err(ExchangeError::ConnectionLost("handle of another generation".to_string()));
@@ -86,7 +86,7 @@
 
 /// Frees a copy through the engine that it was copied from.
 pub(super) async fn free(shared: &Shared, call: &Call, source: &Target, handle: &str) {
-    shared.copies.borrow_mut().release(source.address, handle);
+    shared.copies.borrow_mut().release(source.incarnation(), handle);
     let request = shared.dialect.free_copy_request(handle);
     log::info!(request = call.head.id.as_str(), upstream = source.id.as_str(), handle; "freeing the copy of a KV cache");
     let until = Instant::now() + COPY_TIMEOUT;
--- a/components/gateway/src/state/copies.rs
+++ b/components/gateway/src/state/copies.rs
@@ -1,26 +1,28 @@
 //! Handles of the copies of KV caches that this gateway knows of.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 
 use compact_str::CompactString;
 
+/// Engine by its id and the start time of its incarnation, in Unix milliseconds.
+type Incarnation = (CompactString, u64);
+
 /// Which request's KV cache the copies hold, by the engine that made them and their handle.
 #[derive(Debug, Default)]
 pub(crate) struct KnownCopies {
-    requests: HashMap<(SocketAddr, CompactString), CompactString>,
+    requests: HashMap<(Incarnation, CompactString), CompactString>,
 }
 
 impl KnownCopies {
     /// Records that an engine copied the KV cache of a request; `false` if the handle belongs
     /// to the copy of another request.
-    pub(crate) fn claim(&mut self, engine: SocketAddr, handle: &str, request: &str) -> bool {
+    pub(crate) fn claim(&mut self, engine: Incarnation, handle: &str, request: &str) -> bool {
         let owner = self.requests.entry((engine, handle.into())).or_insert_with(|| request.into());
         owner == request
     }
 
     /// Forgets one copy.
-    pub(crate) fn release(&mut self, engine: SocketAddr, handle: &str) {
+    pub(crate) fn release(&mut self, engine: Incarnation, handle: &str) {
         self.requests.remove(&(engine, handle.into()));
     }
 
--- a/components/gateway/src/target.rs
+++ b/components/gateway/src/target.rs
@@ -15,3 +15,10 @@
     /// Start time of the incarnation, in Unix milliseconds.
     pub(crate) born_ms: u64,
 }
+
+impl Target {
+    /// Returns the id and the start time, which no other incarnation has.
+    pub(crate) fn incarnation(&self) -> (CompactString, u64) {
+        (self.id.clone(), self.born_ms)
+    }
+}
