Keep a request in flight unless another gateway may take it

Callers of safe requests got 502 from a gateway whose new connections were refused, although the connection of their request lived on and its upstream answered.

Cause: a request that may be repeated was abandoned 400 ms after the gateway counted as cut off, whether or not another gateway could take it. Change: it is abandoned only once a control process names another gateway. What remains: with another gateway but no retry budget it still gets 502.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -26,7 +26,6 @@
 use crate::peer::{self, Forwarded};
 use crate::place::{ReserveError, wait_for_slot};
 use crate::quarantine;
-use crate::reach;
 use crate::relay;
 use crate::reservation::Reservation;
 use crate::shared::{InFlightGuard, Shared};
@@ -287,7 +286,7 @@
             log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(); "request withdrawn: upstreams crash under it");
             return Attempt::Withdrawn(reason);
         }
-        () = reach::broken_by_cut(&mut cut_off, Instant::now()), if call.may_repeat() => {
+        () = peer::wait_for_better_place(shared, &mut cut_off), if call.may_repeat() => {
             log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(); "request abandoned: upstreams out of reach");
             return Attempt::Lost("upstreams out of reach");
         }
--- a/components/gateway/src/peer/client.rs
+++ b/components/gateway/src/peer/client.rs
@@ -9,7 +9,8 @@
 use lineage::Origin;
 use rand::RngExt as _;
 use schema::{ForwardRequest, Request, forward_reply, request};
-use tokio::time::timeout_at;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout_at};
 use wire::{CallError, ReplyParts};
 
 use super::known::{Asked, PeerUse};
@@ -17,6 +18,7 @@
 use crate::accept::Call;
 use crate::answer::{Body, buffered_body};
 use crate::attempts::Attempts;
+use crate::reach;
 use crate::relay;
 use crate::shared::{InFlightGuard, Shared};
 use crate::state::BufferUse;
@@ -24,6 +26,8 @@
 
 /// Longest wait for a connection to another gateway.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Interval at which a request in flight looks for another gateway.
+const PEER_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Gateways that are asked to take one call.
 const MAX_ASKED: usize = 3;
 /// Unreachable upstreams after which a call is handed to another gateway.
@@ -50,6 +54,19 @@
     attempts.unreachable() >= MAX_UNREACHABLE || rand::rng().random::<f64>() >= share
 }
 
+/// Waits until upstreams are out of reach, so that a request that was just sent to one gets no
+/// response, and another gateway may take it.
+pub(crate) async fn wait_for_better_place(shared: &Shared, cut_off: &mut watch::Receiver<bool>) {
+    let sent = Instant::now();
+    loop {
+        reach::broken_by_cut(cut_off, sent).await;
+        if shared.peers.choose(shared, &Asked::new()).await.is_some() {
+            return;
+        }
+        sleep(PEER_POLL_INTERVAL).await;
+    }
+}
+
 /// Hands a call to another gateway and waits for the head of the response, and for all of it
 /// unless it is a stream.
 pub(crate) async fn forward(
--- a/components/gateway/src/peer/mod.rs
+++ b/components/gateway/src/peer/mod.rs
@@ -11,6 +11,7 @@
 
 pub(crate) use client::{
     Continued, Forwarded, PeerBody, PeerPart, continue_stream, forward, is_preferred,
+    wait_for_better_place,
 };
 pub(crate) use known::Peers;
 pub(crate) use message::Begun;
