Limit what a gateway reads from peers

Gateways take calls of other gateways since they hand requests over. Any peer that completed a handshake could have had 256 MiB read for each of 512 streams before its role was checked.

Found by review, by reading. A handler now names the largest request that is read from a peer: 32 MiB from a gateway, nothing from others; the stream of a larger one is reset. The test is new code's (wire, requests_beyond_the_limit_of_a_peer_are_not_read).

--- a/components/gateway/src/peer/server.rs
+++ b/components/gateway/src/peer/server.rs
@@ -24,6 +24,9 @@
 /// Calls of other gateways that are served at once; further ones are not taken.
 const MAX_CALLS: u32 = 512;
 
+/// Largest call of another gateway, with its body.
+const MAX_CALL_BYTES: usize = 32 << 20;
+
 /// Call as another gateway handed it on.
 pub(crate) struct IncomingCall {
     peer: Identity,
@@ -45,6 +48,10 @@
 }
 
 impl wire::Handler for PeerService {
+    fn max_request_bytes(&self, peer: &Identity) -> usize {
+        if peer.role == Role::Entry { MAX_CALL_BYTES } else { 0 }
+    }
+
     fn handle(&self, peer: Identity, _: Request) -> BoxFuture<'static, Reply> {
         log::warn!(peer = peer.to_string().as_str(); "request refused: gateways only take calls of gateways");
         let reply = error_reply(ErrorCode::Forbidden, "gateways only take calls of gateways");
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -6,7 +6,7 @@
 use credentials::Identity;
 use futures::future::BoxFuture;
 use prost::Message as _;
-use quinn::{Connection, RecvStream, SendStream};
+use quinn::{Connection, ReadToEndError, RecvStream, SendStream, VarInt};
 use rustls::pki_types::CertificateDer;
 use schema::{
     ConsensusMessage, ErrorCode, ErrorReply, ForwardReply, ForwardRequest, Reply, Request,
@@ -21,6 +21,12 @@
     /// Handles a request and returns its reply.
     fn handle(&self, peer: Identity, request: Request) -> BoxFuture<'static, Reply>;
 
+    /// Returns the largest request that is read from a peer.
+    fn max_request_bytes(&self, peer: &Identity) -> usize {
+        let _ = peer;
+        MAX_MESSAGE_BYTES
+    }
+
     /// Handles a request that another gateway forwards; by default it is not taken.
     fn handle_forward(
         &self,
@@ -61,6 +67,8 @@
 /// Size of large replies that may be encoded and not acknowledged at once, for all
 /// connections.
 const REPLY_BUDGET_BYTES: usize = 16 << 20;
+/// Error code of a stream whose request is too large.
+const TOO_LARGE: VarInt = VarInt::from_u32(2);
 /// Replies up to this size do not wait for the budget, so that bulk transfers do not delay
 /// them.
 const SMALL_REPLY_BYTES: usize = 16 << 10;
@@ -115,7 +123,20 @@
     handler: Arc<impl Handler>,
     budget: Arc<Semaphore>,
 ) {
-    let Ok(bytes) = receive.read_to_end(MAX_MESSAGE_BYTES).await else { return };
+    let limit_bytes = handler.max_request_bytes(&peer);
+    let bytes = match receive.read_to_end(limit_bytes).await {
+        Ok(bytes) => bytes,
+        Err(ReadToEndError::TooLong) => {
+            log::warn!(peer = peer.to_string().as_str(), limit_bytes; "request of a peer is too large");
+            // Fails only if the peer has closed the stream.
+            let _ = send.reset(TOO_LARGE);
+            return;
+        }
+        Err(error @ ReadToEndError::Read(_)) => {
+            log::debug!(peer = peer.to_string().as_str(), error = error.to_string().as_str(); "request of a peer not received");
+            return;
+        }
+    };
     traffic::count_received(bytes.len());
     let reply = match Request::decode(Bytes::from(bytes)) {
         Ok(Request { traceparent, body: Some(request::Body::Forward(forward)) }) => {
--- a/components/wire/tests/authentication.rs
+++ b/components/wire/tests/authentication.rs
@@ -21,6 +21,19 @@
     }
 }
 
+/// Reads requests of up to 64 bytes from entries, and none from others.
+struct SmallRequests;
+
+impl Handler for SmallRequests {
+    fn max_request_bytes(&self, peer: &Identity) -> usize {
+        if peer.role == Role::Entry { 64 } else { 0 }
+    }
+
+    fn handle(&self, _: Identity, _: Request) -> BoxFuture<'static, Reply> {
+        async { Reply { body: Some(reply::Body::Empty(Empty {})) } }.boxed()
+    }
+}
+
 fn issue_tls(folder: &Path, role: Role, name: &str) -> TlsConfigs {
     let identity = Identity { role, name: name.parse().expect("a valid name") };
     let (certificate, key) =
@@ -66,6 +79,27 @@
     assert!(matches!(reply, Ok(reply::Body::Empty(_))), "{reply:?}");
 }
 
+/// Guards against memory that a peer fills which may not send requests, or sends large ones.
+#[actix_rt::test]
+async fn requests_beyond_the_limit_of_a_peer_are_not_read() {
+    let ca = new_ca();
+    let server = bind(&issue_tls(ca.path(), Role::Control, "c-1"));
+    let address = server.local_address().expect("a bound address");
+    let serving = server.clone();
+    actix_rt::spawn(async move { serving.serve(SmallRequests).await });
+    let entry = bind(&issue_tls(ca.path(), Role::Entry, "e-1"));
+    let operator = bind(&issue_tls(ca.path(), Role::Operator, "o-1"));
+    let large = Request { traceparent: "0".repeat(100), ..status_request() };
+
+    let small = entry.link(address, Role::Control).call(status_request(), CALL_TIMEOUT).await;
+    let large = entry.link(address, Role::Control).call(large, CALL_TIMEOUT).await;
+    let other = operator.link(address, Role::Control).call(status_request(), CALL_TIMEOUT).await;
+
+    assert!(matches!(small, Ok(reply::Body::Empty(_))), "{small:?}");
+    assert!(matches!(large, Err(CallError::Lost(_))), "{large:?}");
+    assert!(matches!(other, Err(CallError::Lost(_))), "{other:?}");
+}
+
 #[actix_rt::test]
 async fn server_with_unexpected_role_is_rejected() {
     let ca = new_ca();
