--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -46,7 +46,7 @@
 /// have the complete registry encoded for each of them.
 const MAX_REPLY_UPSTREAMS: usize = 256;
 
-/// Most gateways that one gateway is told of to hand requests to.
+/// Most gateways in a reply to one that looks for others to hand requests to.
 const MAX_PEERS: usize = 8;
 
 /// Interval at which limits are checked for their end.
--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -79,7 +79,7 @@
 }
 
 impl IdSteps {
-    /// Returns the steps of a stream that goes on with the event `id` after `last`.
+    /// Returns the steps of a stream that continues with the event `id` after `last`.
     fn and(self, last: u64, id: u64) -> Self {
         match (self, id.checked_sub(last)) {
             (IdSteps::Unknown | IdSteps::Consecutive, Some(1)) => IdSteps::Consecutive,
@@ -139,12 +139,12 @@
         EventKind::New(gap)
     }
 
-    /// Returns whether an engine can be told after which event it has to go on.
+    /// Returns whether a request can name the event after which an engine has to continue.
     pub(crate) fn is_resumable(&self) -> bool {
         self.is_identified
     }
 
-    /// Returns whether a run that goes on after the last event may begin with an event with
+    /// Returns whether a run that continues after the last event may begin with an event with
     /// this id. Ids increase; a gap counts only in a stream that had none before.
     pub(crate) fn may_go_on_with(&self, id: Option<u64>) -> bool {
         match (self.last_event_id, id, self.id_steps) {
--- a/components/gateway/src/reach.rs
+++ b/components/gateway/src/reach.rs
@@ -14,15 +14,15 @@
 use crate::shared::Shared;
 use crate::target::Target;
 
-/// Interval at which the evidence is looked at.
+/// Interval at which the evidence is evaluated.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Upstreams in one round of probes, of which one is of each service; more if there are more
 /// services.
 const PROBES: usize = 4;
-/// Fewest upstreams that tell a failure of some from the start of a partition of this gateway.
+/// Fewest upstreams whose failure counts as a partition of this gateway.
 const MIN_PROBES: usize = 2;
 /// Wait for a sign of life of any upstream before some are probed, and the interval at which it
-/// is looked for.
+/// is checked.
 const SIGN_OF_LIFE_WAIT: Duration = Duration::from_millis(100);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time without data after which a stream counts as broken while upstreams are out of reach.
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -79,7 +79,7 @@
     progress: StreamProgress,
     /// When the engine of a stalled stream is probed next.
     probe_at: Instant,
-    /// The engine was told to go on after an event; its first event is pending.
+    /// The engine has to continue after an event; its first event is pending.
     resumed: bool,
     /// Engines that may have run the request.
     runs: u32,
@@ -323,7 +323,7 @@
     }
 
     /// Returns the event unless the caller already has it. Until the first event of a resumed
-    /// run shows that it goes on with the stream, nothing of it is returned.
+    /// run shows that it continues the stream, nothing of it is returned.
     fn accept_event(&mut self, event: Bytes) -> Result<Option<Bytes>, Discontinuity> {
         let id = self.shared.dialect.event_id(&event);
         let resumed = self.resumed;
--- a/components/gateway/src/state/copies.rs
+++ b/components/gateway/src/state/copies.rs
@@ -1,4 +1,4 @@
-//! Handles of the copies of KV caches that this gateway knows of.
+//! Handles of the copies of KV caches that this gateway ordered.
 
 use std::collections::HashMap;
 
