Box the look-up of other gateways beside a request in flight

Each connection of a caller reserves memory for the largest future of a request, and this one is rarely needed. The rest of the growth is not traced.

--- a/components/gateway/src/peer/client.rs
+++ b/components/gateway/src/peer/client.rs
@@ -60,7 +60,8 @@
     let sent = Instant::now();
     loop {
         reach::broken_by_cut(cut_off, sent).await;
-        if shared.peers.choose(shared, &Asked::new()).await.is_some() {
+        // Boxed, as each connection of a caller reserves memory for all futures of a request.
+        if Box::pin(shared.peers.choose(shared, &Asked::new())).await.is_some() {
             return;
         }
         sleep(PEER_POLL_INTERVAL).await;
