Log and count the end of each stream with its cause

The users' record of truncated streams has no line that tells whether the engine, the caller, a peer or the gateway ended them, in which state of a move, and after which set of routes. Two paths ended a stream without any line: a generation that was left for a copy which did not arrive, and the relay's end at the close of the grace period counted as the caller's.

Each relay now writes one line and counts one outcome, from a closed set that also names who ended the stream; shallottray_gateway_streams_ended_total has the counts. moves, ended_runs, streams, broken_streams and partitioned pass.

--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -94,6 +94,8 @@
     pub(crate) last_event_id: Option<u64>,
     /// New events so far.
     pub(crate) relayed: u64,
+    /// Bytes received so far.
+    pub(crate) bytes: u64,
     /// Bytes of comments, blank and repeated events since the last new event.
     pub(crate) bytes_without_event: usize,
     pub(crate) last_event_at: Instant,
@@ -108,6 +110,7 @@
         StreamProgress {
             last_event_id,
             relayed: 0,
+            bytes: 0,
             bytes_without_event: 0,
             last_event_at: Instant::now(),
             longest_pause: Duration::ZERO,
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -16,6 +16,8 @@
     pub(crate) connections_opened: IntCounterVec,
     /// Moves of generations to other engines, by outcome.
     pub(crate) moves: IntCounterVec,
+    /// Streams that have ended, by cause.
+    pub(crate) streams_ended: IntCounterVec,
     /// Requests rejected because they, or a part of their prompt, are quarantined.
     pub(crate) quarantine_rejections: IntCounter,
     /// Streams that callers took up again, by what is known of their origin.
@@ -62,6 +64,7 @@
             requests: counter("requests_total", "Requests.", &["service", "outcome"])?,
             connections_opened: counter("connections_total", "Connections opened.", &["service"])?,
             moves: counter("moves_total", "Moves of generations.", &["outcome"])?,
+            streams_ended: counter("streams_ended_total", "Streams that ended.", &["outcome"])?,
             taken_up: counter("streams_taken_up_total", "Streams taken up again.", &["origin"])?,
             forwarded: counter("forwarded_total", "Requests handed on.", &["outcome"])?,
             cut_off: gauge("cut_off", "1 while upstreams are out of reach.")?,
--- a/components/gateway/src/moves/mod.rs
+++ b/components/gateway/src/moves/mod.rs
@@ -120,6 +120,17 @@
 }
 
 impl MoveState {
+    /// Returns the name of the state for log lines.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            MoveState::Idle => "none",
+            MoveState::Copying(..) => "copying",
+            MoveState::Copied(..) => "copied",
+            MoveState::Stopping(..) => "stopping",
+            MoveState::Stopped(_) => "stopped",
+        }
+    }
+
     /// Waits for the next event; never returns if none is to come.
     pub(crate) async fn next_event(&mut self) -> MoveEvent {
         match self {
--- a/components/gateway/src/relay/migration.rs
+++ b/components/gateway/src/relay/migration.rs
@@ -3,6 +3,7 @@
 use schema::RepeatKind;
 
 use super::Relay;
+use super::ending::StreamEnd;
 use crate::answer::ResponseTruncated;
 use crate::moves::{self, CacheCopy, MoveEvent, MoveState, StopResult};
 use crate::place::is_draining_or_gone;
@@ -64,7 +65,10 @@
         drop(source);
         match moves::take_copy(&self.shared, &self.call, &target, state, true).await {
             Some(copy) => self.resume_from_copy(copy, &target).await,
-            None => Err(ResponseTruncated),
+            None => {
+                self.record_end(StreamEnd::NotContinued, "no copy of the KV cache");
+                Err(ResponseTruncated)
+            }
         }
     }
 
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Relays event streams, and resumes them on another engine if theirs exits or
 //! fails.
 
+mod ending;
 mod migration;
 mod peers;
 mod probe;
@@ -35,7 +36,7 @@
 use crate::reach;
 use crate::reservation::Reservation;
 use crate::shared::{InFlightGuard, Shared};
-use crate::timing::elapsed_ms;
+use ending::StreamEnd;
 use probe::Probe;
 
 pub(crate) use peers::{TakeOverError, start_from_peer, take_over};
@@ -88,6 +89,8 @@
     departures: watch::Receiver<u64>,
     cut_off: watch::Receiver<bool>,
     move_state: MoveState,
+    /// The end of the stream is recorded.
+    ended: bool,
     _in_flight: Option<InFlightGuard>,
 }
 
@@ -154,10 +157,12 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        if self.source.is_some() || self.peer.is_some() {
-            self.discard_move();
-            self.log_end("caller left");
-        }
+        let is_grace_over = *self.shared.ending.borrow();
+        self.record_end(
+            if is_grace_over { StreamEnd::GraceOver } else { StreamEnd::CallerLeft },
+            "",
+        );
+        self.discard_move();
         self.shared.copies.borrow_mut().release_all(&self.call.head.id);
     }
 }
@@ -190,6 +195,7 @@
             departures: shared.departures.subscribe(),
             cut_off: shared.cut_off.subscribe(),
             move_state: MoveState::Idle,
+            ended: false,
             _in_flight: in_flight,
         }
     }
@@ -230,6 +236,7 @@
             match self.step().await {
                 Step::Data(bytes) => {
                     self.heard_at = Instant::now();
+                    self.progress.bytes += bytes.len() as u64;
                     if self.source.is_some() {
                         self.shared.reach.borrow_mut().record_heard(self.heard_at);
                     }
@@ -249,7 +256,7 @@
                         }
                     }
                     None if self.may_be_stopped => {
-                        self.log_end("stopped by another gateway");
+                        self.record_end(StreamEnd::StoppedByPeer, "");
                         self.source = None;
                         return Some(Err(ResponseTruncated));
                     }
@@ -282,7 +289,7 @@
                     }
                 }
                 Step::TimedOut => {
-                    self.log_end("timed out");
+                    self.record_end(StreamEnd::TimedOut, "");
                     self.discard_move();
                     self.source = None;
                     self.peer = None;
@@ -384,7 +391,7 @@
     async fn interrupt(&mut self, error: &str) -> Result<(), ResponseTruncated> {
         self.record_engine_failure("stream broken off");
         if !self.may_run_again().await {
-            self.log_end("engine crashed");
+            self.record_end(StreamEnd::BrokenOff, error);
             self.discard_move();
             self.source = None;
             return Err(ResponseTruncated);
@@ -421,7 +428,7 @@
     }
 
     fn complete(&mut self) -> Option<Bytes> {
-        self.log_end("complete");
+        self.record_end(StreamEnd::Complete, "");
         self.peer = None;
         if let Some(source) = self.source.take() {
             self.shared.return_connection(&source.reservation.target, source.connection);
@@ -435,10 +442,4 @@
         self.events.take_remainder();
         self.progress.bytes_without_event = 0;
     }
-
-    fn log_end(&self, outcome: &str) {
-        let source = self.source.as_ref();
-        let upstream = source.map_or("", |source| source.reservation.target.id.as_str());
-        log::info!(request = self.call.head.id.as_str(), upstream, outcome, events = self.progress.relayed, longest_pause_ms = self.progress.longest_pause.as_millis(), ran_ms = elapsed_ms(self.call.arrived); "stream ended");
-    }
 }
--- a/components/gateway/src/relay/peers.rs
+++ b/components/gateway/src/relay/peers.rs
@@ -49,6 +49,8 @@
 ) -> Result<Response<Body>, TakeOverError> {
     let origin = call.origin.clone().ok_or(TakeOverError::NotSent)?;
     let mut relay = Relay::new(shared, call, origin, runs, Some(in_flight));
+    // The gateway at which the stream began records its end if it does not go on here.
+    relay.ended = true;
     relay.progress.last_event_id = begun.last_event_id;
     relay.progress.relayed = begun.events;
     let resumed = match &begun.source {
@@ -63,6 +65,7 @@
         None => relay.run_again(None).await,
     };
     resumed.map_err(|_| TakeOverError::Unknown)?;
+    relay.ended = false;
     Ok(Response::new(relay.into_body()))
 }
 
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -3,6 +3,7 @@
 use compact_str::CompactString;
 use schema::RepeatKind;
 
+use super::ending::StreamEnd;
 use super::probe::{self, Probe};
 use super::{Relay, Source, is_event_stream};
 use crate::answer::ResponseTruncated;
@@ -54,7 +55,9 @@
         if self.lost_with_all_upstreams().await && Box::pin(self.continue_at_peer()).await {
             return Ok(());
         }
-        self.log_end(error);
+        let lost_by_peer = self.peer.is_some();
+        let end = if lost_by_peer { StreamEnd::LostByPeer } else { StreamEnd::NotContinued };
+        self.record_end(end, error);
         self.source = None;
         self.peer = None;
         Err(ResponseTruncated)
@@ -96,7 +99,7 @@
             Err(_) => moves::free_later(&self.shared, &self.call, source, cache.handle),
         }
         resumed.map_err(|_| {
-            self.log_end("engine did not go on");
+            self.record_end(StreamEnd::NotContinued, "copy of the KV cache not used");
             ResponseTruncated
         })
     }
@@ -112,7 +115,7 @@
         let mut excluded: Excluded = failed.into_iter().collect();
         for _ in 0..MAX_SENDS + MAX_UNREACHABLE {
             if let Err(refusal) = quarantine::admit(&self.shared, &self.call).await {
-                self.log_end(refusal.reason);
+                self.record_end(StreamEnd::Quarantined, refusal.reason);
                 return Err(ResponseTruncated);
             }
             let (call, origin) = (&self.call, Some(&self.origin));
@@ -120,10 +123,11 @@
             let reservation = match placed {
                 Ok(reservation) => reservation,
                 Err(reason) => {
-                    self.log_end(match reason {
-                        ReserveError::VersionGone => "the stream's version is gone",
-                        _ => "no place to go on",
-                    });
+                    let end = match reason {
+                        ReserveError::VersionGone => StreamEnd::VersionGone,
+                        _ => StreamEnd::NoPlace,
+                    };
+                    self.record_end(end, "");
                     return Err(ResponseTruncated);
                 }
             };
@@ -146,7 +150,7 @@
                 Err(ResumeError::NotRun | ResumeError::Failed) => break,
             }
         }
-        self.log_end("engine did not go on");
+        self.record_end(StreamEnd::NotContinued, "");
         Err(ResponseTruncated)
     }
 
