Try every way on before a stopped generation is given up

Callers saw streams that may not run twice cut in the middle while their engine left (LOST). The gateway stopped the generation there and knew one way on: the engine with the copy. If that one refused the request, was gone or broke the connection, the stream was truncated, although the first engine keeps the KV cache of a generation that it stopped and takes it back, and others have room. A stop that found no room for the rest of the cache (503 with a handle) was continued from the outdated copy only, and its handle thrown away. A lost response to the stop dropped the copy.

moves/ways.rs now says which engine is asked next: the one with the copy, the source under its last handle while it still takes requests, further copies. It is data without I/O; tests go through all orders of refusal, loss and success. relay/continuation.rs carries it out, within 2.5 s and the retry budget. An engine whose response was lost is told to stop the generation before another one is asked, so that none runs twice. A stop whose response was lost keeps the copy and is repeated. While no engine has room for the first copy, it is asked for until the engine is gone; before, once for 2.5 s. The new setting timers.upstream_drain_ms bounds the time in which a leaving engine may get a generation back. NotCopied is gone: StopAndCopy serves both callers.

--- a/components/gateway/src/limits.rs
+++ b/components/gateway/src/limits.rs
@@ -35,12 +35,14 @@
 
 /// Returns whether one of the upstreams names a limit or is brittle.
 pub(crate) fn any_limited(shared: &Shared, upstreams: &[OwnedCandidate]) -> bool {
+    upstreams.iter().any(|upstream| is_limited(shared, &upstream.id))
+}
+
+/// Returns whether an upstream names a limit or is brittle.
+pub(crate) fn is_limited(shared: &Shared, id: &str) -> bool {
     let now_ms = shared.now_ms();
     let limits = shared.limits.borrow();
-    let is_limited = |id: &str| {
-        limits.per_second(id, now_ms).is_some() || limits.max_rejections(id, now_ms).is_some()
-    };
-    upstreams.iter().any(|upstream| is_limited(&upstream.id))
+    limits.per_second(id, now_ms).is_some() || limits.max_rejections(id, now_ms).is_some()
 }
 
 /// Returns how many requests one of the upstreams may reject in a second; `None` if none of
--- a/components/gateway/src/moves/commands.rs
+++ b/components/gateway/src/moves/commands.rs
@@ -24,16 +24,18 @@
     /// There was nothing to stop: the generation ended, or is queued to
     /// recompute its prefill.
     NotRunning,
-    /// The generation is stopped, but its copy is not up to date.
-    Kept,
+    /// The generation is stopped, and its source keeps the KV cache; its copy is not up to date.
+    Kept(CompactString),
     /// The engine accepts no command.
     Unreachable,
-    /// The generation may still run.
-    Failed,
+    /// The engine refuses the command: the generation still runs.
+    Refused,
+    /// The generation may still run, or be stopped.
+    Unknown,
 }
 
 /// Tells an engine to stop a generation and to copy the rest of its KV cache.
-pub(super) async fn send_stop(
+pub(crate) async fn send_stop(
     shared: &Shared,
     call: &Call,
     source: &Target,
@@ -41,10 +43,11 @@
 ) -> StopResult {
     match send_move(shared, call, source, to, true).await {
         Ok(MoveResult::Copied(handle)) => StopResult::Copied(handle),
-        Ok(MoveResult::Kept(_)) => StopResult::Kept,
+        Ok(MoveResult::Kept(handle)) => StopResult::Kept(handle),
         Ok(MoveResult::NotRunning) => StopResult::NotRunning,
+        Ok(MoveResult::Failed) => StopResult::Refused,
         Err(ExchangeError::NotSent(_)) => StopResult::Unreachable,
-        Ok(MoveResult::Failed) | Err(_) => StopResult::Failed,
+        Err(ExchangeError::ConnectionLost(_) | ExchangeError::TimedOut) => StopResult::Unknown,
     }
 }
 
--- a/components/gateway/src/moves/mod.rs
+++ b/components/gateway/src/moves/mod.rs
@@ -4,9 +4,11 @@
 //! Shortly before the source exits, the generation is stopped there, the part
 //! of the cache that was added since is copied, and the generation resumes on
 //! the other engine. The first copy is also used if the source exits early. No generation
-//! goes on before its source was told to stop it.
+//! goes on before its source was told to stop it; if the other engine does not take it, the
+//! source, which keeps its KV cache, and further engines are asked in turn ([`Ways`]).
 
 mod commands;
+mod ways;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,15 +27,20 @@
 use crate::reservation::Reservation;
 use crate::shared::Shared;
 use crate::target::Target;
-use commands::{free, send_move, send_stop};
+use commands::{free, send_move};
 
-pub(crate) use commands::StopResult;
+pub(crate) use commands::{StopResult, send_stop};
+pub(crate) use ways::{Outcome, Way, Ways};
 
 /// Delay before the next attempt to reserve a slot for a copy and to make it.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 /// Timeout of one copy: enough for the whole KV cache of an engine over its
 /// link. Failed copies are retried for the same time.
 const COPY_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Pause after which a copy that failed for [`COPY_TIMEOUT`] is tried again.
+const COPY_PAUSE: Duration = Duration::from_millis(500);
+/// Delay before a stop command without a result is repeated.
+const STOP_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Longest wait for the result of a stop command after the stream ended.
 const STOP_RESULT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest wait for an engine to confirm that a generation has ended there, before it goes
@@ -55,6 +62,33 @@
     pub(crate) cache: KvCacheRef,
 }
 
+/// Generation that no longer runs at its source.
+#[derive(Debug)]
+pub(crate) struct StoppedGeneration {
+    pub(crate) copy: Option<CacheCopy>,
+    /// Handle of the KV cache that the source keeps, if it said that it stopped the generation.
+    pub(crate) kept: Option<CompactString>,
+    /// Result of the command to stop the generation, if it is to come.
+    pub(crate) ending: Option<PendingTask<StopResult>>,
+}
+
+impl StoppedGeneration {
+    fn from_copy(copy: CacheCopy) -> Self {
+        StoppedGeneration { copy: Some(copy), kept: None, ending: None }
+    }
+
+    /// The source has copied the rest of the KV cache under a new handle.
+    pub(crate) fn up_to_date(mut copy: CacheCopy, handle: CompactString) -> Self {
+        copy.cache.handle = handle.clone();
+        StoppedGeneration { copy: Some(copy), kept: Some(handle), ending: None }
+    }
+
+    /// The source has not copied the rest of the KV cache: an earlier copy may do.
+    pub(crate) fn kept(copy: Option<CacheCopy>, handle: CompactString) -> Self {
+        StoppedGeneration { copy, kept: Some(handle), ending: None }
+    }
+}
+
 /// Task whose result is pending; aborted on drop.
 #[derive(Debug)]
 pub(crate) struct PendingTask<T> {
@@ -107,8 +141,8 @@
     Copied(CacheCopy, StopPlan),
     /// The generation is being stopped and the rest of its KV cache copied.
     Stopping(CacheCopy, PendingTask<StopResult>),
-    /// The generation is stopped and its KV cache is copied.
-    Stopped(CacheCopy),
+    /// The generation is stopped.
+    Stopped(StoppedGeneration),
 }
 
 /// Event that advances a move.
@@ -141,22 +175,22 @@
                 MoveEvent::StopDue
             }
             MoveState::Stopping(_, result) => {
-                MoveEvent::Stopped(result.wait().await.unwrap_or(StopResult::Failed))
+                MoveEvent::Stopped(result.wait().await.unwrap_or(StopResult::Unknown))
             }
         }
     }
 }
 
-/// Returns the copy to resume from, once the generation is known to have ended at its source
-/// or the wait for that is over. If the stream ended normally (`interrupted` is false), it
-/// resumes only if the generation may have been stopped for the move.
-pub(crate) async fn take_copy(
+/// Returns the generation to go on with, once it is known to have ended at its source or the
+/// wait for that is over. If the stream ended normally (`interrupted` is false), it goes on only
+/// if the generation may have been stopped for the move.
+pub(crate) async fn take_stopped(
     shared: &Rc<Shared>,
     call: &Rc<Call>,
     source: &Target,
     state: MoveState,
     interrupted: bool,
-) -> Option<CacheCopy> {
+) -> Option<StoppedGeneration> {
     let (copy, sent, limit) = match state {
         MoveState::Idle | MoveState::Copying(..) => return None,
         MoveState::Copied(..) if !interrupted => {
@@ -164,52 +198,58 @@
             return None;
         }
         MoveState::Copied(copy, _) => (copy, None, END_CONFIRM_TIMEOUT),
-        MoveState::Stopped(copy) => return Some(copy),
+        MoveState::Stopped(stopped) => return Some(stopped),
         MoveState::Stopping(copy, result) => (copy, Some(result), STOP_RESULT_TIMEOUT),
     };
-    resume_from_ended(shared, call, source, copy, sent, limit, interrupted).await
+    wait_until_ended(shared, call, source, copy, sent, limit, interrupted).await
 }
 
 /// Waits up to `limit` until the generation is known to have ended at its source. An engine
 /// need not drop a generation whose connection closes, so it is told to stop.
-async fn resume_from_ended(
+async fn wait_until_ended(
     shared: &Rc<Shared>,
     call: &Rc<Call>,
     source: &Target,
-    mut copy: CacheCopy,
+    copy: CacheCopy,
     sent: Option<PendingTask<StopResult>>,
     limit: Duration,
     interrupted: bool,
-) -> Option<CacheCopy> {
+) -> Option<StoppedGeneration> {
     let to = copy.reservation.target.address;
     let (ending_shared, ending_call, engine) = (shared.clone(), call.clone(), source.clone());
     let mut ending = PendingTask::spawn(async move {
         stop_until_known(&ending_shared, &ending_call, &engine, to, sent).await
     });
     match timeout(limit, ending.wait()).await {
-        Ok(Some(StopResult::Copied(handle))) => {
-            copy.cache.handle = handle;
-            Some(copy)
-        }
+        Ok(Some(StopResult::Copied(handle))) => Some(StoppedGeneration::up_to_date(copy, handle)),
+        Ok(Some(StopResult::Kept(handle))) => Some(StoppedGeneration::kept(Some(copy), handle)),
         Ok(Some(StopResult::NotRunning)) if !interrupted => {
             free_later(shared, call, source, copy.cache.handle);
             None
         }
-        Ok(_) => Some(copy),
+        Ok(_) => Some(StoppedGeneration::from_copy(copy)),
         Err(_) => {
             log::info!(request = call.head.id.as_str(), upstream = source.id.as_str(), limit_ms = limit.as_millis(); "going on before the engine confirmed that the generation has ended");
-            let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
-            actix_rt::spawn(async move {
-                // The rest of the cache has come after all.
-                if let Some(StopResult::Copied(handle)) = ending.wait().await {
-                    free(&shared, &call, &source, &handle).await;
-                }
-            });
-            Some(copy)
+            Some(StoppedGeneration { ending: Some(ending), ..StoppedGeneration::from_copy(copy) })
         }
     }
 }
 
+/// Frees the rest of the KV cache that a source copies although the generation has gone on.
+pub(crate) fn free_late_copy(
+    shared: &Rc<Shared>,
+    call: &Rc<Call>,
+    source: &Target,
+    mut ending: PendingTask<StopResult>,
+) {
+    let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
+    actix_rt::spawn(async move {
+        if let Some(StopResult::Copied(handle)) = ending.wait().await {
+            free(&shared, &call, &source, &handle).await;
+        }
+    });
+}
+
 /// Tells the engine to stop the generation until it says that it has, does not know the
 /// generation or accepts no connection; starts with the result of a command that was `sent`
 /// before.
@@ -222,14 +262,14 @@
 ) -> StopResult {
     let until = Instant::now() + COPY_TIMEOUT;
     let mut result = match sent {
-        Some(mut sent) => sent.wait().await.unwrap_or(StopResult::Failed),
+        Some(mut sent) => sent.wait().await.unwrap_or(StopResult::Unknown),
         None => send_stop(shared, call, source, to).await,
     };
-    while matches!(result, StopResult::Failed) && Instant::now() < until {
+    while matches!(result, StopResult::Refused | StopResult::Unknown) && Instant::now() < until {
         sleep(RETRY_DELAY).await;
         result = send_stop(shared, call, source, to).await;
     }
-    if matches!(result, StopResult::Failed) {
+    if matches!(result, StopResult::Refused | StopResult::Unknown) {
         log::warn!(request = call.head.id.as_str(), upstream = source.id.as_str(); "the engine did not confirm that the generation has ended");
     }
     result
@@ -246,10 +286,38 @@
     let copy_time = time_to_copy_all(shared, call, source);
     let at = Instant::now() + copy_time.min(MAX_STOP_DELAY);
     let plan = StopPlan { at, link_saturated: copy_time > MAX_STOP_DELAY };
+    MoveState::Copying(spawn_copy(shared, call, source, events, Duration::ZERO), plan)
+}
+
+/// The same after copies have failed for a while: no other engine had room.
+pub(crate) fn start_copy_again(
+    shared: &Rc<Shared>,
+    call: &Rc<Call>,
+    source: &Target,
+    events: u64,
+) -> MoveState {
+    let plan = StopPlan { at: Instant::now() + COPY_PAUSE, link_saturated: false };
+    MoveState::Copying(spawn_copy(shared, call, source, events, COPY_PAUSE), plan)
+}
+
+fn spawn_copy(
+    shared: &Rc<Shared>,
+    call: &Rc<Call>,
+    source: &Target,
+    events: u64,
+    delay: Duration,
+) -> PendingTask<Option<CacheCopy>> {
     let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
-    let copying =
-        PendingTask::spawn(async move { copy_cache(&shared, &call, &source, events).await });
-    MoveState::Copying(copying, plan)
+    PendingTask::spawn(async move {
+        sleep(delay).await;
+        copy_cache(&shared, &call, &source, events).await
+    })
+}
+
+/// Plans to repeat a stop command whose result is not known, with the copy that exists.
+pub(crate) fn retry_stop(copy: CacheCopy) -> MoveState {
+    let plan = StopPlan { at: Instant::now() + STOP_RETRY_DELAY, link_saturated: false };
+    MoveState::Copied(copy, plan)
 }
 
 /// Stops the generation and copies what was added to its KV cache since the
@@ -311,52 +379,60 @@
     None
 }
 
-/// Why a generation cannot go on from a copy of its KV cache.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum NotCopied {
-    /// No engine has received a command that could stop it.
-    NotStopped,
-    /// It may have been stopped.
-    MayBeStopped,
+/// What became of a command to stop a generation and to copy its KV cache to another engine.
+#[derive(Debug)]
+pub(crate) enum StopAndCopy {
+    Stopped(Box<StoppedGeneration>),
+    /// No engine has room for the copy: nothing was sent.
+    NoPlace,
+    /// The source runs no such generation, or accepts no connection.
+    NotRunning,
+    /// The source refuses the command.
+    Refused,
+    /// The generation may have been stopped.
+    Unknown,
 }
 
-/// Stops a generation that another gateway no longer reaches, and copies its KV cache to an
-/// engine on which it can resume.
+/// Stops a generation, unless it is stopped already, and copies its KV cache to an engine on
+/// which it can resume, other than those `excluded`. Waits for room until `until`.
 pub(crate) async fn stop_and_copy(
     shared: &Rc<Shared>,
     call: &Call,
     source: &Target,
+    excluded: &Excluded,
     events: u64,
-) -> Result<CacheCopy, NotCopied> {
-    let excluded: Excluded = [source.id.clone()].into_iter().collect();
-    let started = Instant::now();
+    until: Instant,
+) -> StopAndCopy {
     let reservation = loop {
-        match reserve_for_move(shared, call, &excluded, source, events).await {
+        match reserve_for_move(shared, call, excluded, source, events).await {
             Ok(reservation) => break reservation,
-            Err(_) if started.elapsed() < COPY_TIMEOUT => sleep(RETRY_DELAY).await,
+            Err(_) if Instant::now() + RETRY_DELAY < until => sleep(RETRY_DELAY).await,
             Err(error) => {
-                log::info!(request = call.head.id.as_str(), upstream = source.id.as_str(), error:? = error; "no engine for a generation out of reach of another gateway");
-                return Err(NotCopied::NotStopped);
+                log::info!(request = call.head.id.as_str(), upstream = source.id.as_str(), error:? = error; "no engine for the copy of a stopped generation");
+                return StopAndCopy::NoPlace;
             }
         }
     };
     match send_stop(shared, call, source, reservation.target.address).await {
         StopResult::Copied(handle) => {
-            let cache = KvCacheRef { source: source.address, handle };
-            Ok(CacheCopy { reservation, cache })
+            let cache = KvCacheRef { source: source.address, handle: handle.clone() };
+            let copy = CacheCopy { reservation, cache };
+            StopAndCopy::Stopped(Box::new(StoppedGeneration::up_to_date(copy, handle)))
         }
-        result => {
-            log::info!(request = call.head.id.as_str(), upstream = source.id.as_str(), result:? = result; "generation out of reach of another gateway not copied");
-            Err(match result {
-                StopResult::NotRunning | StopResult::Unreachable => NotCopied::NotStopped,
-                StopResult::Copied(_) | StopResult::Kept | StopResult::Failed => {
-                    NotCopied::MayBeStopped
-                }
-            })
+        StopResult::Kept(handle) => {
+            StopAndCopy::Stopped(Box::new(StoppedGeneration::kept(None, handle)))
         }
+        StopResult::NotRunning | StopResult::Unreachable => StopAndCopy::NotRunning,
+        StopResult::Refused => StopAndCopy::Refused,
+        StopResult::Unknown => StopAndCopy::Unknown,
     }
 }
 
+/// Returns until when a generation that was stopped may wait for an engine to go on at.
+pub(crate) fn continue_until(call: &Call) -> Instant {
+    call.until.min(Instant::now() + COPY_TIMEOUT)
+}
+
 /// Frees the copy of a move that is no longer needed, once it is complete.
 pub(crate) fn discard(shared: &Rc<Shared>, call: &Rc<Call>, source: &Target, state: MoveState) {
     let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
@@ -364,7 +440,8 @@
         let copy = match state {
             MoveState::Idle => None,
             MoveState::Copying(mut pending, _) => pending.wait().await.flatten(),
-            MoveState::Copied(copy, _) | MoveState::Stopped(copy) => Some(copy),
+            MoveState::Copied(copy, _) => Some(copy),
+            MoveState::Stopped(stopped) => stopped.copy,
             MoveState::Stopping(mut copy, mut result) => {
                 if let Some(StopResult::Copied(handle)) = result.wait().await {
                     copy.cache.handle = handle;
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -19,6 +19,7 @@
 use crate::capacity::{ENGINE_LOAD_LIMIT, MOVE_LOAD_LIMIT, PLAIN_LOAD_LIMIT};
 use crate::eligibility::{Eligibility, Excluded};
 use crate::limits;
+use crate::notices;
 use crate::reservation::Reservation;
 use crate::shared::Shared;
 use crate::target::Target;
@@ -46,6 +47,8 @@
 /// Time until the other gateways receive the load of a placed request: one sync
 /// interval, and on average half of another until this gateway reports it.
 const LOAD_PROPAGATION_MS: f64 = 120.0;
+/// Longest time until a gateway learns that an upstream leaves, after that was acknowledged.
+const DRAIN_NOTICE_DELAY: Duration = Duration::from_millis(500);
 /// Random jitter on the cost of an upstream, because several gateways place
 /// requests within one sync interval.
 const COST_JITTER: f64 = 0.06;
@@ -185,6 +188,30 @@
     try_reserve(shared, &params, Instant::now(), Duration::ZERO).await
 }
 
+/// Returns whether an upstream that stopped a generation may get it back: one that leaves takes
+/// requests for a while, and one that names a limit gets those that the arbiter grants.
+pub(crate) fn accepts_return(shared: &Shared, source: &Target) -> bool {
+    let drain = Duration::from_millis(shared.config.timers.upstream_drain_ms);
+    let in_time = shared
+        .departed
+        .borrow()
+        .elapsed(&source.id)
+        .is_none_or(|known| known + DRAIN_NOTICE_DELAY < drain);
+    in_time
+        && notices::pause_ms(shared, &source.id, source.born_ms) == 0
+        && !limits::is_limited(shared, &source.id)
+}
+
+/// Counts a generation at the upstream that stopped it and takes it back.
+pub(crate) fn reserve_for_return(
+    shared: &Rc<Shared>,
+    call: &Call,
+    source: &Target,
+    events: u64,
+) -> Reservation {
+    Reservation::new(shared, source.clone(), call.requirements.cache_tokens(events), 0)
+}
+
 async fn try_reserve(
     shared: &Rc<Shared>,
     params: &SelectionParams<'_>,
--- a/components/gateway/src/relay/migration.rs
+++ b/components/gateway/src/relay/migration.rs
@@ -2,11 +2,11 @@
 
 use schema::RepeatKind;
 
-use super::Relay;
-use super::ending::StreamEnd;
+use super::{NotContinued, Relay};
 use crate::answer::ResponseTruncated;
-use crate::moves::{self, CacheCopy, MoveEvent, MoveState, StopResult};
+use crate::moves::{self, MoveEvent, MoveState, StopResult, StoppedGeneration};
 use crate::place::is_draining_or_gone;
+use crate::target::Target;
 use crate::timing::elapsed_ms;
 
 impl Relay {
@@ -33,21 +33,30 @@
             (MoveState::Copying(_, plan), MoveEvent::Copied(Some(copy))) => {
                 MoveState::Copied(copy, plan)
             }
+            (MoveState::Copying(..), MoveEvent::Copied(None)) => {
+                moves::start_copy_again(&self.shared, &self.call, target, self.progress.relayed)
+            }
             (MoveState::Copied(copy, _), MoveEvent::StopDue) => {
                 log::info!(request = self.call.head.id.as_str(), from = target.id.as_str(), to = copy.reservation.target.id.as_str(), since_event_ms = elapsed_ms(self.progress.last_event_at); "stopping the generation on its source engine");
                 moves::start_stop(&self.shared, &self.call, target, copy)
             }
-            (MoveState::Stopping(mut copy, _), MoveEvent::Stopped(StopResult::Copied(handle))) => {
-                copy.cache.handle = handle;
-                MoveState::Stopped(copy)
-            }
-            (MoveState::Stopping(copy, _), MoveEvent::Stopped(StopResult::Kept)) => {
-                MoveState::Stopped(copy)
-            }
-            // The generation may still run or be queued at the source: copy it again.
-            (MoveState::Stopping(..), MoveEvent::Stopped(_)) => {
-                moves::start_copy(&self.shared, &self.call, target, self.progress.relayed)
-            }
+            (MoveState::Stopping(copy, _), MoveEvent::Stopped(result)) => match result {
+                StopResult::Copied(handle) => {
+                    MoveState::Stopped(StoppedGeneration::up_to_date(copy, handle))
+                }
+                StopResult::Kept(handle) => {
+                    MoveState::Stopped(StoppedGeneration::kept(Some(copy), handle))
+                }
+                // The generation may be queued at the source, or still run: copy it again.
+                StopResult::NotRunning | StopResult::Refused => {
+                    moves::start_copy(&self.shared, &self.call, target, self.progress.relayed)
+                }
+                StopResult::Unreachable => moves::retry_stop(copy),
+                StopResult::Unknown => {
+                    self.may_be_stopped = true;
+                    moves::retry_stop(copy)
+                }
+            },
             (_, _) => MoveState::Idle,
         };
     }
@@ -63,13 +72,12 @@
         let Some(source) = self.source.take() else { return Ok(()) };
         let target = source.reservation.target.clone();
         drop(source);
-        match moves::take_copy(&self.shared, &self.call, &target, state, true).await {
-            Some(copy) => self.resume_from_copy(copy, &target).await,
-            None => {
-                self.record_end(StreamEnd::NotContinued, "no copy of the KV cache");
-                Err(ResponseTruncated)
-            }
-        }
+        let continued =
+            match moves::take_stopped(&self.shared, &self.call, &target, state, true).await {
+                Some(stopped) => self.go_on(stopped, target).await,
+                None => Err(NotContinued::default()),
+            };
+        self.continue_or_end(continued, "link of the engine saturated")
     }
 
     /// Ends the move in progress and frees its copy.
@@ -80,12 +88,16 @@
         }
     }
 
-    /// Returns the copy to resume from. After an interruption that may be the first
-    /// copy; if the stream ended before its generation was stopped, that copy is
-    /// freed.
-    pub(super) async fn take_copy(&mut self, interrupted: bool) -> Option<CacheCopy> {
+    /// Returns the generation to go on with, and its source. If the stream ended before its
+    /// generation was stopped, the copy is freed.
+    pub(super) async fn take_stopped(
+        &mut self,
+        interrupted: bool,
+    ) -> Option<(StoppedGeneration, Target)> {
         let state = std::mem::take(&mut self.move_state);
-        let target = self.source.as_ref()?.reservation.target.clone();
-        moves::take_copy(&self.shared, &self.call, &target, state, interrupted).await
+        let source = self.source.as_ref()?.reservation.target.clone();
+        let (shared, call) = (&self.shared, &self.call);
+        let stopped = moves::take_stopped(shared, call, &source, state, interrupted).await?;
+        Some((stopped, source))
     }
 }
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Relays event streams, and resumes them on another engine if theirs exits or
 //! fails.
 
+mod continuation;
 mod ending;
 mod migration;
 mod peers;
@@ -59,6 +60,14 @@
     connection: Connection,
     reservation: Reservation,
     probe: Probe,
+    /// It ended, broke off or is left: nothing that it sends counts any more.
+    has_ended: bool,
+}
+
+impl Source {
+    fn new(body: Incoming, connection: Connection, reservation: Reservation) -> Self {
+        Source { body, connection, reservation, probe: Probe::default(), has_ended: false }
+    }
 }
 
 struct Relay {
@@ -71,8 +80,8 @@
     heard_at: Instant,
     /// No gateway continued the stream when upstreams came out of reach.
     peers_refused: bool,
-    /// Another gateway may have stopped the generation: the end of the source's stream does not
-    /// show that it is complete.
+    /// A command whose result is not known may have stopped the generation: the end of the
+    /// source's stream does not show that it is complete.
     may_be_stopped: bool,
     /// Where the stream began, and so may go on.
     origin: Origin,
@@ -94,9 +103,27 @@
     _in_flight: Option<InFlightGuard>,
 }
 
+/// What the end of the source's stream means.
+enum Ended {
+    /// The stream is complete.
+    Complete,
+    /// The stream is not complete; it goes on, or is truncated.
+    Continued(Result<(), ResponseTruncated>),
+}
+
 /// The events of a resumed run do not follow on those that were relayed.
 struct Discontinuity;
 
+/// No engine or gateway continues the stream; how it ends unless its source goes on.
+#[derive(Clone, Copy, Debug)]
+struct NotContinued(StreamEnd);
+
+impl Default for NotContinued {
+    fn default() -> Self {
+        NotContinued(StreamEnd::NotContinued)
+    }
+}
+
 /// What the relay has to react to next.
 enum Step {
     Data(Bytes),
@@ -117,6 +144,17 @@
     TimedOut,
 }
 
+impl Step {
+    /// Returns what the next frame of the source means.
+    fn from_frame(frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Self {
+        match frame {
+            Some(Ok(frame)) => Step::Data(frame.into_data().unwrap_or_default()),
+            Some(Err(error)) => Step::Interrupted(error.to_string()),
+            None => Step::End,
+        }
+    }
+}
+
 /// Returns whether a response is a stream; a head may leave the media type out.
 pub(crate) fn is_event_stream(head: &response::Parts) -> bool {
     let is_stream = |value: &HeaderValue| {
@@ -151,7 +189,7 @@
     let mut relay = Relay::new(shared, call, origin, earlier_runs + 1, in_flight);
     // The engine may have started to drain before the head arrived.
     relay.departures.mark_changed();
-    relay.source = Some(Source { body, connection, reservation, probe: Probe::default() });
+    relay.source = Some(Source::new(body, connection, reservation));
     Response::from_parts(head, relay.into_body())
 }
 
@@ -226,76 +264,74 @@
             if self.source.is_none() && self.peer.is_none() {
                 return None;
             }
-            if self.is_flooded() {
-                self.record_engine_failure("no progress");
-                if let Err(truncated) = self.recover("engine sends no new events").await {
-                    return Some(Err(truncated));
-                }
-                continue;
-            }
-            match self.step().await {
-                Step::Data(bytes) => {
-                    self.heard_at = Instant::now();
-                    self.progress.bytes += bytes.len() as u64;
-                    if self.source.is_some() {
-                        self.shared.reach.borrow_mut().record_heard(self.heard_at);
-                    }
-                    self.events.push(&bytes);
-                }
-                Step::Departures => self.start_move(),
-                Step::Move(MoveEvent::StopDue) if self.is_link_saturated() => {
-                    if let Err(truncated) = self.leave_source().await {
-                        return Some(Err(truncated));
+            let reacted = if self.is_flooded() {
+                self.leave_flooding_engine().await
+            } else {
+                let step = self.step().await;
+                if matches!(step, Step::End) {
+                    match self.end_of_source().await {
+                        Ended::Complete => return self.complete().map(Ok),
+                        Ended::Continued(continued) => continued,
                     }
+                } else {
+                    self.react(step).await
                 }
-                Step::Move(event) => self.advance_move(event),
-                Step::End => match self.take_copy(false).await {
-                    Some(copy) => {
-                        if let Err(truncated) = self.go_on_from(copy).await {
-                            return Some(Err(truncated));
-                        }
-                    }
-                    None if self.may_be_stopped => {
-                        self.record_end(StreamEnd::StoppedByPeer, "");
-                        self.source = None;
-                        return Some(Err(ResponseTruncated));
-                    }
-                    None => match self.find_broken_end() {
-                        Some(error) => {
-                            if let Err(truncated) = self.interrupt(error).await {
-                                return Some(Err(truncated));
-                            }
-                        }
-                        None => return self.complete().map(Ok),
-                    },
-                },
-                Step::Interrupted(error) => {
-                    if let Err(truncated) = self.interrupt(&error).await {
-                        return Some(Err(truncated));
-                    }
-                }
-                Step::Stalled => self.start_probe(),
-                Step::Probed(connected) => {
-                    if !self.is_reachable(connected)
-                        && self.is_recoverable()
-                        && let Err(truncated) = self.recover("engine unreachable").await
-                    {
-                        return Some(Err(truncated));
-                    }
+            };
+            if let Err(truncated) = reacted {
+                return Some(Err(truncated));
+            }
+        }
+    }
+
+    /// Reacts to anything but the end of the source.
+    async fn react(&mut self, step: Step) -> Result<(), ResponseTruncated> {
+        match step {
+            Step::Data(bytes) => {
+                self.heard_at = Instant::now();
+                self.progress.bytes += bytes.len() as u64;
+                if self.source.is_some() {
+                    self.shared.reach.borrow_mut().record_heard(self.heard_at);
                 }
-                Step::CutOff => {
-                    if !Box::pin(self.continue_at_peer()).await {
-                        self.peers_refused = true;
-                    }
+                self.events.push(&bytes);
+            }
+            Step::End => {}
+            Step::Departures => self.start_move(),
+            Step::Move(MoveEvent::StopDue) if self.is_link_saturated() => {
+                return self.leave_source().await;
+            }
+            Step::Move(event) => self.advance_move(event),
+            Step::Interrupted(error) => return self.interrupt(&error).await,
+            Step::Stalled => self.start_probe(),
+            Step::Probed(connected) => {
+                if !self.is_reachable(connected) && self.is_recoverable() {
+                    self.end_source();
+                    let continued = self.recover().await;
+                    return self.continue_or_end(continued, "engine unreachable");
                 }
-                Step::TimedOut => {
-                    self.record_end(StreamEnd::TimedOut, "");
-                    self.discard_move();
-                    self.source = None;
-                    self.peer = None;
-                    return Some(Err(ResponseTruncated));
+            }
+            Step::CutOff => {
+                if !Box::pin(self.continue_at_peer()).await {
+                    self.peers_refused = true;
                 }
             }
+            Step::TimedOut => return Err(self.end(StreamEnd::TimedOut, "")),
+        }
+        Ok(())
+    }
+
+    /// Reacts to the end of the source's stream.
+    async fn end_of_source(&mut self) -> Ended {
+        self.end_source();
+        if let Some((stopped, source)) = self.take_stopped(self.may_be_stopped).await {
+            let continued = self.go_on(stopped, source).await;
+            return Ended::Continued(self.continue_or_end(continued, "stopped for a move"));
+        }
+        if self.may_be_stopped {
+            return Ended::Continued(Err(self.end(StreamEnd::StoppedByPeer, "")));
+        }
+        match self.find_broken_end() {
+            Some(error) => Ended::Continued(self.interrupt(error).await),
+            None => Ended::Complete,
         }
     }
 
@@ -313,11 +349,7 @@
         let Some(source) = &mut self.source else { return Step::End };
         tokio::select! {
             biased;
-            frame = source.body.frame() => match frame {
-                Some(Ok(frame)) => frame.into_data().map_or(Step::Data(Bytes::new()), Step::Data),
-                Some(Err(error)) => Step::Interrupted(error.to_string()),
-                None => Step::End,
-            },
+            frame = source.body.frame() => Step::from_frame(frame),
             Ok(()) = self.departures.changed() => Step::Departures,
             event = self.move_state.next_event() => Step::Move(event),
             connected = source.probe.connected() => Step::Probed(connected),
@@ -361,7 +393,24 @@
         self.record_engine_failure("stream not continued");
         // The copy of a wrong run's KV cache continues that run.
         self.discard_move();
-        self.recover("events do not follow on").await
+        self.end_source();
+        let continued = self.recover().await;
+        self.continue_or_end(continued, "events do not follow on")
+    }
+
+    /// Leaves an engine that sends bytes without end, and no new events.
+    async fn leave_flooding_engine(&mut self) -> Result<(), ResponseTruncated> {
+        self.record_engine_failure("no progress");
+        self.end_source();
+        let continued = self.recover().await;
+        self.continue_or_end(continued, "engine sends no new events")
+    }
+
+    /// Ignores what the source still sends; its connection closes once another one goes on.
+    fn end_source(&mut self) {
+        if let Some(source) = &mut self.source {
+            source.has_ended = true;
+        }
     }
 
     /// Records a new event, `gap` after the one before it.
@@ -390,13 +439,39 @@
     /// Goes on with a stream whose engine broke it off, if that is possible.
     async fn interrupt(&mut self, error: &str) -> Result<(), ResponseTruncated> {
         self.record_engine_failure("stream broken off");
+        self.end_source();
         if !self.may_run_again().await {
-            self.record_end(StreamEnd::BrokenOff, error);
-            self.discard_move();
-            self.source = None;
-            return Err(ResponseTruncated);
+            return Err(self.end(StreamEnd::BrokenOff, error));
         }
-        self.recover(error).await
+        let broken_off = match (&self.peer, &self.move_state) {
+            (Some(_), _) => StreamEnd::LostByPeer,
+            (None, MoveState::Idle | MoveState::Copying(..)) => StreamEnd::BrokenOff,
+            (None, _) => StreamEnd::NotContinued,
+        };
+        let continued = self.recover().await.map_err(|NotContinued(end)| match end {
+            StreamEnd::NotContinued => NotContinued(broken_off),
+            _ => NotContinued(end),
+        });
+        self.continue_or_end(continued, error)
+    }
+
+    /// Ends the stream if nothing continues it.
+    fn continue_or_end(
+        &mut self,
+        continued: Result<(), NotContinued>,
+        error: &str,
+    ) -> Result<(), ResponseTruncated> {
+        let Err(NotContinued(end)) = continued else { return Ok(()) };
+        Err(self.end(end, error))
+    }
+
+    /// Ends the stream before its last event.
+    fn end(&mut self, end: StreamEnd, error: &str) -> ResponseTruncated {
+        self.record_end(end, error);
+        self.discard_move();
+        self.source = None;
+        self.peer = None;
+        ResponseTruncated
     }
 
     /// Returns whether an interrupted stream may go on at another engine: not if the
--- a/components/gateway/src/relay/peers.rs
+++ b/components/gateway/src/relay/peers.rs
@@ -5,13 +5,14 @@
 use http::{Response, response};
 use lineage::Origin;
 use schema::RepeatKind;
+use smallvec::smallvec;
 
 use super::Relay;
 use crate::accept::Call;
 use crate::answer::Body;
 use crate::attempts::Attempts;
 use crate::eligibility::Excluded;
-use crate::moves::{self, NotCopied};
+use crate::moves::{self, StopAndCopy};
 use crate::peer::{self, Begun, Continued, PeerBody};
 use crate::shared::{InFlightGuard, Shared};
 
@@ -48,19 +49,25 @@
     in_flight: InFlightGuard,
 ) -> Result<Response<Body>, TakeOverError> {
     let origin = call.origin.clone().ok_or(TakeOverError::NotSent)?;
+    // A run that begins here is counted when it does.
+    let runs = if begun.source.is_some() { runs } else { runs.saturating_sub(1) };
     let mut relay = Relay::new(shared, call, origin, runs, Some(in_flight));
     // The gateway at which the stream began records its end if it does not go on here.
     relay.ended = true;
     relay.progress.last_event_id = begun.last_event_id;
     relay.progress.relayed = begun.events;
-    let resumed = match &begun.source {
+    let resumed = match begun.source {
         Some(source) => {
-            let copied = moves::stop_and_copy(shared, call, source, begun.events).await;
-            let copy = copied.map_err(|reason| match reason {
-                NotCopied::NotStopped => TakeOverError::NotSent,
-                NotCopied::MayBeStopped => TakeOverError::Unknown,
-            })?;
-            relay.resume_from_copy(copy, source).await
+            let excluded = smallvec![source.id.clone()];
+            let until = moves::continue_until(call);
+            match moves::stop_and_copy(shared, call, &source, &excluded, begun.events, until).await
+            {
+                StopAndCopy::Stopped(stopped) => relay.go_on(*stopped, source).await,
+                StopAndCopy::NoPlace | StopAndCopy::NotRunning => {
+                    return Err(TakeOverError::NotSent);
+                }
+                StopAndCopy::Refused | StopAndCopy::Unknown => return Err(TakeOverError::Unknown),
+            }
         }
         None => relay.run_again(None).await,
     };
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -29,8 +29,8 @@
 use crate::peer::Peers;
 use crate::pool::{Connection, Pool};
 use crate::state::{
-    AppliedRegistries, BufferBudget, KnownCopies, KnownLimits, LeavingUpstreams, Quarantine,
-    Reachability, RegistryPosition, RouteOffers,
+    AppliedRegistries, BufferBudget, Departures, KnownCopies, KnownLimits, LeavingUpstreams,
+    Quarantine, Reachability, RegistryPosition, RouteOffers,
 };
 use crate::target::Target;
 
@@ -69,6 +69,7 @@
     pub(crate) phase: watch::Sender<EntryPhase>,
     /// Incremented when upstreams start to drain or are gone.
     pub(crate) departures: watch::Sender<u64>,
+    pub(crate) departed: RefCell<Departures>,
     /// When the stop signal arrived.
     pub(crate) stopping_since: Cell<Option<Instant>>,
     /// True once the grace period is over.
@@ -134,6 +135,7 @@
             gateway_count: Cell::new(1),
             phase: watch::Sender::new(EntryPhase::Starting),
             departures: watch::Sender::new(0),
+            departed: RefCell::default(),
             stopping_since: Cell::new(None),
             ending: watch::Sender::new(false),
             arbiter: RefCell::default(),
@@ -182,21 +184,25 @@
 
     /// Reacts to upstreams that joined, started to drain or are gone.
     pub(crate) fn apply_changes(&self, changes: &[UpstreamChange]) {
+        let mut departures = self.departed.borrow_mut();
         let mut departed = false;
         for change in changes {
             match change {
                 UpstreamChange::Joined(id) => {
                     log::info!(upstream = id.as_str(); "upstream joined");
+                    departures.forget(id);
                     self.outlier_detector.borrow_mut().reset(id);
                     self.pool.close_all(id);
                 }
                 UpstreamChange::Draining(id) => {
                     log::info!(upstream = id.as_str(); "upstream draining");
+                    departures.record(id);
                     departed = true;
                 }
                 UpstreamChange::Gone(id) => {
                     log::info!(upstream = id.as_str(); "upstream gone");
                     self.pool.close_all(id);
+                    departures.record(id);
                     departed = true;
                 }
             }
@@ -210,6 +216,7 @@
                 .count();
             self.metrics.upstreams.set(i64::try_from(serving).unwrap_or(i64::MAX));
         }
+        drop(departures);
         if departed {
             self.departures.send_modify(|count| *count += 1);
         }
--- a/components/gateway/src/state/mod.rs
+++ b/components/gateway/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod buffers;
 mod copies;
+mod departures;
 mod leaving;
 mod limits;
 mod offers;
@@ -11,6 +12,7 @@
 
 pub(crate) use buffers::{BufferBudget, BufferReservation, BufferUse};
 pub(crate) use copies::KnownCopies;
+pub(crate) use departures::Departures;
 pub(crate) use leaving::LeavingUpstreams;
 pub(crate) use limits::KnownLimits;
 pub(crate) use offers::{NextFetch, RouteOffers};
--- a/components/settings/src/gateway.rs
+++ b/components/settings/src/gateway.rs
@@ -107,6 +107,13 @@
             1,
             MINUTE_MS,
         ),
+        upstream_drain_ms: checker.number(
+            "timers.upstream_drain_ms",
+            timers.upstream_drain_ms,
+            2_000,
+            1,
+            MINUTE_MS,
+        ),
     }
 }
 
