Keep a stream at its silent engine until another one has taken it

Callers saw streams cut whose engine was busy for some seconds: it sent no event and accepted no connection for 1.2 s, so the relay dropped its connection first and asked other engines then. With none that took the stream, or no retry left, it was truncated, although the engine went on later. An engine's silence is no reason to end an answer sooner.

The relay now keeps the source until another engine has answered with the continuation. It reads the source while it waits for a slot elsewhere, and stays there if an event arrives. A stream that nothing continues stays at its engine up to the deadline; it is probed again.

--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -83,6 +83,8 @@
     /// A command whose result is not known may have stopped the generation: the end of the
     /// source's stream does not show that it is complete.
     may_be_stopped: bool,
+    /// What the source sent while the relay waited for another engine.
+    pending: Option<Step>,
     /// Where the stream began, and so may go on.
     origin: Origin,
     events: EventSplitter,
@@ -224,6 +226,7 @@
             heard_at: now,
             peers_refused: false,
             may_be_stopped: false,
+            pending: None,
             events: EventSplitter::default(),
             progress: StreamProgress::new(call.head.last_event_id),
             probe_at: now + PROBE_AFTER,
@@ -304,8 +307,8 @@
             Step::Stalled => self.start_probe(),
             Step::Probed(connected) => {
                 if !self.is_reachable(connected) && self.is_recoverable() {
-                    self.end_source();
                     let continued = self.recover().await;
+                    self.probe_at = Instant::now() + PROBE_AFTER;
                     return self.continue_or_end(continued, "engine unreachable");
                 }
             }
@@ -336,6 +339,9 @@
     }
 
     async fn step(&mut self) -> Step {
+        if let Some(step) = self.pending.take() {
+            return step;
+        }
         if let Some(peer) = &mut self.peer {
             return tokio::select! {
                 part = peer.next() => match part {
@@ -455,16 +461,26 @@
         self.continue_or_end(continued, error)
     }
 
-    /// Ends the stream if nothing continues it.
+    /// Ends the stream if nothing continues it and its source has ended.
     fn continue_or_end(
         &mut self,
         continued: Result<(), NotContinued>,
         error: &str,
     ) -> Result<(), ResponseTruncated> {
         let Err(NotContinued(end)) = continued else { return Ok(()) };
+        if self.has_live_source() {
+            log::info!(request = self.call.head.id.as_str(), error, reason = end.as_str(), events = self.progress.relayed; "stream stays at its engine");
+            self.start_move();
+            return Ok(());
+        }
         Err(self.end(end, error))
     }
 
+    /// Returns whether the stream has an engine that may go on with it.
+    fn has_live_source(&self) -> bool {
+        self.source.as_ref().is_some_and(|source| !source.has_ended)
+    }
+
     /// Ends the stream before its last event.
     fn end(&mut self, end: StreamEnd, error: &str) -> ResponseTruncated {
         self.record_end(end, error);
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -1,11 +1,12 @@
 //! Resumption of a stream on another engine.
 
 use compact_str::CompactString;
+use http_body_util::BodyExt as _;
 use schema::RepeatKind;
 
 use super::ending::StreamEnd;
 use super::probe;
-use super::{NotContinued, Relay, Source, is_event_stream};
+use super::{NotContinued, Relay, Source, Step, is_event_stream};
 use crate::attempts::{MAX_SENDS, MAX_UNREACHABLE};
 use crate::crashes;
 use crate::dialect::{KvCacheRef, Resume};
@@ -30,6 +31,14 @@
     Failed,
 }
 
+/// How the wait for a slot at another engine ended.
+enum Placed {
+    Reserved(Reservation),
+    Refused(ReserveError),
+    /// The source of the stream goes on.
+    Heard,
+}
+
 impl Relay {
     /// Has another engine or gateway continue the stream. The source is kept until one does.
     pub(super) async fn recover(&mut self) -> Result<(), NotContinued> {
@@ -50,7 +59,11 @@
             let failed = self.source.as_ref().map(|source| source.reservation.target.id.clone());
             return self.run_again(failed).await;
         }
-        if self.lost_with_all_upstreams().await && Box::pin(self.continue_at_peer()).await {
+        // A source that may go on is read meanwhile; the relay learns of a partition by itself.
+        if !self.has_live_source()
+            && self.lost_with_all_upstreams().await
+            && Box::pin(self.continue_at_peer()).await
+        {
             return Ok(());
         }
         Err(NotContinued::default())
@@ -66,6 +79,7 @@
 
     /// Runs the request again on another engine, starting after the last event that was
     /// relayed, but not on the one that `failed`. Engines that do not run it are passed over.
+    /// A source that goes on meanwhile keeps the stream.
     pub(super) async fn run_again(
         &mut self,
         failed: Option<CompactString>,
@@ -75,14 +89,13 @@
             if quarantine::admit(&self.shared, &self.call).await.is_err() {
                 return Err(NotContinued(StreamEnd::Quarantined));
             }
-            let (call, origin) = (&self.call, Some(&self.origin));
-            let placed = wait_for_slot(&self.shared, call, origin, &excluded, call.until).await;
-            let reservation = match placed {
-                Ok(reservation) => reservation,
-                Err(ReserveError::VersionGone) => {
+            let reservation = match self.place_or_hear(&excluded).await {
+                Placed::Reserved(reservation) => reservation,
+                Placed::Refused(ReserveError::VersionGone) => {
                     return Err(NotContinued(StreamEnd::VersionGone));
                 }
-                Err(_) => return Err(NotContinued(StreamEnd::NoPlace)),
+                Placed::Refused(_) => return Err(NotContinued(StreamEnd::NoPlace)),
+                Placed::Heard => return Ok(()),
             };
             let upstream = reservation.target.id.clone();
             match self.resume(reservation, None).await {
@@ -113,6 +126,24 @@
         Err(NotContinued::default())
     }
 
+    /// Waits for a slot at another engine, or until the source goes on with the stream.
+    async fn place_or_hear(&mut self, excluded: &Excluded) -> Placed {
+        let (shared, call, origin) = (self.shared.clone(), self.call.clone(), self.origin.clone());
+        let placing = wait_for_slot(&shared, &call, Some(&origin), excluded, call.until);
+        let placed = match self.source.as_mut().filter(|source| !source.has_ended) {
+            None => placing.await,
+            Some(source) => tokio::select! {
+                biased;
+                frame = source.body.frame() => {
+                    self.pending = Some(Step::from_frame(frame));
+                    return Placed::Heard;
+                }
+                placed = placing => placed,
+            },
+        };
+        placed.map_or_else(Placed::Refused, Placed::Reserved)
+    }
+
     /// Sends the request to another engine, to go on after the last event that was relayed. The
     /// engine becomes the source of the stream if it does.
     pub(super) async fn resume(
