--- a/components/gateway/src/moves/mod.rs
+++ b/components/gateway/src/moves/mod.rs
@@ -8,9 +8,9 @@
 //! source, which keeps its KV cache, and further engines are asked in turn ([`Ways`]).
 
 mod commands;
+mod stopping;
 mod ways;
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
 use schema::EngineCapacity;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 use crate::accept::Call;
 use crate::dialect::{KvCacheRef, MoveResult};
@@ -30,6 +30,9 @@
 use commands::{free, send_move};
 
 pub(crate) use commands::{StopResult, send_stop};
+pub(crate) use stopping::{
+    StopAndCopy, StoppedGeneration, continue_until, free_late_copy, stop_and_copy, take_stopped,
+};
 pub(crate) use ways::{Outcome, Way, Ways};
 
 /// Delay before the next attempt to reserve a slot for a copy and to make it.
@@ -41,12 +44,6 @@
 const COPY_PAUSE: Duration = Duration::from_millis(500);
 /// Delay before a stop command without a result is repeated.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(200);
-/// Longest wait for the result of a stop command after the stream ended.
-const STOP_RESULT_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Longest wait for an engine to confirm that a generation has ended there, before it goes
-/// on elsewhere from an earlier copy. The engine has the command to stop by then, if it is
-/// reachable at all.
-const END_CONFIRM_TIMEOUT: Duration = Duration::from_millis(250);
 /// Latest planned stop of the generation, counted from the start of the copy;
 /// engines announce their exit at least 1.5 s in advance.
 const MAX_STOP_DELAY: Duration = Duration::from_millis(1_150);
@@ -62,33 +59,6 @@
     pub(crate) cache: KvCacheRef,
 }
 
-/// Generation that no longer runs at its source.
-#[derive(Debug)]
-pub(crate) struct StoppedGeneration {
-    pub(crate) copy: Option<CacheCopy>,
-    /// Handle of the KV cache that the source keeps, if it said that it stopped the generation.
-    pub(crate) kept: Option<CompactString>,
-    /// Result of the command to stop the generation, if it is to come.
-    pub(crate) ending: Option<PendingTask<StopResult>>,
-}
-
-impl StoppedGeneration {
-    fn from_copy(copy: CacheCopy) -> Self {
-        StoppedGeneration { copy: Some(copy), kept: None, ending: None }
-    }
-
-    /// The source has copied the rest of the KV cache under a new handle.
-    pub(crate) fn up_to_date(mut copy: CacheCopy, handle: CompactString) -> Self {
-        copy.cache.handle = handle.clone();
-        StoppedGeneration { copy: Some(copy), kept: Some(handle), ending: None }
-    }
-
-    /// The source has not copied the rest of the KV cache: an earlier copy may do.
-    pub(crate) fn kept(copy: Option<CacheCopy>, handle: CompactString) -> Self {
-        StoppedGeneration { copy, kept: Some(handle), ending: None }
-    }
-}
-
 /// Task whose result is pending; aborted on drop.
 #[derive(Debug)]
 pub(crate) struct PendingTask<T> {
@@ -181,100 +151,6 @@
     }
 }
 
-/// Returns the generation to go on with, once it is known to have ended at its source or the
-/// wait for that is over. If the stream ended normally (`interrupted` is false), it goes on only
-/// if the generation may have been stopped for the move.
-pub(crate) async fn take_stopped(
-    shared: &Rc<Shared>,
-    call: &Rc<Call>,
-    source: &Target,
-    state: MoveState,
-    interrupted: bool,
-) -> Option<StoppedGeneration> {
-    let (copy, sent, limit) = match state {
-        MoveState::Idle | MoveState::Copying(..) => return None,
-        MoveState::Copied(..) if !interrupted => {
-            discard(shared, call, source, state);
-            return None;
-        }
-        MoveState::Copied(copy, _) => (copy, None, END_CONFIRM_TIMEOUT),
-        MoveState::Stopped(stopped) => return Some(stopped),
-        MoveState::Stopping(copy, result) => (copy, Some(result), STOP_RESULT_TIMEOUT),
-    };
-    wait_until_ended(shared, call, source, copy, sent, limit, interrupted).await
-}
-
-/// Waits up to `limit` until the generation is known to have ended at its source. An engine
-/// need not drop a generation whose connection closes, so it is told to stop.
-async fn wait_until_ended(
-    shared: &Rc<Shared>,
-    call: &Rc<Call>,
-    source: &Target,
-    copy: CacheCopy,
-    sent: Option<PendingTask<StopResult>>,
-    limit: Duration,
-    interrupted: bool,
-) -> Option<StoppedGeneration> {
-    let to = copy.reservation.target.address;
-    let (ending_shared, ending_call, engine) = (shared.clone(), call.clone(), source.clone());
-    let mut ending = PendingTask::spawn(async move {
-        stop_until_known(&ending_shared, &ending_call, &engine, to, sent).await
-    });
-    match timeout(limit, ending.wait()).await {
-        Ok(Some(StopResult::Copied(handle))) => Some(StoppedGeneration::up_to_date(copy, handle)),
-        Ok(Some(StopResult::Kept(handle))) => Some(StoppedGeneration::kept(Some(copy), handle)),
-        Ok(Some(StopResult::NotRunning)) if !interrupted => {
-            free_later(shared, call, source, copy.cache.handle);
-            None
-        }
-        Ok(_) => Some(StoppedGeneration::from_copy(copy)),
-        Err(_) => {
-            log::info!(request = call.head.id.as_str(), upstream = source.id.as_str(), limit_ms = limit.as_millis(); "going on before the engine confirmed that the generation has ended");
-            Some(StoppedGeneration { ending: Some(ending), ..StoppedGeneration::from_copy(copy) })
-        }
-    }
-}
-
-/// Frees the rest of the KV cache that a source copies although the generation has gone on.
-pub(crate) fn free_late_copy(
-    shared: &Rc<Shared>,
-    call: &Rc<Call>,
-    source: &Target,
-    mut ending: PendingTask<StopResult>,
-) {
-    let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
-    actix_rt::spawn(async move {
-        if let Some(StopResult::Copied(handle)) = ending.wait().await {
-            free(&shared, &call, &source, &handle).await;
-        }
-    });
-}
-
-/// Tells the engine to stop the generation until it says that it has, does not know the
-/// generation or accepts no connection; starts with the result of a command that was `sent`
-/// before.
-async fn stop_until_known(
-    shared: &Shared,
-    call: &Call,
-    source: &Target,
-    to: SocketAddr,
-    sent: Option<PendingTask<StopResult>>,
-) -> StopResult {
-    let until = Instant::now() + COPY_TIMEOUT;
-    let mut result = match sent {
-        Some(mut sent) => sent.wait().await.unwrap_or(StopResult::Unknown),
-        None => send_stop(shared, call, source, to).await,
-    };
-    while matches!(result, StopResult::Refused | StopResult::Unknown) && Instant::now() < until {
-        sleep(RETRY_DELAY).await;
-        result = send_stop(shared, call, source, to).await;
-    }
-    if matches!(result, StopResult::Refused | StopResult::Unknown) {
-        log::warn!(request = call.head.id.as_str(), upstream = source.id.as_str(); "the engine did not confirm that the generation has ended");
-    }
-    result
-}
-
 /// Starts to copy the KV cache of a generation that keeps running.
 /// `events` is the number of events that it has produced.
 pub(crate) fn start_copy(
@@ -379,60 +255,6 @@
     None
 }
 
-/// What became of a command to stop a generation and to copy its KV cache to another engine.
-#[derive(Debug)]
-pub(crate) enum StopAndCopy {
-    Stopped(Box<StoppedGeneration>),
-    /// No engine has room for the copy: nothing was sent.
-    NoPlace,
-    /// The source runs no such generation, or accepts no connection.
-    NotRunning,
-    /// The source refuses the command.
-    Refused,
-    /// The generation may have been stopped.
-    Unknown,
-}
-
-/// Stops a generation, unless it is stopped already, and copies its KV cache to an engine on
-/// which it can resume, other than those `excluded`. Waits for room until `until`.
-pub(crate) async fn stop_and_copy(
-    shared: &Rc<Shared>,
-    call: &Call,
-    source: &Target,
-    excluded: &Excluded,
-    events: u64,
-    until: Instant,
-) -> StopAndCopy {
-    let reservation = loop {
-        match reserve_for_move(shared, call, excluded, source, events).await {
-            Ok(reservation) => break reservation,
-            Err(_) if Instant::now() + RETRY_DELAY < until => sleep(RETRY_DELAY).await,
-            Err(error) => {
-                log::info!(request = call.head.id.as_str(), upstream = source.id.as_str(), error:? = error; "no engine for the copy of a stopped generation");
-                return StopAndCopy::NoPlace;
-            }
-        }
-    };
-    match send_stop(shared, call, source, reservation.target.address).await {
-        StopResult::Copied(handle) => {
-            let cache = KvCacheRef { source: source.address, handle: handle.clone() };
-            let copy = CacheCopy { reservation, cache };
-            StopAndCopy::Stopped(Box::new(StoppedGeneration::up_to_date(copy, handle)))
-        }
-        StopResult::Kept(handle) => {
-            StopAndCopy::Stopped(Box::new(StoppedGeneration::kept(None, handle)))
-        }
-        StopResult::NotRunning | StopResult::Unreachable => StopAndCopy::NotRunning,
-        StopResult::Refused => StopAndCopy::Refused,
-        StopResult::Unknown => StopAndCopy::Unknown,
-    }
-}
-
-/// Returns until when a generation that was stopped may wait for an engine to go on at.
-pub(crate) fn continue_until(call: &Call) -> Instant {
-    call.until.min(Instant::now() + COPY_TIMEOUT)
-}
-
 /// Frees the copy of a move that is no longer needed, once it is complete.
 pub(crate) fn discard(shared: &Rc<Shared>, call: &Rc<Call>, source: &Target, state: MoveState) {
     let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
--- a/components/gateway/src/relay/continuation.rs
+++ b/components/gateway/src/relay/continuation.rs
@@ -6,8 +6,9 @@
 use smallvec::smallvec;
 use tokio::time::{Instant, sleep, timeout_at};
 
+use super::Relay;
+use super::interruption::NotContinued;
 use super::resume::ResumeError;
-use super::{NotContinued, Relay};
 use crate::dialect::KvCacheRef;
 use crate::eligibility::Excluded;
 use crate::moves::{
--- a/components/gateway/src/relay/migration.rs
+++ b/components/gateway/src/relay/migration.rs
@@ -2,7 +2,8 @@
 
 use schema::RepeatKind;
 
-use super::{NotContinued, Relay};
+use super::Relay;
+use super::interruption::NotContinued;
 use crate::answer::ResponseTruncated;
 use crate::moves::{self, MoveEvent, MoveState, StopResult, StoppedGeneration};
 use crate::place::is_draining_or_gone;
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -3,6 +3,7 @@
 
 mod continuation;
 mod ending;
+mod interruption;
 mod migration;
 mod peers;
 mod probe;
@@ -25,19 +26,17 @@
 
 use crate::accept::Call;
 use crate::answer::{Body, ResponseTruncated, strip_hop_by_hop};
-use crate::crashes;
 use crate::events::{EventKind, EventSplitter, StreamProgress, is_comment};
 use crate::exchange::UpstreamResponse;
-use crate::health::record_failure;
 use crate::moves::{MoveEvent, MoveState};
 use crate::peer::{PeerBody, PeerPart};
-use crate::place::is_draining_or_gone;
 use crate::pool::Connection;
 use crate::quarantine;
 use crate::reach;
 use crate::reservation::Reservation;
 use crate::shared::{InFlightGuard, Shared};
 use ending::StreamEnd;
+use interruption::Ended;
 use probe::Probe;
 
 pub(crate) use peers::{TakeOverError, start_from_peer, take_over};
@@ -105,27 +104,9 @@
     _in_flight: Option<InFlightGuard>,
 }
 
-/// What the end of the source's stream means.
-enum Ended {
-    /// The stream is complete.
-    Complete,
-    /// The stream is not complete; it goes on, or is truncated.
-    Continued(Result<(), ResponseTruncated>),
-}
-
 /// The events of a resumed run do not follow on those that were relayed.
 struct Discontinuity;
 
-/// No engine or gateway continues the stream; how it ends unless its source goes on.
-#[derive(Clone, Copy, Debug)]
-struct NotContinued(StreamEnd);
-
-impl Default for NotContinued {
-    fn default() -> Self {
-        NotContinued(StreamEnd::NotContinued)
-    }
-}
-
 /// What the relay has to react to next.
 enum Step {
     Data(Bytes),
@@ -322,22 +303,6 @@
         Ok(())
     }
 
-    /// Reacts to the end of the source's stream.
-    async fn end_of_source(&mut self) -> Ended {
-        self.end_source();
-        if let Some((stopped, source)) = self.take_stopped(self.may_be_stopped).await {
-            let continued = self.go_on(stopped, source).await;
-            return Ended::Continued(self.continue_or_end(continued, "stopped for a move"));
-        }
-        if self.may_be_stopped {
-            return Ended::Continued(Err(self.end(StreamEnd::StoppedByPeer, "")));
-        }
-        match self.find_broken_end() {
-            Some(error) => Ended::Continued(self.interrupt(error).await),
-            None => Ended::Complete,
-        }
-    }
-
     async fn step(&mut self) -> Step {
         if let Some(step) = self.pending.take() {
             return step;
@@ -384,41 +349,6 @@
         Ok(Some(event))
     }
 
-    /// Returns why the end of the source is not the end of the stream. A generation has at
-    /// least one event, and a run that adds none to its stream has not gone on with it.
-    fn find_broken_end(&self) -> Option<&'static str> {
-        match (self.events.has_partial_event(), self.events_of_run) {
-            (true, _) => Some("ended inside an event"),
-            (false, 0) => Some("ended without an event"),
-            (false, _) => None,
-        }
-    }
-
-    /// Leaves an engine that did not go on with the stream.
-    async fn leave_wrong_run(&mut self) -> Result<(), ResponseTruncated> {
-        self.record_engine_failure("stream not continued");
-        // The copy of a wrong run's KV cache continues that run.
-        self.discard_move();
-        self.end_source();
-        let continued = self.recover().await;
-        self.continue_or_end(continued, "events do not follow on")
-    }
-
-    /// Leaves an engine that sends bytes without end, and no new events.
-    async fn leave_flooding_engine(&mut self) -> Result<(), ResponseTruncated> {
-        self.record_engine_failure("no progress");
-        self.end_source();
-        let continued = self.recover().await;
-        self.continue_or_end(continued, "engine sends no new events")
-    }
-
-    /// Ignores what the source still sends; its connection closes once another one goes on.
-    fn end_source(&mut self) {
-        if let Some(source) = &mut self.source {
-            source.has_ended = true;
-        }
-    }
-
     /// Records a new event, `gap` after the one before it.
     fn record_event(&mut self, gap: Duration) {
         if std::mem::take(&mut self.resumed) {
@@ -442,76 +372,6 @@
         pending > MAX_BYTES_WITHOUT_EVENT
     }
 
-    /// Goes on with a stream whose engine broke it off, if that is possible.
-    async fn interrupt(&mut self, error: &str) -> Result<(), ResponseTruncated> {
-        self.record_engine_failure("stream broken off");
-        self.end_source();
-        if !self.may_run_again().await {
-            return Err(self.end(StreamEnd::BrokenOff, error));
-        }
-        let broken_off = match (&self.peer, &self.move_state) {
-            (Some(_), _) => StreamEnd::LostByPeer,
-            (None, MoveState::Idle | MoveState::Copying(..)) => StreamEnd::BrokenOff,
-            (None, _) => StreamEnd::NotContinued,
-        };
-        let continued = self.recover().await.map_err(|NotContinued(end)| match end {
-            StreamEnd::NotContinued => NotContinued(broken_off),
-            _ => NotContinued(end),
-        });
-        self.continue_or_end(continued, error)
-    }
-
-    /// Ends the stream if nothing continues it and its source has ended.
-    fn continue_or_end(
-        &mut self,
-        continued: Result<(), NotContinued>,
-        error: &str,
-    ) -> Result<(), ResponseTruncated> {
-        let Err(NotContinued(end)) = continued else { return Ok(()) };
-        if self.has_live_source() {
-            log::info!(request = self.call.head.id.as_str(), error, reason = end.as_str(), events = self.progress.relayed; "stream stays at its engine");
-            self.start_move();
-            return Ok(());
-        }
-        Err(self.end(end, error))
-    }
-
-    /// Returns whether the stream has an engine that may go on with it.
-    fn has_live_source(&self) -> bool {
-        self.source.as_ref().is_some_and(|source| !source.has_ended)
-    }
-
-    /// Ends the stream before its last event.
-    fn end(&mut self, end: StreamEnd, error: &str) -> ResponseTruncated {
-        self.record_end(end, error);
-        self.discard_move();
-        self.source = None;
-        self.peer = None;
-        ResponseTruncated
-    }
-
-    /// Returns whether an interrupted stream may go on at another engine: not if the
-    /// engine may have crashed because of it.
-    async fn may_run_again(&self) -> bool {
-        match &self.source {
-            Some(source) if self.events_of_run == 0 => {
-                let target = &source.reservation.target;
-                let sent = source.reservation.reserved_at();
-                crashes::handle_break_off(&self.shared, &self.call, target, sent).await
-            }
-            _ => true,
-        }
-    }
-
-    /// Counts a failure of the engine, unless it is known to leave.
-    fn record_engine_failure(&self, reason: &str) {
-        let Some(source) = &self.source else { return };
-        let target = &source.reservation.target;
-        if !is_draining_or_gone(&self.shared, target) {
-            record_failure(&self.shared, target, reason);
-        }
-    }
-
     /// Returns whether the stream could resume without its current engine.
     fn is_recoverable(&self) -> bool {
         let copied = !matches!(self.move_state, MoveState::Idle | MoveState::Copying(..));
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -5,8 +5,9 @@
 use schema::RepeatKind;
 
 use super::ending::StreamEnd;
+use super::interruption::NotContinued;
 use super::probe;
-use super::{NotContinued, Relay, Source, Step, is_event_stream};
+use super::{Relay, Source, Step, is_event_stream};
 use crate::attempts::{MAX_SENDS, MAX_UNREACHABLE};
 use crate::crashes;
 use crate::dialect::{KvCacheRef, Resume};
