Show that a source is asked after an engine that may run the generation

Ways::keep() makes the source a way again although an engine that may run the generation was recorded. Continuation::wait_for_source() calls it when the source confirms its stop late, so the generation may run twice (TWICE). The test fails on this code.

--- a/components/gateway/tests/unit/ways.rs
+++ b/components/gateway/tests/unit/ways.rs
@@ -108,3 +108,15 @@
 
     assert_eq!((before, ways.next(true)), (None, Some(Way::Source)));
 }
+
+/// Guards against generations that run twice: the source says late that it keeps the cache, after
+/// an engine that may run the generation was asked.
+#[test]
+fn source_that_keeps_the_cache_late_is_not_asked_after_an_engine_that_may_run_the_generation() {
+    let mut ways = Ways::new(true, false);
+    ways.record(Way::Copy, Outcome::MayRun);
+
+    ways.keep();
+
+    assert_eq!(ways.next(true), None);
+}
