Repeat a refused stop after a pause, and ask paused engines for no word

A command to stop a generation that an engine refused was followed by a new copy and the next command at once: hundreds a second at an engine that copies fast. An engine that wants no requests for a time was not told to stop a generation that it may run, and counted as gone, so that another one was asked (a second run): its word is missing now, and nobody else is asked.

--- a/components/gateway/src/moves/commands.rs
+++ b/components/gateway/src/moves/commands.rs
@@ -10,6 +10,7 @@
 use crate::dialect::{MoveCommand, MoveResult};
 use crate::exchange::{ExchangeError, send_command};
 use crate::health::record_failure;
+use crate::notices;
 use crate::shared::Shared;
 use crate::target::Target;
 
@@ -28,7 +29,7 @@
     Kept(CompactString),
     /// The engine accepts no command.
     Unreachable,
-    /// The engine refuses the command: the generation still runs.
+    /// The engine refuses the command, or wants none: the generation is not stopped.
     Refused,
     /// The generation may still run, or be stopped.
     Unknown,
@@ -41,6 +42,9 @@
     source: &Target,
     to: SocketAddr,
 ) -> StopResult {
+    if notices::pause_ms(shared, &source.id, source.born_ms) > 0 {
+        return StopResult::Refused;
+    }
     match send_move(shared, call, source, to, true).await {
         Ok(MoveResult::Copied(handle)) => StopResult::Copied(handle),
         Ok(MoveResult::Kept(handle)) => StopResult::Kept(handle),
--- a/components/gateway/src/relay/migration.rs
+++ b/components/gateway/src/relay/migration.rs
@@ -48,11 +48,12 @@
                 StopResult::Kept(handle) => {
                     MoveState::Stopped(StoppedGeneration::kept(Some(copy), handle))
                 }
-                // The generation may be queued at the source, or still run: copy it again.
-                StopResult::NotRunning | StopResult::Refused => {
-                    moves::start_copy(&self.shared, &self.call, target, self.progress.relayed)
+                StopResult::Refused => {
+                    self.may_be_stopped = false;
+                    moves::retry_stop(copy)
                 }
-                StopResult::Unreachable => moves::retry_stop(copy),
+                // The generation may be queued at the source.
+                StopResult::NotRunning | StopResult::Unreachable => moves::retry_stop(copy),
                 StopResult::Unknown => {
                     self.may_be_stopped = true;
                     moves::retry_stop(copy)
@@ -75,7 +76,7 @@
         drop(source);
         let continued =
             match moves::take_stopped(&self.shared, &self.call, &target, state, true).await {
-                Some(stopped) => self.go_on(stopped, target).await,
+                Some(stopped) => Box::pin(self.go_on(stopped, target)).await,
                 None => Err(NotContinued::default()),
             };
         self.continue_or_end(continued, "link of the engine saturated")
