Ask engines for a stopped generation without a second run, a leak or a long wait

And of the silent engine: its events were not read while another one was asked, and the stream left it for a head without an event. Both are read now, and the first one that sends an event has the stream.

--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -36,6 +36,19 @@
         Some(self.buffer.split_to(end).freeze())
     }
 
+    /// Returns the first complete event that is more than a comment, without removing it.
+    pub(crate) fn first(&self) -> Option<&[u8]> {
+        let mut rest = &self.buffer[..];
+        while let Some(end) = event_end(rest, 0) {
+            let (event, after) = rest.split_at(end);
+            if !is_comment(event) {
+                return Some(event);
+            }
+            rest = after;
+        }
+        None
+    }
+
     /// Removes and returns the bytes after the last complete event.
     pub(crate) fn take_remainder(&mut self) -> Bytes {
         self.searched = 0;
@@ -43,20 +56,28 @@
     }
 
     fn find_event_end(&mut self) -> Option<usize> {
-        let bytes = &self.buffer[..];
-        for at in self.searched..bytes.len() {
-            let rest = &bytes[at..];
-            if rest.starts_with(b"\n\n") {
-                return Some(at + 2);
-            }
-            if rest.starts_with(b"\n\r\n") {
-                return Some(at + 3);
-            }
+        let end = event_end(&self.buffer, self.searched);
+        if end.is_none() {
+            // The end of an event may begin in the last two bytes.
+            self.searched = self.buffer.len().saturating_sub(2);
+        }
+        end
+    }
+}
+
+/// Returns the length of the event that begins `bytes`, if it is complete; its end is searched
+/// `from` there on.
+fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
+    for at in from..bytes.len() {
+        let rest = &bytes[at..];
+        if rest.starts_with(b"\n\n") {
+            return Some(at + 2);
+        }
+        if rest.starts_with(b"\n\r\n") {
+            return Some(at + 3);
         }
-        // The end of an event may begin in the last two bytes.
-        self.searched = bytes.len().saturating_sub(2);
-        None
     }
+    None
 }
 
 /// What an event means for the progress of its stream.
--- a/components/gateway/src/moves/mod.rs
+++ b/components/gateway/src/moves/mod.rs
@@ -9,6 +9,7 @@
 
 mod commands;
 mod stopping;
+mod unused;
 mod ways;
 
 use std::rc::Rc;
@@ -33,6 +34,7 @@
 pub(crate) use stopping::{
     StopAndCopy, StoppedGeneration, continue_until, free_late_copy, stop_and_copy, take_stopped,
 };
+pub(crate) use unused::UnusedCopies;
 pub(crate) use ways::{Outcome, Way, Ways};
 
 /// Delay before the next attempt to reserve a slot for a copy and to make it.
@@ -190,7 +192,7 @@
     })
 }
 
-/// Plans to repeat a stop command whose result is not known, with the copy that exists.
+/// Plans to repeat a command that has not stopped the generation, or may not have.
 pub(crate) fn retry_stop(copy: CacheCopy) -> MoveState {
     let plan = StopPlan { at: Instant::now() + STOP_RETRY_DELAY, link_saturated: false };
     MoveState::Copied(copy, plan)
--- a/components/gateway/src/moves/ways.rs
+++ b/components/gateway/src/moves/ways.rs
@@ -3,6 +3,8 @@
 
 /// Copies of a KV cache that its source is asked for after the first one.
 const MAX_FURTHER_COPIES: u32 = 2;
+/// Requests to go on with one generation: at the first copy, at the source, at further copies.
+const MAX_REQUESTS: u32 = 2 + MAX_FURTHER_COPIES;
 
 /// Where a generation may go on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -24,6 +26,8 @@
     Copied,
     /// The source does not keep the KV cache.
     NotKept,
+    /// The engine ran the generation and has stopped it: it is the source from now on.
+    Stopped,
     /// The engine may run the generation: no other one may be asked.
     MayRun,
 }
@@ -43,6 +47,9 @@
     has_copy: bool,
     at_source: AtSource,
     further_copies: u32,
+    requests: u32,
+    /// An engine may run the generation.
+    may_run: bool,
 }
 
 impl Ways {
@@ -50,13 +57,20 @@
     /// kept by the source that stopped it.
     pub(crate) fn new(has_copy: bool, is_kept: bool) -> Self {
         let at_source = if is_kept { AtSource::Kept } else { AtSource::NotKept };
-        Ways { has_copy, at_source, further_copies: MAX_FURTHER_COPIES }
+        Ways {
+            has_copy,
+            at_source,
+            further_copies: MAX_FURTHER_COPIES,
+            requests: MAX_REQUESTS,
+            may_run: false,
+        }
     }
 
     /// Returns the next way. The source is asked to take the generation back only if it
     /// `takes_requests`; it is quicker than another copy.
     pub(crate) fn next(&self, takes_requests: bool) -> Option<Way> {
         match self.at_source {
+            _ if self.may_run || self.requests == 0 => None,
             _ if self.has_copy => Some(Way::Copy),
             AtSource::Kept if takes_requests => Some(Way::Source),
             AtSource::Kept | AtSource::Refused if self.further_copies > 0 => Some(Way::NextCopy),
@@ -71,16 +85,18 @@
 
     /// Records what became of a way.
     pub(crate) fn record(&mut self, way: Way, outcome: Outcome) {
-        if way == Way::NextCopy {
-            self.further_copies -= 1;
+        match way {
+            Way::Copy | Way::Source => self.requests -= 1,
+            Way::NextCopy => self.further_copies -= 1,
         }
         match (way, outcome) {
-            (_, Outcome::MayRun) => {
+            (_, Outcome::MayRun) => self.may_run = true,
+            (_, Outcome::Stopped) => {
                 self.has_copy = false;
-                self.at_source = AtSource::NotKept;
+                self.at_source = AtSource::Kept;
             }
             (Way::Copy, _) => self.has_copy = false,
-            (Way::Source, Outcome::NotKept) | (Way::NextCopy, Outcome::NotKept) => {
+            (Way::Source | Way::NextCopy, Outcome::NotKept) => {
                 self.at_source = AtSource::NotKept;
             }
             (Way::Source, _) => self.at_source = AtSource::Refused,
--- a/components/gateway/src/relay/continuation.rs
+++ b/components/gateway/src/relay/continuation.rs
@@ -4,15 +4,16 @@
 
 use compact_str::CompactString;
 use smallvec::smallvec;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::Relay;
 use super::interruption::NotContinued;
 use super::resume::ResumeError;
 use crate::dialect::KvCacheRef;
 use crate::eligibility::Excluded;
+use crate::events::EventSplitter;
 use crate::moves::{
-    self, CacheCopy, Outcome, PendingTask, StopAndCopy, StopResult, StoppedGeneration, Way, Ways,
+    self, CacheCopy, Outcome, StopAndCopy, StopResult, StoppedGeneration, UnusedCopies, Way, Ways,
 };
 use crate::place::{accepts_return, reserve_for_return};
 use crate::target::Target;
@@ -20,6 +21,12 @@
 /// Interval at which a request that the retry budget does not allow asks again.
 const BUDGET_POLL_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Wait for the answer of an engine that goes on from a KV cache, and so admits the request
+/// first, before it is told to stop the generation.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Pause before an engine that refused the generation is offered it again.
+const OFFER_PAUSE: Duration = Duration::from_millis(200);
+
 /// What is known of a stopped generation while engines are asked to go on with it.
 struct Continuation {
     ways: Ways,
@@ -27,9 +34,9 @@
     source: Target,
     copy: Option<CacheCopy>,
     kept: Option<CompactString>,
-    ending: Option<PendingTask<StopResult>>,
-    /// Engines that are not asked for a further copy.
-    excluded: Excluded,
+    unused: UnusedCopies,
+    /// Engines that are not asked for a further copy, unless there are no others.
+    refused: Excluded,
     /// Until when the generation may wait for an engine.
     until: Instant,
     /// Requests that were sent to engines.
@@ -37,43 +44,45 @@
 }
 
 impl Continuation {
-    fn new(stopped: StoppedGeneration, source: Target, until: Instant) -> Self {
+    fn new(relay: &Relay, stopped: StoppedGeneration, source: Target) -> Self {
         let StoppedGeneration { copy, kept, ending } = stopped;
-        Continuation {
+        let mut generation = Continuation {
             ways: Ways::new(copy.is_some(), kept.is_some()),
-            excluded: smallvec![source.id.clone()],
+            refused: smallvec![source.id.clone()],
             source,
             copy,
             kept,
-            ending,
-            until,
+            unused: UnusedCopies::new(&relay.shared, &relay.call),
+            until: moves::continue_until(&relay.call),
             sends: 0,
+        };
+        generation.unused.ending = ending.map(|ending| (ending, generation.source.clone()));
+        generation.track_copies();
+        generation
+    }
+
+    fn track_copies(&mut self) {
+        if let Some(CacheCopy { reservation, cache }) = &self.copy {
+            self.unused.add(&self.source, &cache.handle, Some(&reservation.target));
+        }
+        if let Some(handle) = &self.kept {
+            self.unused.add(&self.source, handle, None);
         }
     }
 
     /// Waits until the source has said whether it keeps the KV cache, if that is to come; returns
     /// whether it does.
     async fn wait_for_source(&mut self) -> bool {
-        let Some(mut ending) = self.ending.take() else { return false };
-        let (StopResult::Copied(handle) | StopResult::Kept(handle)) =
-            timeout_at(self.until, ending.wait())
-                .await
-                .ok()
-                .flatten()
-                .unwrap_or(StopResult::Unknown)
-        else {
+        let Some((mut ending, _)) = self.unused.ending.take() else { return false };
+        let result = timeout_at(self.until, ending.wait()).await.ok().flatten();
+        let Some(StopResult::Copied(handle) | StopResult::Kept(handle)) = result else {
             return false;
         };
         self.kept = Some(handle);
         self.ways.keep();
+        self.track_copies();
         true
     }
-
-    /// Returns the handle under which the source knows the KV cache.
-    fn handle(&self) -> Option<CompactString> {
-        let copied = self.copy.as_ref().map(|copy| &copy.cache.handle);
-        self.kept.as_ref().or(copied).cloned()
-    }
 }
 
 impl Relay {
@@ -86,37 +95,30 @@
     ) -> Result<(), NotContinued> {
         // The stream of a source that may have stopped is not complete when it ends.
         self.may_be_stopped |= stopped.kept.is_some() || stopped.ending.is_some();
-        let until = moves::continue_until(&self.call);
-        let mut generation = Continuation::new(stopped, source, until);
-        let mut last_handle = generation.handle();
+        let mut generation = Continuation::new(self, stopped, source);
         let moved = loop {
             let takes_requests = accepts_return(&self.shared, &generation.source);
-            let Some(way) = generation.ways.next(takes_requests) else {
-                if generation.wait_for_source().await {
-                    continue;
-                }
-                break None;
-            };
-            last_handle = generation.handle().or(last_handle);
-            match self.try_way(&mut generation, way).await {
-                Ok(()) => break Some(way),
-                Err(outcome) => generation.ways.record(way, outcome),
+            match generation.ways.next(takes_requests) {
+                Some(way) => match self.try_way(&mut generation, way).await {
+                    Ok(()) => break Some(way),
+                    Err(outcome) => {
+                        if outcome == Outcome::MayRun {
+                            generation.unused.keep_all();
+                        }
+                        generation.ways.record(way, outcome);
+                    }
+                },
+                None if generation.wait_for_source().await => {}
+                None => break None,
             }
         };
-        let Continuation { source, ending, .. } = generation;
         let outcome = match moved {
             Some(Way::Source) => "returned",
             Some(Way::Copy | Way::NextCopy) => "moved",
             None => "failed",
         };
         self.shared.metrics.moves.with_label_values(&[outcome]).inc();
-        if let Some(ending) = ending {
-            moves::free_late_copy(&self.shared, &self.call, &source, ending);
-        }
         if moved.is_none() {
-            if let Some(handle) = last_handle {
-                moves::free_later(&self.shared, &self.call, &source, handle);
-            }
             return Err(NotContinued::default());
         }
         log::info!(request = self.call.head.id.as_str(), outcome, events = self.progress.relayed; "generation moved");
@@ -124,29 +126,53 @@
     }
 
     async fn try_way(&mut self, generation: &mut Continuation, way: Way) -> Result<(), Outcome> {
-        let (reservation, cache) = match way {
-            Way::Copy => {
-                let copy = generation.copy.take().ok_or(Outcome::NotRun)?;
-                (copy.reservation, copy.cache)
-            }
-            Way::Source => {
-                let handle = generation.kept.clone().ok_or(Outcome::NotKept)?;
-                let source = &generation.source;
-                let reservation =
-                    reserve_for_return(&self.shared, &self.call, source, self.progress.relayed);
-                (reservation, KvCacheRef { source: source.address, handle })
-            }
-            Way::NextCopy => return Err(self.copy_again(generation).await),
-        };
+        if way == Way::NextCopy {
+            return Err(self.copy_again(generation).await);
+        }
         if generation.sends > 0 && !self.wait_for_retry(generation.until).await {
             return Err(Outcome::NotRun);
         }
+        let (reservation, cache) = if way == Way::Source {
+            let handle = generation.kept.clone().ok_or(Outcome::NotKept)?;
+            let source = &generation.source;
+            // The wait for the retry budget may have been too long.
+            if !accepts_return(&self.shared, source) {
+                return Err(Outcome::NotRun);
+            }
+            let reservation =
+                reserve_for_return(&self.shared, &self.call, source, self.progress.relayed);
+            (reservation, KvCacheRef { source: source.address, handle })
+        } else {
+            let copy = generation.copy.take().ok_or(Outcome::NotRun)?;
+            (copy.reservation, copy.cache)
+        };
         generation.sends += 1;
         let target = reservation.target.clone();
-        generation.excluded.push(target.id.clone());
+        generation.refused.push(target.id.clone());
+        let handle = cache.handle.clone();
         log::info!(request = self.call.head.id.as_str(), from = generation.source.id.as_str(), to = target.id.as_str(), way:? = way, events = self.progress.relayed; "moving generation");
-        match self.resume(reservation, Some(cache)).await {
-            Ok(()) => Ok(()),
+        let answered = {
+            let asking = self.ask(reservation, Some(cache));
+            tokio::pin!(asking);
+            match timeout(ANSWER_TIMEOUT, &mut asking).await {
+                Ok(answered) => answered,
+                Err(_) => match self.end_lost_run(generation, target.clone()).await {
+                    // Without its word, the engine may still answer.
+                    Outcome::MayRun => asking.await,
+                    outcome => return Err(outcome),
+                },
+            }
+        };
+        match answered {
+            Ok(source) => {
+                if way == Way::Source {
+                    generation.unused.keep_at_source();
+                } else {
+                    generation.unused.keep(&handle);
+                }
+                self.adopt(source, EventSplitter::default());
+                Ok(())
+            }
             Err(ResumeError::NotRun) => Err(Outcome::NotRun),
             Err(ResumeError::Unreachable) if way == Way::Source => Err(Outcome::NotKept),
             Err(ResumeError::Unreachable) => Err(Outcome::NotRun),
@@ -155,16 +181,24 @@
         }
     }
 
-    /// Has the source copy the KV cache that it keeps to one more engine.
+    /// Has the source copy the KV cache that it keeps to one more engine: one that has not
+    /// refused the generation, if there is any.
     async fn copy_again(&self, generation: &mut Continuation) -> Outcome {
-        let (source, excluded) = (&generation.source, &generation.excluded);
-        let (events, until) = (self.progress.relayed, generation.until);
-        let stopped =
-            moves::stop_and_copy(&self.shared, &self.call, source, excluded, events, until).await;
+        let source = generation.source.clone();
+        let (shared, call, events) = (&self.shared, &self.call, self.progress.relayed);
+        let now = Instant::now();
+        let mut stopped =
+            moves::stop_and_copy(shared, call, &source, &generation.refused, events, now).await;
+        if matches!(stopped, StopAndCopy::NoPlace) {
+            sleep(OFFER_PAUSE).await;
+            let (excluded, until) = (smallvec![source.id.clone()], generation.until);
+            stopped = moves::stop_and_copy(shared, call, &source, &excluded, events, until).await;
+        }
         match stopped {
             StopAndCopy::Stopped(stopped) => {
                 generation.kept = stopped.kept.or(generation.kept.take());
                 generation.copy = stopped.copy;
+                generation.track_copies();
                 if generation.copy.is_some() { Outcome::Copied } else { Outcome::NotRun }
             }
             StopAndCopy::NotRunning => Outcome::NotKept,
@@ -179,10 +213,11 @@
         match moves::send_stop(&self.shared, &self.call, &engine, to).await {
             StopResult::NotRunning | StopResult::Unreachable => Outcome::NotRun,
             StopResult::Copied(handle) | StopResult::Kept(handle) => {
-                let stopped = StoppedGeneration { copy: None, kept: Some(handle), ending: None };
-                let (sends, until) = (generation.sends, generation.until);
-                *generation = Continuation { sends, ..Continuation::new(stopped, engine, until) };
-                Outcome::NotRun
+                generation.source = engine;
+                generation.copy = None;
+                generation.kept = Some(handle);
+                generation.track_copies();
+                Outcome::Stopped
             }
             StopResult::Refused | StopResult::Unknown => Outcome::MayRun,
         }
--- a/components/gateway/src/relay/interruption.rs
+++ b/components/gateway/src/relay/interruption.rs
@@ -31,11 +31,12 @@
     /// Reacts to the end of the source's stream.
     pub(super) async fn end_of_source(&mut self) -> Ended {
         self.end_source();
-        if let Some((stopped, source)) = self.take_stopped(self.may_be_stopped).await {
-            let continued = self.go_on(stopped, source).await;
+        let may_be_stopped = self.may_be_stopped;
+        if let Some((stopped, source)) = self.take_stopped(may_be_stopped).await {
+            let continued = Box::pin(self.go_on(stopped, source)).await;
             return Ended::Continued(self.continue_or_end(continued, "stopped for a move"));
         }
-        if self.may_be_stopped {
+        if may_be_stopped {
             return Ended::Continued(Err(self.end(StreamEnd::StoppedByPeer, "")));
         }
         match self.find_broken_end() {
@@ -60,7 +61,7 @@
         // The copy of a wrong run's KV cache continues that run.
         self.discard_move();
         self.end_source();
-        let continued = self.recover().await;
+        let continued = Box::pin(self.recover()).await;
         self.continue_or_end(continued, "events do not follow on")
     }
 
@@ -68,7 +69,7 @@
     pub(super) async fn leave_flooding_engine(&mut self) -> Result<(), ResponseTruncated> {
         self.record_engine_failure("no progress");
         self.end_source();
-        let continued = self.recover().await;
+        let continued = Box::pin(self.recover()).await;
         self.continue_or_end(continued, "engine sends no new events")
     }
 
@@ -91,7 +92,7 @@
             (None, MoveState::Idle | MoveState::Copying(..)) => StreamEnd::BrokenOff,
             (None, _) => StreamEnd::NotContinued,
         };
-        let continued = self.recover().await.map_err(|NotContinued(end)| match end {
+        let continued = Box::pin(self.recover()).await.map_err(|NotContinued(end)| match end {
             StreamEnd::NotContinued => NotContinued(broken_off),
             _ => NotContinued(end),
         });
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -15,7 +15,7 @@
 
 use bytes::Bytes;
 use futures::stream::unfold;
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{HeaderValue, Response, StatusCode, Version, response};
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -59,13 +59,19 @@
     connection: Connection,
     reservation: Reservation,
     probe: Probe,
+    /// The response says itself where it ends, so that its end is not that of a connection.
+    is_framed: bool,
     /// It ended, broke off or is left: nothing that it sends counts any more.
     has_ended: bool,
 }
 
 impl Source {
-    fn new(body: Incoming, connection: Connection, reservation: Reservation) -> Self {
-        Source { body, connection, reservation, probe: Probe::default(), has_ended: false }
+    fn new(response: UpstreamResponse, reservation: Reservation) -> Self {
+        let UpstreamResponse { head, body, connection } = response;
+        let is_framed = head.headers.contains_key(TRANSFER_ENCODING)
+            || head.headers.contains_key(CONTENT_LENGTH);
+        let probe = Probe::default();
+        Source { body, connection, reservation, probe, is_framed, has_ended: false }
     }
 }
 
@@ -163,7 +169,7 @@
         let origin = reservation.target.origin.clone();
         shared.origins.borrow_mut().record(stream, origin, shared.now_ms());
     }
-    let UpstreamResponse { mut head, body, connection } = response;
+    let mut head = response.head.clone();
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
     // The protocol version belongs to the connection to the upstream.
@@ -172,7 +178,7 @@
     let mut relay = Relay::new(shared, call, origin, earlier_runs + 1, in_flight);
     // The engine may have started to drain before the head arrived.
     relay.departures.mark_changed();
-    relay.source = Some(Source::new(body, connection, reservation));
+    relay.source = Some(Source::new(response, reservation));
     Response::from_parts(head, relay.into_body())
 }
 
@@ -288,7 +294,7 @@
             Step::Stalled => self.start_probe(),
             Step::Probed(connected) => {
                 if !self.is_reachable(connected) && self.is_recoverable() {
-                    let continued = self.recover().await;
+                    let continued = Box::pin(self.recover()).await;
                     self.probe_at = Instant::now() + PROBE_AFTER;
                     return self.continue_or_end(continued, "engine unreachable");
                 }
--- a/components/gateway/src/relay/peers.rs
+++ b/components/gateway/src/relay/peers.rs
@@ -120,6 +120,7 @@
         self.discard_move();
         self.discard_unfinished_event();
         self.source = None;
+        self.may_be_stopped = false;
         self.resumed = true;
         self.events_of_run = 0;
         self.peer = Some(body);
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -7,12 +7,13 @@
 use super::ending::StreamEnd;
 use super::interruption::NotContinued;
 use super::probe;
-use super::{Relay, Source, Step, is_event_stream};
+use super::{MAX_BYTES_WITHOUT_EVENT, Relay, Source, Step, is_event_stream};
 use crate::attempts::{MAX_SENDS, MAX_UNREACHABLE};
 use crate::crashes;
 use crate::dialect::{KvCacheRef, Resume};
 use crate::eligibility::Excluded;
-use crate::exchange::{ExchangeError, UpstreamResponse, exchange};
+use crate::events::EventSplitter;
+use crate::exchange::{ExchangeError, exchange};
 use crate::health::{record_failure, record_unreachable};
 use crate::notices;
 use crate::place::{ReserveError, wait_for_slot};
@@ -40,6 +41,14 @@
     Heard,
 }
 
+/// Who sent the next event of a stream whose source was silent.
+enum Asked {
+    /// The engine that was asked to go on, with the events that it has sent.
+    Answered(Box<Source>, EventSplitter),
+    /// The source of the stream.
+    Heard,
+}
+
 impl Relay {
     /// Has another engine or gateway continue the stream. The source is kept until one does.
     pub(super) async fn recover(&mut self) -> Result<(), NotContinued> {
@@ -47,7 +56,7 @@
             return Ok(());
         }
         if let Some((stopped, source)) = self.take_stopped(true).await {
-            return self.go_on(stopped, source).await;
+            return Box::pin(self.go_on(stopped, source)).await;
         }
         let resumable = self.call.route.kind() == RepeatKind::ResumableStream;
         let may_run = self.runs < self.call.route.max_attempts.max(1);
@@ -99,9 +108,12 @@
                 Placed::Heard => return Ok(()),
             };
             let upstream = reservation.target.id.clone();
-            match self.resume(reservation, None).await {
-                Ok(()) => {
+            match self.ask_or_hear(reservation).await {
+                Ok(asked) => {
                     self.runs += 1;
+                    if let Asked::Answered(source, events) = asked {
+                        self.adopt(*source, events);
+                    }
                     return Ok(());
                 }
                 Err(ResumeError::Unreachable) => {
@@ -145,13 +157,12 @@
         placed.map_or_else(Placed::Refused, Placed::Reserved)
     }
 
-    /// Sends the request to another engine, to go on after the last event that was relayed. The
-    /// engine becomes the source of the stream if it does.
-    pub(super) async fn resume(
-        &mut self,
+    /// Sends the request to another engine, to go on after the last event that was relayed.
+    pub(super) async fn ask(
+        &self,
         mut reservation: Reservation,
         kv_cache: Option<KvCacheRef>,
-    ) -> Result<(), ResumeError> {
+    ) -> Result<Source, ResumeError> {
         if !self.progress.is_resumable() {
             log::warn!(request = self.call.head.id.as_str(); "stream not resumed: its last event has no id");
             return Err(ResumeError::Failed);
@@ -176,17 +187,62 @@
             let is_not_run = head.request_id.is_some() && id_matches && head.not_run;
             return Err(if is_not_run { ResumeError::NotRun } else { ResumeError::Lost });
         }
-        self.discard_unfinished_event();
+        reservation.record_first_event();
+        reservation.record_progress(&self.call.requirements, self.progress.relayed);
+        Ok(Source::new(response, reservation))
+    }
+
+    /// Makes an engine that goes on with the stream its source; `events` are those that it has
+    /// sent so far.
+    pub(super) fn adopt(&mut self, source: Source, events: EventSplitter) {
+        self.events = events;
+        self.progress.bytes_without_event = 0;
         self.peer = None;
         self.may_be_stopped = false;
         self.resumed = true;
         self.events_of_run = 0;
-        reservation.record_first_event();
-        reservation.record_progress(&self.call.requirements, self.progress.relayed);
-        let UpstreamResponse { body, connection, .. } = response;
-        self.source = Some(Source::new(body, connection, reservation));
+        self.source = Some(source);
         self.start_move();
-        Ok(())
+    }
+
+    /// Asks another engine to go on while the source of the stream may do so itself, until one
+    /// of them sends an event.
+    async fn ask_or_hear(&mut self, reservation: Reservation) -> Result<Asked, ResumeError> {
+        let Some(mut source) = self.source.take_if(|source| !source.has_ended) else {
+            let source = self.ask(reservation, None).await?;
+            return Ok(Asked::Answered(Box::new(source), EventSplitter::default()));
+        };
+        let answered = tokio::select! {
+            biased;
+            frame = source.body.frame() => {
+                self.pending = Some(Step::from_frame(frame));
+                Ok(Asked::Heard)
+            }
+            answered = self.ask_for_event(reservation) => answered,
+        };
+        self.source = Some(source);
+        answered
+    }
+
+    /// Asks another engine to go on, and waits for its first event.
+    async fn ask_for_event(&self, reservation: Reservation) -> Result<Asked, ResumeError> {
+        let mut source = self.ask(reservation, None).await?;
+        let mut events = EventSplitter::default();
+        while let Some(Ok(frame)) = source.body.frame().await
+            && events.buffered_bytes() <= MAX_BYTES_WITHOUT_EVENT
+        {
+            events.push(&frame.into_data().unwrap_or_default());
+            match events.first().map(|event| self.shared.dialect.event_id(event)) {
+                Some(id) if self.progress.may_go_on_with(id) => {
+                    return Ok(Asked::Answered(Box::new(source), events));
+                }
+                Some(_) => break,
+                None => {}
+            }
+        }
+        log::warn!(request = self.call.head.id.as_str(), upstream = source.reservation.target.id.as_str(); "engine sent no event that continues the stream");
+        record_failure(&self.shared, &source.reservation.target, "stream not continued");
+        Err(ResumeError::Lost)
     }
 
     /// Counts a failed exchange against the engine.
