Take a framed response that ends for complete after a lost response to a stop

A stream that its engine completed was cut, or run again elsewhere, if the response to an earlier command to stop it was lost, or the command could not be sent while the engine was silent: its end was not trusted. An engine that stops a generation closes the stream without its end, so that the end of a response with a length or in chunks shows that it is complete. Only the end of one that ends with its connection is still doubted.

--- a/components/gateway/src/relay/interruption.rs
+++ b/components/gateway/src/relay/interruption.rs
@@ -31,7 +31,9 @@
     /// Reacts to the end of the source's stream.
     pub(super) async fn end_of_source(&mut self) -> Ended {
         self.end_source();
-        let may_be_stopped = self.may_be_stopped;
+        // A generation that was stopped does not end its response.
+        let is_framed = self.source.as_ref().is_none_or(|source| source.is_framed);
+        let may_be_stopped = self.may_be_stopped && !is_framed;
         if let Some((stopped, source)) = self.take_stopped(may_be_stopped).await {
             let continued = Box::pin(self.go_on(stopped, source)).await;
             return Ended::Continued(self.continue_or_end(continued, "stopped for a move"));
