Log and count requests whose connection ends early

A caller whose connection closes before its response is complete saw a closed connection, and the gateway's log had nothing that names the request: hyper reports such ends without an id, at debug level, and drops the future of a request whose caller leaves while it waits.

Each connection now records the progress of its request: the head's bytes, its id once it is parsed, the body, the response, and the last flush. An end before that, or a drop of the connection's task when the process ends, writes one line (cause, stage, running time, set of routes) and counts one cause and stage, both from closed sets. Idle connections and complete responses have none. The line on requests answered at the end of the grace period names the request.

A FIN of the caller's half of the connection cannot be told from a close; both count as "caller closed".

--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -26,6 +26,7 @@
 use crate::shared::Shared;
 use crate::state::{BufferReservation, BufferUse};
 use crate::target::Target;
+use crate::unfinished::{Progress, Stage};
 
 /// W3C trace context of the caller, which is forwarded unchanged.
 const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
@@ -198,6 +199,7 @@
 /// Reads a request, authenticates it and finds its route.
 pub(crate) async fn accept(
     shared: &Rc<Shared>,
+    progress: &Progress,
     head: request::Parts,
     body: Incoming,
     arrived: Instant,
@@ -206,6 +208,7 @@
         (Refusal::client_error(StatusCode::BAD_REQUEST, "malformed head"), "".into())
     })?;
     let id = request_head.id.clone();
+    progress.set_id(&id);
     let refuse = |refusal| (refusal, id.clone());
     let table = wait_for_table(shared, arrived).await.map_err(&refuse)?;
     let routed = table.route(&request_head.host, head.uri.path(), request_head.key.as_deref());
@@ -228,7 +231,9 @@
         .map_or(Duration::ZERO, |deadline_ms| shared.time_spent_earlier(routed.route, deadline_ms));
     let target = Duration::from_millis(routed.route.target_latency_ms);
     let mut body_memory = shared.buffers.reserve(BufferUse::RequestBody);
-    let body = read_body(body, limit, until, &mut body_memory).await.map_err(&refuse)?;
+    let body = read_body(progress, body, limit, until, &mut body_memory).await;
+    let body = body.map_err(&refuse)?;
+    progress.set_stage(Stage::Waiting);
     // The stop may have begun while the body arrived.
     refuse_while_stopping(shared, routed.route.kind(), until).map_err(&refuse)?;
     let workspace = routed.workspace.map(|workspace| workspace.name.as_str());
@@ -316,6 +321,7 @@
 }
 
 async fn read_body(
+    progress: &Progress,
     body: Incoming,
     limit: u64,
     until: Instant,
@@ -330,7 +336,8 @@
         Ok(Err(ReadError::NoMemory)) => {
             Err(Refusal::unavailable("too many bodies", RETRY_AFTER_NO_UPSTREAM))
         }
-        Ok(Err(ReadError::Interrupted(_))) => {
+        Ok(Err(ReadError::Interrupted(error))) => {
+            progress.record_broken_body(&error);
             Err(Refusal::client_error(StatusCode::BAD_REQUEST, "malformed body"))
         }
         Err(_) => {
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -32,6 +32,7 @@
 use crate::state::BufferUse;
 use crate::target::Target;
 use crate::timing::elapsed_ms;
+use crate::unfinished::{Progress, Stage};
 
 /// Share of a route's target latency for which a request may queue for a slot,
 /// counted from its arrival.
@@ -47,7 +48,12 @@
 const GRACE_OVER: &str = "grace period over";
 
 /// Serves one request of a caller.
-pub(crate) async fn serve(shared: Rc<Shared>, request: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn serve(
+    shared: Rc<Shared>,
+    progress: &Progress,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    progress.begin();
     let in_flight = shared.track_in_flight();
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
@@ -55,8 +61,10 @@
     // Bytes after such a body may be a smuggled request, so the connection is
     // not reused.
     let close_connection = head.headers.contains_key(TRANSFER_ENCODING);
-    let responding = respond(&shared, head, body, arrived, in_flight);
-    let mut response = answer_within_grace(&shared, arrived, responding).await;
+    let responding = respond(&shared, progress, head, body, arrived, in_flight);
+    let id = || progress.id();
+    let mut response = answer_within_grace(&shared, arrived, responding, id).await;
+    progress.set_stage(Stage::Response);
     if close_connection || *shared.phase.borrow() == EntryPhase::Stopping {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -64,16 +72,18 @@
 }
 
 /// Waits for a response until the end of the grace period; after that the outcome is unknown.
+/// `id` returns the id of the request, if it is known by then.
 pub(crate) async fn answer_within_grace(
     shared: &Shared,
     arrived: Instant,
     responding: impl Future<Output = Response<Body>>,
+    id: impl Fn() -> CompactString,
 ) -> Response<Body> {
     let mut ending = shared.ending.subscribe();
     tokio::select! {
         response = responding => response,
         _ = ending.wait_for(|ending| *ending) => {
-            log::warn!(waited_ms = elapsed_ms(arrived); "request cut off at the end of the grace period");
+            log::warn!(request = id().as_str(), waited_ms = elapsed_ms(arrived); "request cut off at the end of the grace period");
             shared.metrics.requests.with_label_values(&["none", GRACE_OVER]).inc();
             Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, GRACE_OVER).into_response()
         }
@@ -82,12 +92,13 @@
 
 async fn respond(
     shared: &Rc<Shared>,
+    progress: &Progress,
     head: request::Parts,
     body: Incoming,
     arrived: Instant,
     in_flight: InFlightGuard,
 ) -> Response<Body> {
-    match accept(shared, head, body, arrived).await {
+    match accept(shared, progress, head, body, arrived).await {
         Ok(call) => dispatch(shared, Rc::new(call), Attempts::default(), in_flight).await,
         Err((refusal, id)) => {
             log::info!(request = id.as_str(), status = refusal.status.as_u16(), reason = refusal.reason, waited_ms = elapsed_ms(arrived); "request refused");
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -1,7 +1,8 @@
 //! Reverse proxy that forwards callers' requests to upstreams by published
 //! routes.
 //!
-//! A request passes through [`server`] (connections of callers), [`accept`]
+//! A request passes through [`server`] (connections of callers; [`caller`] and [`unfinished`] record
+//! how they end), [`accept`]
 //! (routing, request body; [`buffering`] bounds what bodies hold), [`forward`] and [`attempts`] (attempts, retries,
 //! verdict), [`eligibility`] and [`place`] (upstream selection, slot reservation, with the
 //! [`limits`] of upstreams), [`exchange`], [`pool`] and [`socket`] (connections to upstreams) and [`relay`]
@@ -18,6 +19,7 @@
 mod answer;
 mod attempts;
 mod buffering;
+mod caller;
 mod capacity;
 mod control;
 mod crashes;
@@ -50,6 +52,7 @@
 mod status;
 mod target;
 mod timing;
+mod unfinished;
 
 pub use balance::{RequestRate, TokenCounts};
 pub use dialect::{
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -18,6 +18,8 @@
     pub(crate) moves: IntCounterVec,
     /// Streams that have ended, by cause.
     pub(crate) streams_ended: IntCounterVec,
+    /// Requests whose connection ended before their response was complete, by cause and stage.
+    pub(crate) unfinished_requests: IntCounterVec,
     /// Requests rejected because they, or a part of their prompt, are quarantined.
     pub(crate) quarantine_rejections: IntCounter,
     /// Streams that callers took up again, by what is known of their origin.
@@ -65,6 +67,11 @@
             connections_opened: counter("connections_total", "Connections opened.", &["service"])?,
             moves: counter("moves_total", "Moves of generations.", &["outcome"])?,
             streams_ended: counter("streams_ended_total", "Streams that ended.", &["outcome"])?,
+            unfinished_requests: counter(
+                "unfinished_requests_total",
+                "Requests whose connection ended before their response was complete.",
+                &["cause", "stage"],
+            )?,
             taken_up: counter("streams_taken_up_total", "Streams taken up again.", &["origin"])?,
             forwarded: counter("forwarded_total", "Requests handed on.", &["outcome"])?,
             cut_off: gauge("cut_off", "1 while upstreams are out of reach.")?,
--- a/components/gateway/src/peer/server.rs
+++ b/components/gateway/src/peer/server.rs
@@ -134,7 +134,8 @@
     match begun {
         None => {
             let serving = forward::dispatch(shared, call.clone(), attempts, in_flight);
-            Ok(forward::answer_within_grace(shared, call.arrived, serving).await)
+            let id = || call.head.id.clone();
+            Ok(forward::answer_within_grace(shared, call.arrived, serving, id).await)
         }
         Some(begun) => relay::take_over(shared, call, begun, attempts.runs, in_flight).await,
     }
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -15,8 +15,10 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time::sleep;
 
+use crate::caller::{CallerBody, CallerStream};
 use crate::forward;
 use crate::shared::Shared;
+use crate::unfinished::{DropGuard, Progress};
 
 /// Idle timeout if the published set of routes gives none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -66,17 +68,23 @@
     }
     let (idle_timeout, buffer_bytes) = connection_limits(&shared);
     let ends_with_connection = Cell::new(false);
+    let progress = Progress::new(&shared);
     let service = service_fn(|request: Request<Incoming>| {
         ends_with_connection.set(request.version() == Version::HTTP_10);
-        let shared = shared.clone();
-        async move { Ok::<_, Infallible>(forward::serve(shared, request).await) }
+        let (shared, progress) = (shared.clone(), progress.clone());
+        async move {
+            let response = forward::serve(shared, &progress, request).await;
+            Ok::<_, Infallible>(response.map(|body| CallerBody::new(body, progress)))
+        }
     });
+    let caller = CallerStream { stream, progress: progress.clone() };
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
         .max_buf_size(buffer_bytes)
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(caller), service);
+    let _guard = DropGuard(progress.clone());
     let mut open = true;
     let result = loop {
         tokio::select! {
@@ -87,11 +95,12 @@
             }
         }
     };
+    progress.record_connection_end(result.as_ref().err());
     let Err(error) = result else { return };
     log::debug!(error = error.to_string().as_str(); "caller connection failed");
     if ends_with_connection.get() {
         // A close would look like the end of the response.
-        let stream = connection.into_parts().io.into_inner();
+        let stream = connection.into_parts().io.into_inner().stream;
         if let Err(error) = stream.set_zero_linger() {
             log::debug!(error = error.to_string().as_str(); "cannot reset a caller connection");
         }
