Answer, log and count panics of a gateway's tasks

A caller whose request met a panic saw a connection that closed without an answer. At an HTTP/1.0 caller a stream that a panic ended even looked complete, as the close is the end of such a response.

A panic hook, installed where logging starts, writes a line with the location, thread and message and counts shallottray_panics_total on the metrics page of each process. A gateway catches the panic of a request: before the response it answers 502, may-have-run; in a body it breaks the response off as truncated, and the connection's end counts as a panic. The shared state is what a panic of any task would leave behind: borrows of cells end as it unwinds, and guards release what the request holds.

--- a/components/gateway/src/caller.rs
+++ b/components/gateway/src/caller.rs
@@ -1,6 +1,7 @@
 //! Connection of a caller and bodies of its responses, which record the progress of requests.
 
 use std::io;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -104,7 +105,13 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ResponseTruncated>>> {
-        let frame = self.body.as_mut().poll_frame(cx);
+        let polled = AssertUnwindSafe(|| self.body.as_mut().poll_frame(cx));
+        // An error, unlike a panic, lets the connection tell the caller that the response is
+        // truncated. The body is not polled again.
+        let Ok(frame) = catch_unwind(polled) else {
+            self.progress.record_body_end(BodyEnd::Panic);
+            return Poll::Ready(Some(Err(ResponseTruncated)));
+        };
         if let Poll::Ready(Some(Err(_))) = &frame {
             self.progress.record_body_end(BodyEnd::BrokenOff);
         }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -1,9 +1,11 @@
 //! Handles one request of a caller: attempts, retries and the response.
 
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Duration;
 
 use compact_str::CompactString;
+use futures::FutureExt as _;
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode, request};
 use hyper::body::Incoming;
@@ -47,6 +49,9 @@
 /// Reason of the answer to a request in flight at the end of the grace period.
 const GRACE_OVER: &str = "grace period over";
 
+/// Reason of the answer to a request whose handling panicked.
+const PANICKED: &str = "internal error";
+
 /// Serves one request of a caller.
 pub(crate) async fn serve(
     shared: Rc<Shared>,
@@ -61,7 +66,12 @@
     // Bytes after such a body may be a smuggled request, so the connection is
     // not reused.
     let close_connection = head.headers.contains_key(TRANSFER_ENCODING);
+    // As a panic unwinds, borrows of the shared cells end, and guards release what the request
+    // holds; the other tasks go on with that state whether or not the panic is caught here.
     let responding = respond(&shared, progress, head, body, arrived, in_flight);
+    let responding = AssertUnwindSafe(responding).catch_unwind();
+    let responding =
+        responding.map(|result| result.unwrap_or_else(|_| answer_panic(&shared, progress)));
     let id = || progress.id();
     let mut response = answer_within_grace(&shared, arrived, responding, id).await;
     progress.set_stage(Stage::Response);
@@ -71,6 +81,13 @@
     response
 }
 
+/// Answers a request whose handling panicked, when it may have been sent.
+fn answer_panic(shared: &Shared, progress: &Progress) -> Response<Body> {
+    log::error!(request = progress.id().as_str(), stage = progress.stage(); "request failed by a panic");
+    shared.metrics.requests.with_label_values(&["none", PANICKED]).inc();
+    Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, PANICKED).into_response()
+}
+
 /// Waits for a response until the end of the grace period; after that the outcome is unknown.
 /// `id` returns the id of the request, if it is known by then.
 pub(crate) async fn answer_within_grace(
--- a/components/gateway/src/unfinished.rs
+++ b/components/gateway/src/unfinished.rs
@@ -81,6 +81,7 @@
     /// All of it was handed to the connection.
     Complete,
     BrokenOff,
+    Panic,
 }
 
 /// How reading from a connection ended.
@@ -178,6 +179,11 @@
         self.current.borrow().as_ref().map(|request| request.id.clone()).unwrap_or_default()
     }
 
+    /// Returns the stage of the request in progress; empty if there is none.
+    pub(crate) fn stage(&self) -> &'static str {
+        self.current.borrow().as_ref().map_or("", |request| request.stage.as_str())
+    }
+
     /// Records a request whose body breaks off or is malformed. It gets a response all the
     /// same, as its caller may still read.
     pub(crate) fn record_broken_body(&self, error: &hyper::Error) {
@@ -192,6 +198,7 @@
     fn cause_of(&self, error: Option<&hyper::Error>) -> Cause {
         let body_end = self.current.borrow().as_ref().map(|request| request.body_end);
         match (body_end, self.read_end.get()) {
+            (Some(BodyEnd::Panic), _) => Cause::Panic,
             (Some(BodyEnd::BrokenOff), _) => Cause::BrokenOff,
             _ if self.write_failed.get() => Cause::WriteFailed,
             (_, Some(ReadEnd::Failed)) => Cause::ReadFailed,
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -7,6 +7,7 @@
 use log::LevelFilter;
 use log::kv::{Error, Key, Value, VisitSource};
 
+use crate::panics::install_panic_hook;
 use crate::sink::Sink;
 
 const DEFAULT_LEVEL: LevelFilter = LevelFilter::Info;
@@ -22,7 +23,7 @@
 
 impl std::error::Error for LogError {}
 
-/// Starts logging to standard output. The level applies to the crates listed in
+/// Starts logging to standard output, also of panics. The level applies to the crates listed in
 /// the function, `info` if empty; all other crates log warnings and errors.
 ///
 /// Logging never blocks: lines above the rate limit, and lines that find the
@@ -53,7 +54,9 @@
         })
         .chain(fern::Output::call(move |record| sink.try_send(record.args().to_string())))
         .apply()
-        .map_err(LogError::AlreadyStarted)
+        .map_err(LogError::AlreadyStarted)?;
+    install_panic_hook();
+    Ok(())
 }
 
 fn format_line(now: SystemTime, event: &str, record: &log::Record<'_>) -> String {
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -20,8 +20,8 @@
     Ok(registry)
 }
 
-/// Encodes a registry in the Prometheus text format, followed by the counter of
-/// dropped log lines.
+/// Encodes a registry in the Prometheus text format, followed by the counters of
+/// dropped log lines and of panics.
 ///
 /// ```
 /// let registry = prometheus::Registry::new();
@@ -39,5 +39,7 @@
     let dropped = crate::dropped_log_lines();
     text.push_str("# TYPE shallottray_log_lines_dropped_total counter\n");
     text.push_str(&format!("shallottray_log_lines_dropped_total {dropped}\n"));
+    text.push_str("# TYPE shallottray_panics_total counter\n");
+    text.push_str(&format!("shallottray_panics_total {}\n", crate::panics()));
     text
 }
