Write queued log lines when a daemon ends by a panic

Log lines that were queued when the main task of a daemon panicked were lost, the line of the panic among them: the queue was written out only after the daemon had returned. The other paths (SIGTERM, SIGINT, a failed start) did write it out.

A guard now writes the queue out on each way out of daemon::run, after the tasks of the daemon have been dropped.

--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -12,6 +12,16 @@
 const EXIT_USAGE: u8 = 2;
 const EXIT_FAILURE: u8 = 1;
 
+/// Writes the queued log lines when the daemon ends, also by a panic. It has to be dropped
+/// after the daemon's tasks, which log how they end.
+struct FlushGuard;
+
+impl Drop for FlushGuard {
+    fn drop(&mut self) {
+        telemetry::flush_logs();
+    }
+}
+
 /// Runs a daemon with the settings `loaded` from `path`.
 ///
 /// Returns exit code 2 if the settings are invalid or logging cannot start, and 1
@@ -42,9 +52,8 @@
         eprintln!("{error}");
         return ExitCode::from(EXIT_USAGE);
     }
-    let result = actix_rt::System::new().block_on(start(config));
-    telemetry::flush_logs();
-    match result {
+    let _flush = FlushGuard;
+    match actix_rt::System::new().block_on(start(config)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(()) => ExitCode::from(EXIT_FAILURE),
     }
