Drop the ends of requests last when log lines are lost

The users' record has no line for two of three streams, and lines above the rate limit or beyond the queue were dropped as they came and counted as one number: nothing told whether the line of an end was among them. The report of dropped lines came with the next line that was not dropped, so drops shortly before the end of a process were never reported, and a panic under the lock of the rate limit would have dropped every later line.

Lines are counted by target and event, at most 128 kinds, on the metrics page and in the report. Warnings, errors and the one line that each request or stream has at its end have a reserve of 1,000 tokens and 1,024 places in the queue. Reports come once a second at most, also without further lines and when the process ends. Bucket, queue and counts are behind one lock, which the writer holds only to take the lines; a poisoned lock stays usable.

--- a/components/daemon/tests/panics.rs
+++ b/components/daemon/tests/panics.rs
@@ -13,6 +13,19 @@
 const PADDING_BYTES: usize = 1_000;
 const READ_INTERVAL: Duration = Duration::from_millis(4);
 
+/// Logs that the task which holds it was dropped, as streams in progress do.
+struct LogOnDrop;
+
+impl Drop for LogOnDrop {
+    fn drop(&mut self) {
+        log::warn!("task dropped");
+    }
+}
+
+async fn wait_forever(_held: LogOnDrop) {
+    std::future::pending().await
+}
+
 /// Ends the process as soon as the panic has left the daemon, as the end of `main` does.
 fn run_panicking_daemon() -> ! {
     let padding = "x".repeat(PADDING_BYTES);
@@ -23,6 +36,7 @@
             Ok(()),
             |()| "",
             |()| async {
+                actix_rt::spawn(wait_forever(LogOnDrop));
                 for _ in 0..LINES {
                     log::warn!(padding = padding.as_str(); "queued line");
                 }
@@ -74,7 +88,8 @@
     let output = String::from_utf8(output).expect("text");
     let queued = output.lines().filter(|line| line.contains("event=\"queued line\"")).count();
     let panics: Vec<&str> = output.lines().filter(|line| line.contains("event=panic ")).collect();
-    assert_eq!((queued, panics.len()), (LINES, 1));
+    let dropped = output.lines().filter(|line| line.contains("event=\"task dropped\"")).count();
+    assert_eq!((queued, panics.len(), dropped), (LINES, 1, 1));
     assert!(panics[0].contains("message=\"out of order\""), "{}", panics[0]);
     assert!(panics[0].contains("location=components/daemon/tests/panics.rs:"), "{}", panics[0]);
 }
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -1,5 +1,7 @@
 //! Logging, Prometheus metrics and trace spans of a process.
 
+mod dropped;
+mod kinds;
 mod logs;
 mod metrics;
 mod panics;
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -7,8 +7,9 @@
 use log::LevelFilter;
 use log::kv::{Error, Key, Value, VisitSource};
 
+use crate::kinds::LineKind;
 use crate::panics::install_panic_hook;
-use crate::sink::Sink;
+use crate::sink::{start_writer, try_send};
 
 const DEFAULT_LEVEL: LevelFilter = LevelFilter::Info;
 
@@ -27,13 +28,13 @@
 /// the function, `info` if empty; all other crates log warnings and errors.
 ///
 /// Logging never blocks: lines above the rate limit, and lines that find the
-/// output queue full, are dropped and counted.
+/// output queue full, are dropped and counted by kind; warnings, errors and ends of
+/// requests last.
 pub fn start_logs(level: &str) -> Result<(), LogError> {
     let level = match level {
         "" => DEFAULT_LEVEL,
         text => text.parse().map_err(|_| LogError::UnknownLevel(text.to_string()))?,
     };
-    let sink = Sink::start();
     fern::Dispatch::new()
         .level(LevelFilter::Warn)
         .level_for("daemon", level)
@@ -46,26 +47,23 @@
         .level_for("placement", level)
         .level_for("standin", level)
         .level_for("wire", level)
-        .format(|out, message, record| {
-            out.finish(format_args!(
-                "{}",
-                format_line(SystemTime::now(), &message.to_string(), record)
-            ));
-        })
-        .chain(fern::Output::call(move |record| sink.try_send(record.args().to_string())))
+        .chain(fern::Output::call(|record| {
+            try_send(LineKind::of(record), format_line(SystemTime::now(), record));
+        }))
         .apply()
         .map_err(LogError::AlreadyStarted)?;
+    start_writer();
     install_panic_hook();
     Ok(())
 }
 
-fn format_line(now: SystemTime, event: &str, record: &log::Record<'_>) -> String {
+fn format_line(now: SystemTime, record: &log::Record<'_>) -> String {
     let mut line = format!(
         "time={} level={} target={} event={}",
         humantime::format_rfc3339_millis(now),
         record.level().as_str().to_ascii_lowercase(),
         record.target(),
-        quote(event)
+        quote(&record.args().to_string())
     );
     let _ = record.key_values().visit(&mut KeyValueWriter(&mut line));
     line
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -3,6 +3,9 @@
 use prometheus::process_collector::ProcessCollector;
 use prometheus::{Encoder as _, Registry, TextEncoder};
 
+use crate::dropped::DroppedKind;
+use crate::sink::{dropped_kinds, dropped_log_lines};
+
 /// Histogram buckets for latencies from a millisecond to a minute, in seconds.
 pub const LATENCY_BUCKETS_SECONDS: [f64; 14] =
     [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.37, 0.75, 1.5, 5.0, 15.0, 60.0];
@@ -36,10 +39,33 @@
         log::error!(error = error.to_string().as_str(); "cannot encode metrics");
     }
     let mut text = String::from_utf8(text).unwrap_or_default();
-    let dropped = crate::dropped_log_lines();
-    text.push_str("# TYPE shallottray_log_lines_dropped_total counter\n");
-    text.push_str(&format!("shallottray_log_lines_dropped_total {dropped}\n"));
+    text.push_str(&encode_dropped(dropped_log_lines(), &dropped_kinds()));
     text.push_str("# TYPE shallottray_panics_total counter\n");
     text.push_str(&format!("shallottray_panics_total {}\n", crate::panics()));
     text
 }
+
+/// Encodes the counters of dropped log lines.
+fn encode_dropped(total: u64, kinds: &[DroppedKind]) -> String {
+    let mut text = format!(
+        "# TYPE shallottray_log_lines_dropped_total counter\n\
+         shallottray_log_lines_dropped_total {total}\n\
+         # TYPE shallottray_log_lines_dropped_by_kind_total counter\n"
+    );
+    for kind in kinds {
+        let (target, event, total) = (label(&kind.target), label(kind.event), kind.total);
+        text.push_str(&format!(
+            "shallottray_log_lines_dropped_by_kind_total{{target={target},event={event}}} {total}\n"
+        ));
+    }
+    text
+}
+
+/// Quotes the value of a label.
+fn label(value: &str) -> String {
+    format!("\"{}\"", value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n"))
+}
+
+#[cfg(test)]
+#[path = "../tests/unit/metrics.rs"]
+mod tests;
