--- a/components/gateway/src/relay/ending.rs
+++ b/components/gateway/src/relay/ending.rs
@@ -16,6 +16,8 @@
     TimedOut,
     /// The gateway stops, and its grace period is over.
     GraceOver,
+    /// The gateway's task of the stream panicked.
+    Panicked,
     /// The engine broke it off, and it may not run again.
     BrokenOff,
     /// The engine ended or left it, and there is no way to go on with it.
@@ -40,6 +42,7 @@
             StreamEnd::CallerLeft => "caller left",
             StreamEnd::TimedOut => "timed out",
             StreamEnd::GraceOver => "grace period over",
+            StreamEnd::Panicked => "panic",
             StreamEnd::BrokenOff => "engine crashed",
             StreamEnd::NotContinued => "engine did not go on",
             StreamEnd::LostByPeer => "lost by another gateway",
@@ -58,6 +61,7 @@
             StreamEnd::LostByPeer | StreamEnd::StoppedByPeer => "peer",
             StreamEnd::TimedOut
             | StreamEnd::GraceOver
+            | StreamEnd::Panicked
             | StreamEnd::NotContinued
             | StreamEnd::VersionGone
             | StreamEnd::NoPlace
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -185,10 +185,12 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         let is_grace_over = *self.shared.ending.borrow();
-        self.record_end(
-            if is_grace_over { StreamEnd::GraceOver } else { StreamEnd::CallerLeft },
-            "",
-        );
+        let end = match (std::thread::panicking(), is_grace_over) {
+            (true, _) => StreamEnd::Panicked,
+            (false, true) => StreamEnd::GraceOver,
+            (false, false) => StreamEnd::CallerLeft,
+        };
+        self.record_end(end, "");
         self.discard_move();
         self.shared.copies.borrow_mut().release_all(&self.call.head.id);
     }
