Wait for slow callers before an entry exits

Callers that read slowly saw an answer cut off when its entry was told to stop, although the upstream had given all of it. A request counts as in flight until its answer is handed to the HTTP server, which may still hold most of it; the stop then closed all connections at once.

The stop now ends with the graceful shutdown of the HTTP server, which writes what is buffered, closes connections without a request, and gives a caller that takes nothing 15 minutes.

Evidence: planned_stop_lasts_until_slow_callers_have_their_answers failed before (a 600 kB answer of a plain service, 4 kB receive buffer, cut) and passes now. Two more tests guard a caller that pauses for 8 s, and a stop beside connections without a request; these passed before, too. `streams` (18 tests) passes.

--- a/components/entry/src/http/mod.rs
+++ b/components/entry/src/http/mod.rs
@@ -33,7 +33,9 @@
 pub(crate) const VERDICT_HEADER: HeaderName = HeaderName::from_static("x-shallottray-verdict");
 
 const WORKERS: usize = 2;
-const SHUTDOWN_TIMEOUT_S: u64 = 1;
+/// Time for callers to read their answers when the entry stops: as long as the kernel keeps
+/// a connection whose peer takes nothing.
+const SHUTDOWN_TIMEOUT_S: u64 = 900;
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Creates the server for callers and upstreams; returns it with the address on
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -108,7 +108,8 @@
 
     /// Shuts down without cutting off a request: leaves the address list,
     /// accepts requests until every caller's cached list has expired, waits
-    /// without a time limit for in-flight requests, and leaves the membership.
+    /// without a time limit for in-flight requests, leaves the membership, and
+    /// waits until callers have read their answers.
     pub async fn stop(&self) {
         self.membership.do_send(StartLeaving);
         let max_age = Duration::from_millis(self.shared.config.timers.address_max_age_ms);
@@ -120,6 +121,8 @@
         if self.membership.send(Leave).await.is_err() {
             log::warn!("membership actor stopped before it left the membership");
         }
+        // A request is no longer in flight once its answer is buffered for its caller.
+        self.http.stop(true).await;
         self.kill().await;
     }
 
