--- a/tests/slow_callers.rs
+++ b/tests/slow_callers.rs
@@ -21,7 +21,7 @@
 const MAX_SEGMENT_BYTES: u32 = 536;
 const RECEIVE_BUFFER_BYTES: usize = 4 << 10;
 /// Longer than the keep-alive timeout of an entry and its timeout for closing a connection.
-const PAUSE: Duration = Duration::from_secs(8);
+const PAUSE: Duration = Duration::from_millis(6_800);
 /// Last bytes of an answer, which show that it is whole.
 const END_BYTES: usize = 40;
 const READ_TIMEOUT: Duration = Duration::from_secs(15);
