Read answers of upstreams and other gateways by the same code

The limit of 1 MiB and the code that gathers a body existed twice, once for upstreams and once for other gateways, with different growth of the reserved memory. Both use WholeBody now. The gateway's unit tests, buffers, unending, partitioned, review_partitioned, forwarding, unframed and whole_answers pass; one of them carries 1 MiB through another gateway.

--- a/components/gateway/src/buffering.rs
+++ b/components/gateway/src/buffering.rs
@@ -7,6 +7,9 @@
 
 use crate::state::BufferReservation;
 
+/// Largest answer that is not a stream, from an upstream or another gateway. It is buffered
+/// completely before it is returned, so that a retry can replace a truncated one.
+pub(crate) const MAX_ANSWER_BYTES: usize = 1 << 20;
 /// Smallest buffer for a body of unknown length.
 const MIN_BUFFER_BYTES: usize = 4 << 10;
 
@@ -18,7 +21,7 @@
     /// all buffers together have used up their budget
     NoMemory,
     /// the body broke off or is malformed: {0}
-    Interrupted(hyper::Error),
+    Interrupted(String),
 }
 
 /// Reads a body of at most `limit` bytes.
@@ -31,22 +34,53 @@
     if announced.is_some_and(|bytes| bytes > limit) {
         return Err(ReadError::TooLarge);
     }
-    let mut whole = BytesMut::new();
+    let mut whole = WholeBody::new(announced, limit, reservation);
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(ReadError::Interrupted)?.into_data() else { continue };
-        let needed = whole.len() + data.len();
-        if needed > limit {
+        let frame = frame.map_err(|error| ReadError::Interrupted(error.to_string()))?;
+        let Ok(data) = frame.into_data() else { continue };
+        whole.push(&data)?;
+    }
+    Ok(whole.finish())
+}
+
+/// Body that is gathered from its parts.
+#[derive(Debug)]
+pub(crate) struct WholeBody<'a> {
+    bytes: BytesMut,
+    announced: Option<usize>,
+    limit: usize,
+    reservation: &'a mut BufferReservation,
+}
+
+impl<'a> WholeBody<'a> {
+    /// Returns an empty body of at most `limit` bytes; `announced` is its length, if known.
+    pub(crate) fn new(
+        announced: Option<usize>,
+        limit: usize,
+        reservation: &'a mut BufferReservation,
+    ) -> Self {
+        WholeBody { bytes: BytesMut::new(), announced, limit, reservation }
+    }
+
+    /// Appends a part.
+    pub(crate) fn push(&mut self, part: &[u8]) -> Result<(), ReadError> {
+        let needed = self.bytes.len() + part.len();
+        if needed > self.limit {
             return Err(ReadError::TooLarge);
         }
-        if needed > whole.capacity() {
-            let doubled = (2 * whole.capacity()).max(MIN_BUFFER_BYTES);
-            let capacity = announced.unwrap_or(doubled).max(needed).min(limit);
-            if !reservation.grow_to(capacity as u64) {
+        if needed > self.bytes.capacity() {
+            let doubled = (2 * self.bytes.capacity()).max(MIN_BUFFER_BYTES);
+            let capacity = self.announced.unwrap_or(doubled).max(needed).min(self.limit);
+            if !self.reservation.grow_to(capacity as u64) {
                 return Err(ReadError::NoMemory);
             }
-            whole.reserve(capacity - whole.len());
+            self.bytes.reserve(capacity - self.bytes.len());
         }
-        whole.extend_from_slice(&data);
+        self.bytes.extend_from_slice(part);
+        Ok(())
+    }
+
+    pub(crate) fn finish(self) -> Bytes {
+        self.bytes.freeze()
     }
-    Ok(whole.freeze())
 }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -14,7 +14,7 @@
 use crate::accept::{Call, RETRY_AFTER_NO_UPSTREAM, accept};
 use crate::answer::{Body, Refusal, buffered_body, strip_hop_by_hop};
 use crate::attempts::{Attempt, Attempts};
-use crate::buffering::read_whole;
+use crate::buffering::{MAX_ANSWER_BYTES, read_whole};
 use crate::crashes;
 use crate::dialect::{ResponseHead, Resume};
 use crate::eligibility::Excluded;
@@ -36,9 +36,6 @@
 /// Share of a route's target latency for which a request may queue for a slot,
 /// counted from its arrival.
 const QUEUE_TIME_SHARE: f64 = 0.4;
-/// Largest body of a response that is not a stream. It is buffered completely
-/// before the response is returned, so that a retry can replace a truncated one.
-const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
 /// How often one request is handed to another gateway.
 const MAX_HAND_OVERS: u32 = 2;
@@ -341,7 +338,7 @@
 ) -> Attempt {
     let UpstreamResponse { mut head, body, connection } = response;
     let mut memory = shared.buffers.reserve(BufferUse::Answer);
-    let reading = read_whole(body, MAX_BUFFERED_BYTES, &mut memory);
+    let reading = read_whole(body, MAX_ANSWER_BYTES, &mut memory);
     let bytes = match timeout_at(call.until, reading).await {
         Ok(Ok(bytes)) => bytes,
         Ok(Err(error)) => {
--- a/components/gateway/src/peer/client.rs
+++ b/components/gateway/src/peer/client.rs
@@ -18,10 +18,11 @@
 use crate::accept::Call;
 use crate::answer::{Body, buffered_body};
 use crate::attempts::Attempts;
+use crate::buffering::{MAX_ANSWER_BYTES, ReadError, WholeBody};
 use crate::reach;
 use crate::relay;
 use crate::shared::{InFlightGuard, Shared};
-use crate::state::BufferUse;
+use crate::state::{BufferReservation, BufferUse};
 use crate::target::Target;
 
 /// Longest wait for a connection to another gateway.
@@ -32,8 +33,6 @@
 const MAX_ASKED: usize = 3;
 /// Unreachable upstreams after which a call is handed to another gateway.
 const MAX_UNREACHABLE: u32 = 2;
-/// Largest response that is buffered, as for responses of upstreams.
-const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
 /// What became of a call that was handed to other gateways.
 pub(crate) enum Forwarded {
@@ -87,8 +86,8 @@
         return Forwarded::Responded(response, vm);
     }
     let mut memory = shared.buffers.reserve(BufferUse::Answer);
-    let read = timeout_at(call.until, body.read_whole(|bytes| memory.grow_to(bytes))).await;
-    let Ok(Some(bytes)) = read else {
+    let read = timeout_at(call.until, body.read_whole(&mut memory)).await;
+    let Ok(Ok(bytes)) = read else {
         log::info!(request = call.head.id.as_str(), peer = vm.as_str(); "response of another gateway broke off");
         return Forwarded::Lost;
     };
@@ -214,20 +213,14 @@
         }
     }
 
-    /// Reads the whole body; `None` if it breaks off, is too large or there is no memory.
-    async fn read_whole(mut self, mut reserve: impl FnMut(u64) -> bool) -> Option<Bytes> {
-        let mut whole = Vec::new();
+    /// Reads the whole body.
+    async fn read_whole(mut self, memory: &mut BufferReservation) -> Result<Bytes, ReadError> {
+        let mut whole = WholeBody::new(None, MAX_ANSWER_BYTES, memory);
         loop {
             match self.next().await {
-                PeerPart::Data(bytes) => {
-                    let length = whole.len() + bytes.len();
-                    if length > MAX_BUFFERED_BYTES || !reserve(length as u64) {
-                        return None;
-                    }
-                    whole.extend_from_slice(&bytes);
-                }
-                PeerPart::End => return Some(whole.into()),
-                PeerPart::Lost => return None,
+                PeerPart::Data(bytes) => whole.push(&bytes)?,
+                PeerPart::End => return Ok(whole.finish()),
+                PeerPart::Lost => return Err(ReadError::Interrupted("lost".to_string())),
             }
         }
     }
