Wait for slow callers before a gateway exits

Callers that read slowly got a part of an answer when their gateway was told to stop, although the upstream had given all of it. A request counts as in flight until its answer is handed to hyper, which may still hold up to 1 MiB of it, or the last 16 KiB of a stream; with nothing in flight the gateway exited, long before the end of its grace period.

The stop now also waits, within the grace period, until the connections of callers that sent a request have closed: hyper closes each as soon as its answer is written. Connections without a request are not waited for.

--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -92,7 +92,8 @@
     /// Shuts down gracefully within the grace period: reports that it is not
     /// ready, so that callers use other gateways, still serves new requests for a
     /// while, except streams that cannot be resumed and what may outlast the grace period,
-    /// then drains the requests in flight. What is still in flight at the end is answered as
+    /// then drains the requests in flight, and waits until callers have read the answers.
+    /// What is still in flight at the end is answered as
     /// of unknown outcome, or broken off if its response has begun.
     pub async fn stop(self) {
         let started = Instant::now();
@@ -102,7 +103,9 @@
         sleep_until((started + DRAIN_ACCEPT_PERIOD).min(grace_end)).await;
         self.closing.send_replace(true);
         let is_serving = || self.shared.in_flight() > 0 || self.shared.peer_calls.get() > 0;
-        while is_serving() && Instant::now() < grace_end {
+        // A request is no longer in flight once its answer is buffered for its caller.
+        let is_draining = || is_serving() || self.shared.open_connections() > 0;
+        while is_draining() && Instant::now() < grace_end {
             sleep(DRAIN_POLL_INTERVAL).await;
         }
         if is_serving() {
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -1,6 +1,6 @@
 //! HTTP connections from callers.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -69,7 +69,9 @@
     let (idle_timeout, buffer_bytes) = connection_limits(&shared);
     let ends_with_connection = Cell::new(false);
     let progress = Progress::new(&shared);
+    let open_connection = OnceCell::new();
     let service = service_fn(|request: Request<Incoming>| {
+        open_connection.get_or_init(|| shared.track_connection());
         ends_with_connection.set(request.version() == Version::HTTP_10);
         let (shared, progress) = (shared.clone(), progress.clone());
         async move {
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -104,6 +104,8 @@
     /// Calls of other gateways in progress.
     pub(crate) peer_calls: Cell<u32>,
     in_flight: Cell<u32>,
+    /// Connections of callers on which a request has arrived.
+    open_connections: Cell<u32>,
     /// Memory for whole bodies and answers.
     pub(crate) buffers: Rc<BufferBudget>,
 }
@@ -158,6 +160,7 @@
             peers,
             peer_calls: Cell::new(0),
             in_flight: Cell::new(0),
+            open_connections: Cell::new(0),
             buffers: BufferBudget::new(config.limits.max_buffered_bytes),
             config,
         }
@@ -324,6 +327,17 @@
         InFlightGuard(self.clone())
     }
 
+    /// Counts a connection of a caller as open until the guard is dropped.
+    pub(crate) fn track_connection(self: &Rc<Self>) -> OpenConnectionGuard {
+        self.open_connections.set(self.open_connections.get() + 1);
+        OpenConnectionGuard(self.clone())
+    }
+
+    /// Returns how many connections of callers are open on which a request has arrived.
+    pub(crate) fn open_connections(&self) -> u32 {
+        self.open_connections.get()
+    }
+
     /// Returns when requests in flight are cut off, once the gateway is stopping.
     pub(crate) fn grace_end(&self) -> Option<Instant> {
         let grace = Duration::from_secs_f64(self.config.timers.grace_period_s);
@@ -373,3 +387,13 @@
         self.0.metrics.in_flight.set(i64::from(count));
     }
 }
+
+/// Counts one connection of a caller as open until dropped.
+#[derive(Debug)]
+pub(crate) struct OpenConnectionGuard(Rc<Shared>);
+
+impl Drop for OpenConnectionGuard {
+    fn drop(&mut self) {
+        self.0.open_connections.set(self.0.open_connections.get() - 1);
+    }
+}
