Doubt the end of a framed stream only after another gateway's stop

The relay now keeps who may have stopped the generation: after a command of its own whose response was lost the end of a framed response counts, as an engine closes the stream of a generation that it stops; another gateway may know better.

--- a/components/gateway/src/relay/continuation.rs
+++ b/components/gateway/src/relay/continuation.rs
@@ -6,9 +6,9 @@
 use smallvec::smallvec;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-use super::Relay;
 use super::interruption::NotContinued;
 use super::resume::ResumeError;
+use super::{Relay, StoppedBy};
 use crate::dialect::KvCacheRef;
 use crate::eligibility::Excluded;
 use crate::events::EventSplitter;
@@ -94,7 +94,9 @@
         source: Target,
     ) -> Result<(), NotContinued> {
         // The stream of a source that may have stopped is not complete when it ends.
-        self.may_be_stopped |= stopped.kept.is_some() || stopped.ending.is_some();
+        if stopped.kept.is_some() || stopped.ending.is_some() {
+            self.stopped_by.get_or_insert(StoppedBy::Command);
+        }
         let mut generation = Continuation::new(self, stopped, source);
         let moved = loop {
             let takes_requests = accepts_return(&self.shared, &generation.source);
--- a/components/gateway/src/relay/interruption.rs
+++ b/components/gateway/src/relay/interruption.rs
@@ -1,8 +1,8 @@
 //! Reaction to a source that ends, breaks off or does not go on: the stream continues elsewhere,
 //! stays at its engine or ends.
 
-use super::Relay;
 use super::ending::StreamEnd;
+use super::{Relay, StoppedBy};
 use crate::answer::ResponseTruncated;
 use crate::crashes;
 use crate::health::record_failure;
@@ -31,15 +31,24 @@
     /// Reacts to the end of the source's stream.
     pub(super) async fn end_of_source(&mut self) -> Ended {
         self.end_source();
-        // A generation that was stopped does not end its response.
         let is_framed = self.source.as_ref().is_none_or(|source| source.is_framed);
-        let may_be_stopped = self.may_be_stopped && !is_framed;
+        let may_be_stopped = match self.stopped_by {
+            None => false,
+            // A generation that was stopped does not end its response.
+            Some(StoppedBy::Command) => !is_framed,
+            // The other gateway may know that it was.
+            Some(StoppedBy::Peer) => true,
+        };
         if let Some((stopped, source)) = self.take_stopped(may_be_stopped).await {
             let continued = Box::pin(self.go_on(stopped, source)).await;
             return Ended::Continued(self.continue_or_end(continued, "stopped for a move"));
         }
         if may_be_stopped {
-            return Ended::Continued(Err(self.end(StreamEnd::StoppedByPeer, "")));
+            let end = match self.stopped_by {
+                Some(StoppedBy::Peer) => StreamEnd::StoppedByPeer,
+                Some(StoppedBy::Command) | None => StreamEnd::NotContinued,
+            };
+            return Ended::Continued(Err(self.end(end, "the generation may have been stopped")));
         }
         match self.find_broken_end() {
             Some(error) => Ended::Continued(self.interrupt(error).await),
--- a/components/gateway/src/relay/migration.rs
+++ b/components/gateway/src/relay/migration.rs
@@ -2,8 +2,8 @@
 
 use schema::RepeatKind;
 
-use super::Relay;
 use super::interruption::NotContinued;
+use super::{Relay, StoppedBy};
 use crate::answer::ResponseTruncated;
 use crate::moves::{self, MoveEvent, MoveState, StopResult, StoppedGeneration};
 use crate::place::is_draining_or_gone;
@@ -49,13 +49,13 @@
                     MoveState::Stopped(StoppedGeneration::kept(Some(copy), handle))
                 }
                 StopResult::Refused => {
-                    self.may_be_stopped = false;
+                    self.stopped_by = self.stopped_by.filter(|by| *by == StoppedBy::Peer);
                     moves::retry_stop(copy)
                 }
                 // The generation may be queued at the source.
                 StopResult::NotRunning | StopResult::Unreachable => moves::retry_stop(copy),
                 StopResult::Unknown => {
-                    self.may_be_stopped = true;
+                    self.stopped_by.get_or_insert(StoppedBy::Command);
                     moves::retry_stop(copy)
                 }
             },
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -52,6 +52,15 @@
 /// Media type of streams.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// Sender of a command whose result is not known, and which may have stopped the generation.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StoppedBy {
+    /// This gateway.
+    Command,
+    /// Another gateway that was to continue the stream.
+    Peer,
+}
+
 /// Engine that the stream currently comes from.
 #[derive(Debug)]
 struct Source {
@@ -85,9 +94,8 @@
     heard_at: Instant,
     /// No gateway continued the stream when upstreams came out of reach.
     peers_refused: bool,
-    /// A command whose result is not known may have stopped the generation: the end of the
-    /// source's stream does not show that it is complete.
-    may_be_stopped: bool,
+    /// Who may have stopped the generation without a word of the source.
+    stopped_by: Option<StoppedBy>,
     /// What the source sent while the relay waited for another engine.
     pending: Option<Step>,
     /// Where the stream began, and so may go on.
@@ -214,7 +222,7 @@
             peer: None,
             heard_at: now,
             peers_refused: false,
-            may_be_stopped: false,
+            stopped_by: None,
             pending: None,
             events: EventSplitter::default(),
             progress: StreamProgress::new(call.head.last_event_id),
--- a/components/gateway/src/relay/peers.rs
+++ b/components/gateway/src/relay/peers.rs
@@ -7,7 +7,7 @@
 use schema::RepeatKind;
 use smallvec::smallvec;
 
-use super::Relay;
+use super::{Relay, StoppedBy};
 use crate::accept::Call;
 use crate::answer::Body;
 use crate::attempts::Attempts;
@@ -110,7 +110,9 @@
             Continued::NotTaken => return false,
             Continued::Unknown => {
                 self.runs = runs;
-                self.may_be_stopped |= may_move;
+                if may_move {
+                    self.stopped_by = Some(StoppedBy::Peer);
+                }
                 return false;
             }
         };
@@ -120,7 +122,7 @@
         self.discard_move();
         self.discard_unfinished_event();
         self.source = None;
-        self.may_be_stopped = false;
+        self.stopped_by = None;
         self.resumed = true;
         self.events_of_run = 0;
         self.peer = Some(body);
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -198,7 +198,7 @@
         self.events = events;
         self.progress.bytes_without_event = 0;
         self.peer = None;
-        self.may_be_stopped = false;
+        self.stopped_by = None;
         self.resumed = true;
         self.events_of_run = 0;
         self.source = Some(source);
