Stop generations by command on saturated links too

A leaving engine whose link was busy had its stream closed before anything had taken it: most engines drop a generation whose connection closes, so that the copy at another engine was the only way on. The generation is stopped by command now as on a free link, and the source keeps it; the rest of the KV cache, which would wait for the link, is not waited for.

--- a/components/gateway/src/moves/mod.rs
+++ b/components/gateway/src/moves/mod.rs
@@ -95,9 +95,8 @@
 pub(crate) struct StopPlan {
     pub(crate) at: Instant,
     /// The source's link will still be transferring other generations at that time, and
-    /// the rest of the cache would wait for it: the stream is closed, and the generation
-    /// resumes from its first copy once it has ended; the other engine recomputes what
-    /// the copy lacks.
+    /// the rest of the cache would wait for it: the generation resumes from its first copy
+    /// once its stream has ended; the other engine recomputes what the copy lacks.
     pub(crate) link_saturated: bool,
 }
 
@@ -112,7 +111,7 @@
     /// The copy is complete; the generation is to be stopped as planned.
     Copied(CacheCopy, StopPlan),
     /// The generation is being stopped and the rest of its KV cache copied.
-    Stopping(CacheCopy, PendingTask<StopResult>),
+    Stopping(CacheCopy, PendingTask<StopResult>, StopPlan),
     /// The generation is stopped.
     Stopped(StoppedGeneration),
 }
@@ -146,7 +145,7 @@
                 tokio::time::sleep_until(plan.at).await;
                 MoveEvent::StopDue
             }
-            MoveState::Stopping(_, result) => {
+            MoveState::Stopping(_, result, _) => {
                 MoveEvent::Stopped(result.wait().await.unwrap_or(StopResult::Unknown))
             }
         }
@@ -205,11 +204,12 @@
     call: &Rc<Call>,
     source: &Target,
     copy: CacheCopy,
+    plan: StopPlan,
 ) -> MoveState {
     let to = copy.reservation.target.address;
     let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
     let result = PendingTask::spawn(async move { send_stop(&shared, &call, &source, to).await });
-    MoveState::Stopping(copy, result)
+    MoveState::Stopping(copy, result, plan)
 }
 
 /// Returns how long it takes to copy all generations of an engine over its
@@ -266,7 +266,7 @@
             MoveState::Copying(mut pending, _) => pending.wait().await.flatten(),
             MoveState::Copied(copy, _) => Some(copy),
             MoveState::Stopped(stopped) => stopped.copy,
-            MoveState::Stopping(mut copy, mut result) => {
+            MoveState::Stopping(mut copy, mut result, _) => {
                 if let Some(StopResult::Copied(handle)) = result.wait().await {
                     copy.cache.handle = handle;
                 }
--- a/components/gateway/src/moves/stopping.rs
+++ b/components/gateway/src/moves/stopping.rs
@@ -20,6 +20,8 @@
 
 /// Longest wait for the result of a stop command after the stream ended.
 const STOP_RESULT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The same if the rest of the KV cache has to wait for the engine's link.
+const SATURATED_LIMIT: Duration = Duration::from_millis(20);
 /// Longest wait for an engine to confirm that a generation has ended there, before it goes
 /// on elsewhere from an earlier copy. The engine has the command to stop by then, if it is
 /// reachable at all.
@@ -69,7 +71,10 @@
         }
         MoveState::Copied(copy, _) => (copy, None, END_CONFIRM_TIMEOUT),
         MoveState::Stopped(stopped) => return Some(stopped),
-        MoveState::Stopping(copy, result) => (copy, Some(result), STOP_RESULT_TIMEOUT),
+        MoveState::Stopping(copy, result, plan) => {
+            let limit = if plan.link_saturated { SATURATED_LIMIT } else { STOP_RESULT_TIMEOUT };
+            (copy, Some(result), limit)
+        }
     };
     wait_until_ended(shared, call, source, copy, sent, limit, interrupted).await
 }
--- a/components/gateway/src/relay/migration.rs
+++ b/components/gateway/src/relay/migration.rs
@@ -2,9 +2,7 @@
 
 use schema::RepeatKind;
 
-use super::interruption::NotContinued;
 use super::{Relay, StoppedBy};
-use crate::answer::ResponseTruncated;
 use crate::moves::{self, MoveEvent, MoveState, StopResult, StoppedGeneration};
 use crate::place::is_draining_or_gone;
 use crate::target::Target;
@@ -37,11 +35,11 @@
             (MoveState::Copying(..), MoveEvent::Copied(None)) => {
                 moves::start_copy_again(&self.shared, &self.call, target, self.progress.relayed)
             }
-            (MoveState::Copied(copy, _), MoveEvent::StopDue) => {
+            (MoveState::Copied(copy, plan), MoveEvent::StopDue) => {
                 log::info!(request = self.call.head.id.as_str(), from = target.id.as_str(), to = copy.reservation.target.id.as_str(), since_event_ms = elapsed_ms(self.progress.last_event_at); "stopping the generation on its source engine");
-                moves::start_stop(&self.shared, &self.call, target, copy)
+                moves::start_stop(&self.shared, &self.call, target, copy, plan)
             }
-            (MoveState::Stopping(copy, _), MoveEvent::Stopped(result)) => match result {
+            (MoveState::Stopping(copy, ..), MoveEvent::Stopped(result)) => match result {
                 StopResult::Copied(handle) => {
                     MoveState::Stopped(StoppedGeneration::up_to_date(copy, handle))
                 }
@@ -63,25 +61,6 @@
         };
     }
 
-    pub(super) fn is_link_saturated(&self) -> bool {
-        matches!(&self.move_state, MoveState::Copied(_, plan) if plan.link_saturated)
-    }
-
-    /// Closes the stream and goes on from the copy. Most engines drop a generation whose
-    /// connection closes, and so need not copy the rest of its cache to stop it.
-    pub(super) async fn leave_source(&mut self) -> Result<(), ResponseTruncated> {
-        let state = std::mem::take(&mut self.move_state);
-        let Some(source) = self.source.take() else { return Ok(()) };
-        let target = source.reservation.target.clone();
-        drop(source);
-        let continued =
-            match moves::take_stopped(&self.shared, &self.call, &target, state, true).await {
-                Some(stopped) => Box::pin(self.go_on(stopped, target)).await,
-                None => Err(NotContinued::default()),
-            };
-        self.continue_or_end(continued, "link of the engine saturated")
-    }
-
     /// Ends the move in progress and frees its copy.
     pub(super) fn discard_move(&mut self) {
         let state = std::mem::take(&mut self.move_state);
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -296,9 +296,6 @@
             }
             Step::End => {}
             Step::Departures => self.start_move(),
-            Step::Move(MoveEvent::StopDue) if self.is_link_saturated() => {
-                return self.leave_source().await;
-            }
             Step::Move(event) => self.advance_move(event),
             Step::Interrupted(error) => return self.interrupt(&error).await,
             Step::Stalled => self.start_probe(),
