--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -1,7 +1,9 @@
 //! Relays event streams, and resumes them on another engine if theirs exits or
 //! fails.
 
+mod continuation;
 mod ending;
+mod interruption;
 mod migration;
 mod peers;
 mod probe;
@@ -24,19 +26,17 @@
 
 use crate::accept::Call;
 use crate::answer::{Body, ResponseTruncated, strip_hop_by_hop};
-use crate::crashes;
 use crate::events::{EventKind, EventSplitter, StreamProgress, is_comment};
 use crate::exchange::UpstreamResponse;
-use crate::health::record_failure;
 use crate::moves::{MoveEvent, MoveState};
 use crate::peer::{PeerBody, PeerPart};
-use crate::place::is_draining_or_gone;
 use crate::pool::Connection;
 use crate::quarantine;
 use crate::reach;
 use crate::reservation::Reservation;
 use crate::shared::{InFlightGuard, Shared};
 use ending::StreamEnd;
+use interruption::Ended;
 use probe::Probe;
 
 pub(crate) use peers::{TakeOverError, start_from_peer, take_over};
@@ -59,6 +59,14 @@
     connection: Connection,
     reservation: Reservation,
     probe: Probe,
+    /// It ended, broke off or is left: nothing that it sends counts any more.
+    has_ended: bool,
+}
+
+impl Source {
+    fn new(body: Incoming, connection: Connection, reservation: Reservation) -> Self {
+        Source { body, connection, reservation, probe: Probe::default(), has_ended: false }
+    }
 }
 
 struct Relay {
@@ -71,9 +79,11 @@
     heard_at: Instant,
     /// No gateway continued the stream when upstreams came out of reach.
     peers_refused: bool,
-    /// Another gateway may have stopped the generation: the end of the source's stream does not
-    /// show that it is complete.
+    /// A command whose result is not known may have stopped the generation: the end of the
+    /// source's stream does not show that it is complete.
     may_be_stopped: bool,
+    /// What the source sent while the relay waited for another engine.
+    pending: Option<Step>,
     /// Where the stream began, and so may go on.
     origin: Origin,
     events: EventSplitter,
@@ -117,6 +127,17 @@
     TimedOut,
 }
 
+impl Step {
+    /// Returns what the next frame of the source means.
+    fn from_frame(frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Self {
+        match frame {
+            Some(Ok(frame)) => Step::Data(frame.into_data().unwrap_or_default()),
+            Some(Err(error)) => Step::Interrupted(error.to_string()),
+            None => Step::End,
+        }
+    }
+}
+
 /// Returns whether a response is a stream; a head may leave the media type out.
 pub(crate) fn is_event_stream(head: &response::Parts) -> bool {
     let is_stream = |value: &HeaderValue| {
@@ -151,7 +172,7 @@
     let mut relay = Relay::new(shared, call, origin, earlier_runs + 1, in_flight);
     // The engine may have started to drain before the head arrived.
     relay.departures.mark_changed();
-    relay.source = Some(Source { body, connection, reservation, probe: Probe::default() });
+    relay.source = Some(Source::new(body, connection, reservation));
     Response::from_parts(head, relay.into_body())
 }
 
@@ -186,6 +207,7 @@
             heard_at: now,
             peers_refused: false,
             may_be_stopped: false,
+            pending: None,
             events: EventSplitter::default(),
             progress: StreamProgress::new(call.head.last_event_id),
             probe_at: now + PROBE_AFTER,
@@ -226,80 +248,65 @@
             if self.source.is_none() && self.peer.is_none() {
                 return None;
             }
-            if self.is_flooded() {
-                self.record_engine_failure("no progress");
-                if let Err(truncated) = self.recover("engine sends no new events").await {
-                    return Some(Err(truncated));
-                }
-                continue;
-            }
-            match self.step().await {
-                Step::Data(bytes) => {
-                    self.heard_at = Instant::now();
-                    self.progress.bytes += bytes.len() as u64;
-                    if self.source.is_some() {
-                        self.shared.reach.borrow_mut().record_heard(self.heard_at);
+            let reacted = if self.is_flooded() {
+                self.leave_flooding_engine().await
+            } else {
+                let step = self.step().await;
+                if matches!(step, Step::End) {
+                    match self.end_of_source().await {
+                        Ended::Complete => return self.complete().map(Ok),
+                        Ended::Continued(continued) => continued,
                     }
-                    self.events.push(&bytes);
+                } else {
+                    self.react(step).await
                 }
-                Step::Departures => self.start_move(),
-                Step::Move(MoveEvent::StopDue) if self.is_link_saturated() => {
-                    if let Err(truncated) = self.leave_source().await {
-                        return Some(Err(truncated));
-                    }
-                }
-                Step::Move(event) => self.advance_move(event),
-                Step::End => match self.take_copy(false).await {
-                    Some(copy) => {
-                        if let Err(truncated) = self.go_on_from(copy).await {
-                            return Some(Err(truncated));
-                        }
-                    }
-                    None if self.may_be_stopped => {
-                        self.record_end(StreamEnd::StoppedByPeer, "");
-                        self.source = None;
-                        return Some(Err(ResponseTruncated));
-                    }
-                    None => match self.find_broken_end() {
-                        Some(error) => {
-                            if let Err(truncated) = self.interrupt(error).await {
-                                return Some(Err(truncated));
-                            }
-                        }
-                        None => return self.complete().map(Ok),
-                    },
-                },
-                Step::Interrupted(error) => {
-                    if let Err(truncated) = self.interrupt(&error).await {
-                        return Some(Err(truncated));
-                    }
-                }
-                Step::Stalled => self.start_probe(),
-                Step::Probed(connected) => {
-                    if !self.is_reachable(connected)
-                        && self.is_recoverable()
-                        && let Err(truncated) = self.recover("engine unreachable").await
-                    {
-                        return Some(Err(truncated));
-                    }
+            };
+            if let Err(truncated) = reacted {
+                return Some(Err(truncated));
+            }
+        }
+    }
+
+    /// Reacts to anything but the end of the source.
+    async fn react(&mut self, step: Step) -> Result<(), ResponseTruncated> {
+        match step {
+            Step::Data(bytes) => {
+                self.heard_at = Instant::now();
+                self.progress.bytes += bytes.len() as u64;
+                if self.source.is_some() {
+                    self.shared.reach.borrow_mut().record_heard(self.heard_at);
                 }
-                Step::CutOff => {
-                    if !Box::pin(self.continue_at_peer()).await {
-                        self.peers_refused = true;
-                    }
+                self.events.push(&bytes);
+            }
+            Step::End => {}
+            Step::Departures => self.start_move(),
+            Step::Move(MoveEvent::StopDue) if self.is_link_saturated() => {
+                return self.leave_source().await;
+            }
+            Step::Move(event) => self.advance_move(event),
+            Step::Interrupted(error) => return self.interrupt(&error).await,
+            Step::Stalled => self.start_probe(),
+            Step::Probed(connected) => {
+                if !self.is_reachable(connected) && self.is_recoverable() {
+                    let continued = self.recover().await;
+                    self.probe_at = Instant::now() + PROBE_AFTER;
+                    return self.continue_or_end(continued, "engine unreachable");
                 }
-                Step::TimedOut => {
-                    self.record_end(StreamEnd::TimedOut, "");
-                    self.discard_move();
-                    self.source = None;
-                    self.peer = None;
-                    return Some(Err(ResponseTruncated));
+            }
+            Step::CutOff => {
+                if !Box::pin(self.continue_at_peer()).await {
+                    self.peers_refused = true;
                 }
             }
+            Step::TimedOut => return Err(self.end(StreamEnd::TimedOut, "")),
         }
+        Ok(())
     }
 
     async fn step(&mut self) -> Step {
+        if let Some(step) = self.pending.take() {
+            return step;
+        }
         if let Some(peer) = &mut self.peer {
             return tokio::select! {
                 part = peer.next() => match part {
@@ -313,11 +320,7 @@
         let Some(source) = &mut self.source else { return Step::End };
         tokio::select! {
             biased;
-            frame = source.body.frame() => match frame {
-                Some(Ok(frame)) => frame.into_data().map_or(Step::Data(Bytes::new()), Step::Data),
-                Some(Err(error)) => Step::Interrupted(error.to_string()),
-                None => Step::End,
-            },
+            frame = source.body.frame() => Step::from_frame(frame),
             Ok(()) = self.departures.changed() => Step::Departures,
             event = self.move_state.next_event() => Step::Move(event),
             connected = source.probe.connected() => Step::Probed(connected),
@@ -346,24 +349,6 @@
         Ok(Some(event))
     }
 
-    /// Returns why the end of the source is not the end of the stream. A generation has at
-    /// least one event, and a run that adds none to its stream has not gone on with it.
-    fn find_broken_end(&self) -> Option<&'static str> {
-        match (self.events.has_partial_event(), self.events_of_run) {
-            (true, _) => Some("ended inside an event"),
-            (false, 0) => Some("ended without an event"),
-            (false, _) => None,
-        }
-    }
-
-    /// Leaves an engine that did not go on with the stream.
-    async fn leave_wrong_run(&mut self) -> Result<(), ResponseTruncated> {
-        self.record_engine_failure("stream not continued");
-        // The copy of a wrong run's KV cache continues that run.
-        self.discard_move();
-        self.recover("events do not follow on").await
-    }
-
     /// Records a new event, `gap` after the one before it.
     fn record_event(&mut self, gap: Duration) {
         if std::mem::take(&mut self.resumed) {
@@ -387,40 +372,6 @@
         pending > MAX_BYTES_WITHOUT_EVENT
     }
 
-    /// Goes on with a stream whose engine broke it off, if that is possible.
-    async fn interrupt(&mut self, error: &str) -> Result<(), ResponseTruncated> {
-        self.record_engine_failure("stream broken off");
-        if !self.may_run_again().await {
-            self.record_end(StreamEnd::BrokenOff, error);
-            self.discard_move();
-            self.source = None;
-            return Err(ResponseTruncated);
-        }
-        self.recover(error).await
-    }
-
-    /// Returns whether an interrupted stream may go on at another engine: not if the
-    /// engine may have crashed because of it.
-    async fn may_run_again(&self) -> bool {
-        match &self.source {
-            Some(source) if self.events_of_run == 0 => {
-                let target = &source.reservation.target;
-                let sent = source.reservation.reserved_at();
-                crashes::handle_break_off(&self.shared, &self.call, target, sent).await
-            }
-            _ => true,
-        }
-    }
-
-    /// Counts a failure of the engine, unless it is known to leave.
-    fn record_engine_failure(&self, reason: &str) {
-        let Some(source) = &self.source else { return };
-        let target = &source.reservation.target;
-        if !is_draining_or_gone(&self.shared, target) {
-            record_failure(&self.shared, target, reason);
-        }
-    }
-
     /// Returns whether the stream could resume without its current engine.
     fn is_recoverable(&self) -> bool {
         let copied = !matches!(self.move_state, MoveState::Idle | MoveState::Copying(..));
