Offer refused copies again, and wait for a silent engine's answer

The relay leaves a silent engine only if another way is left and the engine has said that it runs nothing. - a refused copy was given up although it stays valid: it is offered again each 200 ms once nothing else is left, eight requests at most in all.

--- a/components/gateway/src/moves/mod.rs
+++ b/components/gateway/src/moves/mod.rs
@@ -44,6 +44,8 @@
 const COPY_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Pause after which a copy that failed for [`COPY_TIMEOUT`] is tried again.
 const COPY_PAUSE: Duration = Duration::from_millis(500);
+/// Time for which engines keep a copy that is not used, at least.
+const COPY_LIFETIME: Duration = Duration::from_secs(4);
 /// Delay before a stop command without a result is repeated.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Latest planned stop of the generation, counted from the start of the copy;
@@ -59,6 +61,7 @@
     /// Slot at the engine on which the generation is to resume.
     pub(crate) reservation: Reservation,
     pub(crate) cache: KvCacheRef,
+    pub(crate) made: Instant,
 }
 
 /// Task whose result is pending; aborted on drop.
@@ -153,17 +156,19 @@
 }
 
 /// Starts to copy the KV cache of a generation that keeps running.
-/// `events` is the number of events that it has produced.
+/// `events` is the number of events that it has produced; engines to be `avoided` are asked if
+/// there are no others.
 pub(crate) fn start_copy(
     shared: &Rc<Shared>,
     call: &Rc<Call>,
     source: &Target,
     events: u64,
+    avoided: Excluded,
 ) -> MoveState {
     let copy_time = time_to_copy_all(shared, call, source);
     let at = Instant::now() + copy_time.min(MAX_STOP_DELAY);
     let plan = StopPlan { at, link_saturated: copy_time > MAX_STOP_DELAY };
-    MoveState::Copying(spawn_copy(shared, call, source, events, Duration::ZERO), plan)
+    MoveState::Copying(spawn_copy(shared, call, source, (events, avoided), Duration::ZERO), plan)
 }
 
 /// The same after copies have failed for a while: no other engine had room.
@@ -174,25 +179,39 @@
     events: u64,
 ) -> MoveState {
     let plan = StopPlan { at: Instant::now() + COPY_PAUSE, link_saturated: false };
-    MoveState::Copying(spawn_copy(shared, call, source, events, COPY_PAUSE), plan)
+    MoveState::Copying(
+        spawn_copy(shared, call, source, (events, Excluded::new()), COPY_PAUSE),
+        plan,
+    )
 }
 
 fn spawn_copy(
     shared: &Rc<Shared>,
     call: &Rc<Call>,
     source: &Target,
-    events: u64,
+    (events, avoided): (u64, Excluded),
     delay: Duration,
 ) -> PendingTask<Option<CacheCopy>> {
     let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
     PendingTask::spawn(async move {
         sleep(delay).await;
-        copy_cache(&shared, &call, &source, events).await
+        copy_cache(&shared, &call, &source, events, avoided).await
     })
 }
 
-/// Plans to repeat a command that has not stopped the generation, or may not have.
-pub(crate) fn retry_stop(copy: CacheCopy) -> MoveState {
+/// Plans to repeat a command that has not stopped the generation, or may not have; with a new
+/// copy, if the engine that holds this one may have freed it.
+pub(crate) fn retry_stop(
+    shared: &Rc<Shared>,
+    call: &Rc<Call>,
+    source: &Target,
+    copy: CacheCopy,
+    events: u64,
+) -> MoveState {
+    if copy.made.elapsed() > COPY_LIFETIME {
+        free_later(shared, call, source, copy.cache.handle);
+        return start_copy_again(shared, call, source, events);
+    }
     let plan = StopPlan { at: Instant::now() + STOP_RETRY_DELAY, link_saturated: false };
     MoveState::Copied(copy, plan)
 }
@@ -231,12 +250,14 @@
     call: &Call,
     source: &Target,
     events: u64,
+    avoided: Excluded,
 ) -> Option<CacheCopy> {
-    let mut excluded: Excluded = [source.id.clone()].into_iter().collect();
+    let mut excluded: Excluded = [source.id.clone()].into_iter().chain(avoided).collect();
     let started = Instant::now();
     while started.elapsed() < COPY_TIMEOUT {
         let Ok(reservation) = reserve_for_move(shared, call, &excluded, source, events).await
         else {
+            excluded.truncate(1);
             sleep(RETRY_DELAY).await;
             continue;
         };
@@ -244,7 +265,7 @@
         match send_move(shared, call, source, to, false).await {
             Ok(MoveResult::Copied(handle)) => {
                 let cache = KvCacheRef { source: source.address, handle };
-                return Some(CacheCopy { reservation, cache });
+                return Some(CacheCopy { reservation, cache, made: Instant::now() });
             }
             // It is not the other engine that failed.
             Ok(MoveResult::NotRunning) | Err(_) => {}
--- a/components/gateway/src/moves/stopping.rs
+++ b/components/gateway/src/moves/stopping.rs
@@ -187,7 +187,7 @@
     match send_stop(shared, call, source, reservation.target.address).await {
         StopResult::Copied(handle) => {
             let cache = KvCacheRef { source: source.address, handle: handle.clone() };
-            let copy = CacheCopy { reservation, cache };
+            let copy = CacheCopy { reservation, cache, made: Instant::now() };
             StopAndCopy::Stopped(Box::new(StoppedGeneration::up_to_date(copy, handle)))
         }
         StopResult::Kept(handle) => {
--- a/components/gateway/src/moves/ways.rs
+++ b/components/gateway/src/moves/ways.rs
@@ -3,8 +3,8 @@
 
 /// Copies of a KV cache that its source is asked for after the first one.
 const MAX_FURTHER_COPIES: u32 = 2;
-/// Requests to go on with one generation: at the first copy, at the source, at further copies.
-const MAX_REQUESTS: u32 = 2 + MAX_FURTHER_COPIES;
+/// Requests to go on with one generation. An engine that has refused a copy may have room soon.
+const MAX_REQUESTS: u32 = 8;
 
 /// Where a generation may go on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -41,10 +41,19 @@
     Refused,
 }
 
+/// What is known of the copy at another engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum AtOther {
+    NoCopy,
+    Copied,
+    /// There is a copy, but the engine did not take the generation.
+    Refused,
+}
+
 /// Ways that are left.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct Ways {
-    has_copy: bool,
+    at_other: AtOther,
     at_source: AtSource,
     further_copies: u32,
     requests: u32,
@@ -56,9 +65,10 @@
     /// Returns the ways of a generation with a copy at another engine, and with its KV cache
     /// kept by the source that stopped it.
     pub(crate) fn new(has_copy: bool, is_kept: bool) -> Self {
+        let at_other = if has_copy { AtOther::Copied } else { AtOther::NoCopy };
         let at_source = if is_kept { AtSource::Kept } else { AtSource::NotKept };
         Ways {
-            has_copy,
+            at_other,
             at_source,
             further_copies: MAX_FURTHER_COPIES,
             requests: MAX_REQUESTS,
@@ -67,14 +77,34 @@
     }
 
     /// Returns the next way. The source is asked to take the generation back only if it
-    /// `takes_requests`; it is quicker than another copy.
+    /// `takes_requests`; it is quicker than another copy. A copy that was refused is offered
+    /// again once nothing else is left.
     pub(crate) fn next(&self, takes_requests: bool) -> Option<Way> {
-        match self.at_source {
-            _ if self.may_run || self.requests == 0 => None,
-            _ if self.has_copy => Some(Way::Copy),
-            AtSource::Kept if takes_requests => Some(Way::Source),
-            AtSource::Kept | AtSource::Refused if self.further_copies > 0 => Some(Way::NextCopy),
-            AtSource::NotKept | AtSource::Kept | AtSource::Refused => None,
+        if self.may_run || self.requests == 0 {
+            return None;
+        }
+        match (self.at_other, self.at_source) {
+            (AtOther::Copied, _) => Some(Way::Copy),
+            (_, AtSource::Kept) if takes_requests => Some(Way::Source),
+            (_, AtSource::Kept | AtSource::Refused) if self.further_copies > 0 => {
+                Some(Way::NextCopy)
+            }
+            (AtOther::Refused, _) => Some(Way::Copy),
+            (AtOther::NoCopy, _) => None,
+        }
+    }
+
+    /// Returns whether the next way is a copy that was refused before.
+    pub(crate) fn repeats(&self) -> bool {
+        self.at_other == AtOther::Refused
+    }
+
+    /// Returns whether nothing is left but copies that were refused.
+    pub(crate) fn repeats_or_ends(&self, takes_requests: bool) -> bool {
+        match self.next(takes_requests) {
+            None => true,
+            Some(Way::Copy) => self.repeats(),
+            Some(Way::Source | Way::NextCopy) => false,
         }
     }
 
@@ -92,15 +122,18 @@
         match (way, outcome) {
             (_, Outcome::MayRun) => self.may_run = true,
             (_, Outcome::Stopped) => {
-                self.has_copy = false;
-                self.at_source = AtSource::Kept;
+                // An engine that breaks each connection is not asked without end.
+                let is_kept = self.further_copies > 0;
+                self.further_copies = self.further_copies.saturating_sub(1);
+                self.at_other = AtOther::NoCopy;
+                self.at_source = if is_kept { AtSource::Kept } else { AtSource::NotKept };
             }
-            (Way::Copy, _) => self.has_copy = false,
+            (Way::Copy, _) => self.at_other = AtOther::Refused,
             (Way::Source | Way::NextCopy, Outcome::NotKept) => {
                 self.at_source = AtSource::NotKept;
             }
             (Way::Source, _) => self.at_source = AtSource::Refused,
-            (Way::NextCopy, Outcome::Copied) => self.has_copy = true,
+            (Way::NextCopy, Outcome::Copied) => self.at_other = AtOther::Copied,
             (Way::NextCopy, Outcome::NotRun) => {}
         }
     }
--- a/components/gateway/src/relay/continuation.rs
+++ b/components/gateway/src/relay/continuation.rs
@@ -16,6 +16,7 @@
     self, CacheCopy, Outcome, StopAndCopy, StopResult, StoppedGeneration, UnusedCopies, Way, Ways,
 };
 use crate::place::{accepts_return, reserve_for_return};
+use crate::reservation::Reservation;
 use crate::target::Target;
 
 /// Interval at which a request that the retry budget does not allow asks again.
@@ -33,6 +34,8 @@
     /// Engine that ran the generation last.
     source: Target,
     copy: Option<CacheCopy>,
+    /// Copy that was offered to the engine that holds it.
+    offered: Option<(Target, KvCacheRef)>,
     kept: Option<CompactString>,
     unused: UnusedCopies,
     /// Engines that are not asked for a further copy, unless there are no others.
@@ -51,6 +54,7 @@
             refused: smallvec![source.id.clone()],
             source,
             copy,
+            offered: None,
             kept,
             unused: UnusedCopies::new(&relay.shared, &relay.call),
             until: moves::continue_until(&relay.call),
@@ -61,8 +65,13 @@
         generation
     }
 
+    /// Returns whether the time for another offer of the same copy is over.
+    fn is_late(&self) -> bool {
+        self.ways.repeats() && Instant::now() + OFFER_PAUSE > self.until
+    }
+
     fn track_copies(&mut self) {
-        if let Some(CacheCopy { reservation, cache }) = &self.copy {
+        if let Some(CacheCopy { reservation, cache, .. }) = &self.copy {
             self.unused.add(&self.source, &cache.handle, Some(&reservation.target));
         }
         if let Some(handle) = &self.kept {
@@ -101,6 +110,10 @@
         let moved = loop {
             let takes_requests = accepts_return(&self.shared, &generation.source);
             match generation.ways.next(takes_requests) {
+                Some(_)
+                    if generation.ways.repeats_or_ends(takes_requests)
+                        && generation.wait_for_source().await => {}
+                Some(_) if generation.is_late() => break None,
                 Some(way) => match self.try_way(&mut generation, way).await {
                     Ok(()) => break Some(way),
                     Err(outcome) => {
@@ -141,12 +154,19 @@
             if !accepts_return(&self.shared, source) {
                 return Err(Outcome::NotRun);
             }
-            let reservation =
-                reserve_for_return(&self.shared, &self.call, source, self.progress.relayed);
+            let reservation = self.reserve_again(source);
             (reservation, KvCacheRef { source: source.address, handle })
         } else {
-            let copy = generation.copy.take().ok_or(Outcome::NotRun)?;
-            (copy.reservation, copy.cache)
+            if generation.ways.repeats() {
+                sleep(OFFER_PAUSE).await;
+            }
+            let (reservation, cache) = match (generation.copy.take(), generation.offered.take()) {
+                (Some(copy), _) => (copy.reservation, copy.cache),
+                (None, Some((holder, cache))) => (self.reserve_again(&holder), cache),
+                (None, None) => return Err(Outcome::NotRun),
+            };
+            generation.offered = Some((reservation.target.clone(), cache.clone()));
+            (reservation, cache)
         };
         generation.sends += 1;
         let target = reservation.target.clone();
@@ -156,18 +176,28 @@
         let answered = {
             let asking = self.ask(reservation, Some(cache));
             tokio::pin!(asking);
-            match timeout(ANSWER_TIMEOUT, &mut asking).await {
+            let answered = timeout(ANSWER_TIMEOUT, &mut asking).await;
+            let mut others = generation.ways.clone();
+            others.record(way, Outcome::NotRun);
+            match answered {
                 Ok(answered) => answered,
-                Err(_) => match self.end_lost_run(generation, target.clone()).await {
+                // The request may be queued: an engine that knows no such run is not asked again.
+                Err(_)
+                    if others.repeats_or_ends(accepts_return(&self.shared, &generation.source)) =>
+                {
+                    asking.await
+                }
+                Err(_) => match self.end_run(generation, target.clone()).await {
                     // Without its word, the engine may still answer.
-                    Outcome::MayRun => asking.await,
-                    outcome => return Err(outcome),
+                    None | Some(Outcome::MayRun) => asking.await,
+                    Some(outcome) => return Err(outcome),
                 },
             }
         };
         match answered {
             Ok(source) => {
                 if way == Way::Source {
+                    self.avoided = generation.refused.clone();
                     generation.unused.keep_at_source();
                 } else {
                     generation.unused.keep(&handle);
@@ -179,10 +209,17 @@
             Err(ResumeError::Unreachable) if way == Way::Source => Err(Outcome::NotKept),
             Err(ResumeError::Unreachable) => Err(Outcome::NotRun),
             Err(ResumeError::Failed) => Err(Outcome::MayRun),
-            Err(ResumeError::Lost) => Err(self.end_lost_run(generation, target).await),
+            Err(ResumeError::Lost) => {
+                Err(self.end_run(generation, target).await.unwrap_or(Outcome::NotRun))
+            }
         }
     }
 
+    /// Counts the generation at an engine that knows it.
+    fn reserve_again(&self, engine: &Target) -> Reservation {
+        reserve_for_return(&self.shared, &self.call, engine, self.progress.relayed)
+    }
+
     /// Has the source copy the KV cache that it keeps to one more engine: one that has not
     /// refused the generation, if there is any.
     async fn copy_again(&self, generation: &mut Continuation) -> Outcome {
@@ -209,19 +246,20 @@
     }
 
     /// Stops the generation at an engine that may have begun to run it, so that it may go on
-    /// elsewhere.
-    async fn end_lost_run(&self, generation: &mut Continuation, engine: Target) -> Outcome {
+    /// elsewhere; `None` if the engine accepts no connection.
+    async fn end_run(&self, generation: &mut Continuation, engine: Target) -> Option<Outcome> {
         let to = generation.source.address;
         match moves::send_stop(&self.shared, &self.call, &engine, to).await {
-            StopResult::NotRunning | StopResult::Unreachable => Outcome::NotRun,
+            StopResult::Unreachable => None,
+            StopResult::NotRunning => Some(Outcome::NotRun),
             StopResult::Copied(handle) | StopResult::Kept(handle) => {
                 generation.source = engine;
                 generation.copy = None;
                 generation.kept = Some(handle);
                 generation.track_copies();
-                Outcome::Stopped
+                Some(Outcome::Stopped)
             }
-            StopResult::Refused | StopResult::Unknown => Outcome::MayRun,
+            StopResult::Refused | StopResult::Unknown => Some(Outcome::MayRun),
         }
     }
 
--- a/components/gateway/src/relay/migration.rs
+++ b/components/gateway/src/relay/migration.rs
@@ -20,8 +20,8 @@
             return;
         }
         log::info!(request = self.call.head.id.as_str(), upstream = target.id.as_str(), events = self.progress.relayed; "engine is draining; copying the generation to another engine");
-        self.move_state =
-            moves::start_copy(&self.shared, &self.call, target, self.progress.relayed);
+        let (events, avoided) = (self.progress.relayed, self.avoided.clone());
+        self.move_state = moves::start_copy(&self.shared, &self.call, target, events, avoided);
     }
 
     pub(super) fn advance_move(&mut self, event: MoveEvent) {
@@ -48,13 +48,15 @@
                 }
                 StopResult::Refused => {
                     self.stopped_by = self.stopped_by.filter(|by| *by == StoppedBy::Peer);
-                    moves::retry_stop(copy)
+                    moves::retry_stop(&self.shared, &self.call, target, copy, self.progress.relayed)
                 }
                 // The generation may be queued at the source.
-                StopResult::NotRunning | StopResult::Unreachable => moves::retry_stop(copy),
+                StopResult::NotRunning | StopResult::Unreachable => {
+                    moves::retry_stop(&self.shared, &self.call, target, copy, self.progress.relayed)
+                }
                 StopResult::Unknown => {
                     self.stopped_by.get_or_insert(StoppedBy::Command);
-                    moves::retry_stop(copy)
+                    moves::retry_stop(&self.shared, &self.call, target, copy, self.progress.relayed)
                 }
             },
             (_, _) => MoveState::Idle,
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -26,6 +26,7 @@
 
 use crate::accept::Call;
 use crate::answer::{Body, ResponseTruncated, strip_hop_by_hop};
+use crate::eligibility::Excluded;
 use crate::events::{EventKind, EventSplitter, StreamProgress, is_comment};
 use crate::exchange::UpstreamResponse;
 use crate::moves::{MoveEvent, MoveState};
@@ -113,6 +114,8 @@
     departures: watch::Receiver<u64>,
     cut_off: watch::Receiver<bool>,
     move_state: MoveState,
+    /// Engines that have not taken the generation, to which it is moved last.
+    avoided: Excluded,
     /// The end of the stream is recorded.
     ended: bool,
     _in_flight: Option<InFlightGuard>,
@@ -233,6 +236,7 @@
             departures: shared.departures.subscribe(),
             cut_off: shared.cut_off.subscribe(),
             move_state: MoveState::Idle,
+            avoided: Excluded::new(),
             ended: false,
             _in_flight: in_flight,
         }
