--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -1,9 +1,11 @@
 //! Handles one request of a caller: attempts, retries and the response.
 
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Duration;
 
 use compact_str::CompactString;
+use futures::FutureExt as _;
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode, request};
 use hyper::body::Incoming;
@@ -32,6 +34,7 @@
 use crate::state::BufferUse;
 use crate::target::Target;
 use crate::timing::elapsed_ms;
+use crate::unfinished::{Progress, Stage};
 
 /// Share of a route's target latency for which a request may queue for a slot,
 /// counted from its arrival.
@@ -46,8 +49,16 @@
 /// Reason of the answer to a request in flight at the end of the grace period.
 const GRACE_OVER: &str = "grace period over";
 
+/// Reason of the answer to a request whose handling panicked.
+const PANICKED: &str = "internal error";
+
 /// Serves one request of a caller.
-pub(crate) async fn serve(shared: Rc<Shared>, request: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn serve(
+    shared: Rc<Shared>,
+    progress: &Progress,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    progress.begin();
     let in_flight = shared.track_in_flight();
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
@@ -55,25 +66,41 @@
     // Bytes after such a body may be a smuggled request, so the connection is
     // not reused.
     let close_connection = head.headers.contains_key(TRANSFER_ENCODING);
-    let responding = respond(&shared, head, body, arrived, in_flight);
-    let mut response = answer_within_grace(&shared, arrived, responding).await;
+    // As a panic unwinds, borrows of the shared cells end, and guards release what the request
+    // holds; the other tasks go on with that state whether or not the panic is caught here.
+    let responding = respond(&shared, progress, head, body, arrived, in_flight);
+    let responding = AssertUnwindSafe(responding).catch_unwind();
+    let responding =
+        responding.map(|result| result.unwrap_or_else(|_| answer_panic(&shared, progress)));
+    let id = || progress.id();
+    let mut response = answer_within_grace(&shared, arrived, responding, id).await;
+    progress.set_stage(Stage::Response);
     if close_connection || *shared.phase.borrow() == EntryPhase::Stopping {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
 }
 
+/// Answers a request whose handling panicked, when it may have been sent.
+fn answer_panic(shared: &Shared, progress: &Progress) -> Response<Body> {
+    log::error!(request = progress.id().as_str(), stage = progress.stage(); "request failed by a panic");
+    shared.metrics.requests.with_label_values(&["none", PANICKED]).inc();
+    Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, PANICKED).into_response()
+}
+
 /// Waits for a response until the end of the grace period; after that the outcome is unknown.
+/// `id` returns the id of the request, if it is known by then.
 pub(crate) async fn answer_within_grace(
     shared: &Shared,
     arrived: Instant,
     responding: impl Future<Output = Response<Body>>,
+    id: impl Fn() -> CompactString,
 ) -> Response<Body> {
     let mut ending = shared.ending.subscribe();
     tokio::select! {
         response = responding => response,
         _ = ending.wait_for(|ending| *ending) => {
-            log::warn!(waited_ms = elapsed_ms(arrived); "request cut off at the end of the grace period");
+            log::warn!(request = id().as_str(), waited_ms = elapsed_ms(arrived); "request cut off at the end of the grace period");
             shared.metrics.requests.with_label_values(&["none", GRACE_OVER]).inc();
             Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, GRACE_OVER).into_response()
         }
@@ -82,12 +109,13 @@
 
 async fn respond(
     shared: &Rc<Shared>,
+    progress: &Progress,
     head: request::Parts,
     body: Incoming,
     arrived: Instant,
     in_flight: InFlightGuard,
 ) -> Response<Body> {
-    match accept(shared, head, body, arrived).await {
+    match accept(shared, progress, head, body, arrived).await {
         Ok(call) => dispatch(shared, Rc::new(call), Attempts::default(), in_flight).await,
         Err((refusal, id)) => {
             log::info!(request = id.as_str(), status = refusal.status.as_u16(), reason = refusal.reason, waited_ms = elapsed_ms(arrived); "request refused");
