--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -336,8 +336,10 @@
         Ok(Err(ReadError::NoMemory)) => {
             Err(Refusal::unavailable("too many bodies", RETRY_AFTER_NO_UPSTREAM))
         }
-        Ok(Err(ReadError::Interrupted(error))) => {
-            progress.record_broken_body(&error);
+        Ok(Err(error @ (ReadError::Interrupted(_) | ReadError::LostByPeer))) => {
+            if let ReadError::Interrupted(error) = &error {
+                progress.record_broken_body(error);
+            }
             Err(Refusal::client_error(StatusCode::BAD_REQUEST, "malformed body"))
         }
         Err(_) => {
