--- a/components/gateway/src/relay/continuation.rs
+++ b/components/gateway/src/relay/continuation.rs
@@ -8,7 +8,7 @@
 
 use super::interruption::NotContinued;
 use super::resume::ResumeError;
-use super::{Relay, StoppedBy};
+use super::{Relay, Source, StoppedBy};
 use crate::dialect::KvCacheRef;
 use crate::eligibility::Excluded;
 use crate::events::EventSplitter;
@@ -148,53 +148,16 @@
             return Err(Outcome::NotRun);
         }
         let (reservation, cache) = if way == Way::Source {
-            let handle = generation.kept.clone().ok_or(Outcome::NotKept)?;
-            let source = &generation.source;
-            // The wait for the retry budget may have been too long.
-            if !accepts_return(&self.shared, source) {
-                return Err(Outcome::NotRun);
-            }
-            let reservation = self.reserve_again(source);
-            (reservation, KvCacheRef { source: source.address, handle })
+            self.prepare_return(generation)?
         } else {
-            if generation.ways.repeats() {
-                sleep(OFFER_PAUSE).await;
-            }
-            let (reservation, cache) = match (generation.copy.take(), generation.offered.take()) {
-                (Some(copy), _) => (copy.reservation, copy.cache),
-                (None, Some((holder, cache))) => (self.reserve_again(&holder), cache),
-                (None, None) => return Err(Outcome::NotRun),
-            };
-            generation.offered = Some((reservation.target.clone(), cache.clone()));
-            (reservation, cache)
+            self.prepare_offer(generation).await?
         };
         generation.sends += 1;
         let target = reservation.target.clone();
         generation.refused.push(target.id.clone());
         let handle = cache.handle.clone();
         log::info!(request = self.call.head.id.as_str(), from = generation.source.id.as_str(), to = target.id.as_str(), way:? = way, events = self.progress.relayed; "moving generation");
-        let answered = {
-            let asking = self.ask(reservation, Some(cache));
-            tokio::pin!(asking);
-            let answered = timeout(ANSWER_TIMEOUT, &mut asking).await;
-            let mut others = generation.ways.clone();
-            others.record(way, Outcome::NotRun);
-            match answered {
-                Ok(answered) => answered,
-                // The request may be queued: an engine that knows no such run is not asked again.
-                Err(_)
-                    if others.repeats_or_ends(accepts_return(&self.shared, &generation.source)) =>
-                {
-                    asking.await
-                }
-                Err(_) => match self.end_run(generation, target.clone()).await {
-                    // Without its word, the engine may still answer.
-                    None | Some(Outcome::MayRun) => asking.await,
-                    Some(outcome) => return Err(outcome),
-                },
-            }
-        };
-        match answered {
+        match self.ask_to_go_on(generation, way, reservation, cache).await? {
             Ok(source) => {
                 if way == Way::Source {
                     self.avoided = generation.refused.clone();
@@ -215,6 +178,66 @@
         }
     }
 
+    /// Reserves a slot at the source, with the KV cache that it keeps.
+    fn prepare_return(
+        &self,
+        generation: &Continuation,
+    ) -> Result<(Reservation, KvCacheRef), Outcome> {
+        let handle = generation.kept.clone().ok_or(Outcome::NotKept)?;
+        let source = &generation.source;
+        // The wait for the retry budget may have been too long.
+        if !accepts_return(&self.shared, source) {
+            return Err(Outcome::NotRun);
+        }
+        Ok((self.reserve_again(source), KvCacheRef { source: source.address, handle }))
+    }
+
+    /// Returns the slot and the copy at another engine; reserves the slot again if the copy was
+    /// refused before.
+    async fn prepare_offer(
+        &self,
+        generation: &mut Continuation,
+    ) -> Result<(Reservation, KvCacheRef), Outcome> {
+        if generation.ways.repeats() {
+            sleep(OFFER_PAUSE).await;
+        }
+        let (reservation, cache) = match (generation.copy.take(), generation.offered.take()) {
+            (Some(copy), _) => (copy.reservation, copy.cache),
+            (None, Some((holder, cache))) => (self.reserve_again(&holder), cache),
+            (None, None) => return Err(Outcome::NotRun),
+        };
+        generation.offered = Some((reservation.target.clone(), cache.clone()));
+        Ok((reservation, cache))
+    }
+
+    /// Asks an engine to go on. If it is silent and there is another way, it is told to stop the
+    /// generation; `Err` with the outcome if it does not run it then.
+    async fn ask_to_go_on(
+        &self,
+        generation: &mut Continuation,
+        way: Way,
+        reservation: Reservation,
+        cache: KvCacheRef,
+    ) -> Result<Result<Source, ResumeError>, Outcome> {
+        let target = reservation.target.clone();
+        let asking = self.ask(reservation, Some(cache));
+        tokio::pin!(asking);
+        if let Ok(answered) = timeout(ANSWER_TIMEOUT, &mut asking).await {
+            return Ok(answered);
+        }
+        let mut others = generation.ways.clone();
+        others.record(way, Outcome::NotRun);
+        // The request may be queued, so that the engine knows of no run.
+        if others.repeats_or_ends(accepts_return(&self.shared, &generation.source)) {
+            return Ok(asking.await);
+        }
+        match self.end_run(generation, target).await {
+            // Without its word, the engine may still answer.
+            None | Some(Outcome::MayRun) => Ok(asking.await),
+            Some(outcome) => Err(outcome),
+        }
+    }
+
     /// Counts the generation at an engine that knows it.
     fn reserve_again(&self, engine: &Target) -> Reservation {
         reserve_for_return(&self.shared, &self.call, engine, self.progress.relayed)
