--- a/components/gateway/src/relay/continuation.rs
+++ b/components/gateway/src/relay/continuation.rs
@@ -113,7 +113,7 @@
                 Some(_)
                     if generation.ways.repeats_or_ends(takes_requests)
                         && generation.wait_for_source().await => {}
-                Some(_) if generation.is_late() => break None,
+                Some(Way::Copy) if generation.is_late() => break None,
                 Some(way) => match self.try_way(&mut generation, way).await {
                     Ok(()) => break Some(way),
                     Err(outcome) => {
