Keep asking another engine when the silent one breaks off

The connection to its silent engine was reset meanwhile; that counted as a sign of the engine, so that the other one was left, and MaxAttempts allowed no third. Only data or a proper end is a sign now.

stream_goes_on_elsewhere_although_its_silent_engine_breaks_off_meanwhile failed before.

--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod probe;
 mod resume;
 
+use std::future::pending;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -83,6 +84,17 @@
         let probe = Probe::default();
         Source { body, connection, reservation, probe, is_framed, has_ended: false }
     }
+
+    /// Waits until the engine sends something or ends its stream; forever once it breaks off.
+    async fn next_sign(&mut self) -> Step {
+        match Step::from_frame(self.body.frame().await) {
+            Step::Interrupted(_) => {
+                self.has_ended = true;
+                pending().await
+            }
+            step => step,
+        }
+    }
 }
 
 struct Relay {
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -7,7 +7,7 @@
 use super::ending::StreamEnd;
 use super::interruption::NotContinued;
 use super::probe;
-use super::{MAX_BYTES_WITHOUT_EVENT, Relay, Source, Step, is_event_stream};
+use super::{MAX_BYTES_WITHOUT_EVENT, Relay, Source, is_event_stream};
 use crate::attempts::{MAX_SENDS, MAX_UNREACHABLE};
 use crate::crashes;
 use crate::dialect::{KvCacheRef, Resume};
@@ -147,8 +147,8 @@
             None => placing.await,
             Some(source) => tokio::select! {
                 biased;
-                frame = source.body.frame() => {
-                    self.pending = Some(Step::from_frame(frame));
+                step = source.next_sign() => {
+                    self.pending = Some(step);
                     return Placed::Heard;
                 }
                 placed = placing => placed,
@@ -214,8 +214,8 @@
         };
         let answered = tokio::select! {
             biased;
-            frame = source.body.frame() => {
-                self.pending = Some(Step::from_frame(frame));
+            step = source.next_sign() => {
+                self.pending = Some(step);
                 Ok(Asked::Heard)
             }
             answered = self.ask_for_event(reservation) => answered,
