Take the head of a stream's response apart instead of copying it

relay::start copied all headers of each stream to keep the head beside the body. Source::new returns both parts of the response. No behaviour changes.

--- a/components/gateway/src/moves/stopping.rs
+++ b/components/gateway/src/moves/stopping.rs
@@ -26,6 +26,7 @@
 /// on elsewhere from an earlier copy. The engine has the command to stop by then, if it is
 /// reachable at all.
 const END_CONFIRM_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Generation that no longer runs at its source.
 #[derive(Debug)]
 pub(crate) struct StoppedGeneration {
--- a/components/gateway/src/relay/mod.rs
+++ b/components/gateway/src/relay/mod.rs
@@ -77,12 +77,14 @@
 }
 
 impl Source {
-    fn new(response: UpstreamResponse, reservation: Reservation) -> Self {
+    /// Returns the head of a response and the source that its body is.
+    fn new(response: UpstreamResponse, reservation: Reservation) -> (response::Parts, Self) {
         let UpstreamResponse { head, body, connection } = response;
         let is_framed = head.headers.contains_key(TRANSFER_ENCODING)
             || head.headers.contains_key(CONTENT_LENGTH);
         let probe = Probe::default();
-        Source { body, connection, reservation, probe, is_framed, has_ended: false }
+        let source = Source { body, connection, reservation, probe, is_framed, has_ended: false };
+        (head, source)
     }
 
     /// Waits until the engine sends something or ends its stream; forever once it breaks off.
@@ -192,16 +194,16 @@
         let origin = reservation.target.origin.clone();
         shared.origins.borrow_mut().record(stream, origin, shared.now_ms());
     }
-    let mut head = response.head.clone();
+    let (mut head, source) = Source::new(response, reservation);
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
     // The protocol version belongs to the connection to the upstream.
     head.version = Version::HTTP_11;
-    let origin = reservation.target.origin.clone();
+    let origin = source.reservation.target.origin.clone();
     let mut relay = Relay::new(shared, call, origin, earlier_runs + 1, in_flight);
     // The engine may have started to drain before the head arrived.
     relay.departures.mark_changed();
-    relay.source = Some(Source::new(response, reservation));
+    relay.source = Some(source);
     Response::from_parts(head, relay.into_body())
 }
 
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -189,7 +189,8 @@
         }
         reservation.record_first_event();
         reservation.record_progress(&self.call.requirements, self.progress.relayed);
-        Ok(Source::new(response, reservation))
+        let (_, source) = Source::new(response, reservation);
+        Ok(source)
     }
 
     /// Makes an engine that goes on with the stream its source; `events` are those that it has
