--- /dev/null
+++ b/review/7/case.rs
@@ -0,0 +1,89 @@
+//! A stream moves from an engine that leaves to one that is slow to begin. Does it run at two
+//! engines?
+
+#[path = "../stage/engine.rs"]
+mod engine;
+#[path = "../stage/stage.rs"]
+mod stage;
+
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::Instant;
+
+use engine::*;
+use stage::*;
+
+/// Longest time for which two engines may work on a request that went on at the second one.
+const OVERLAP_MS: f64 = 400.0;
+/// First event of the slow engine: eight times that of the others.
+const SLOWNESS: u32 = 8;
+
+fn main() {
+    run(case)
+}
+
+fn case(record: &Record, trouble: bool) -> Result<Verdict, Error> {
+    let mut stage = Deployment::new(1)?;
+    stage.start()?;
+    let net = stage.net.clone();
+    let engines = Engines::default();
+    let daemons: Vec<_> = (0..3).map(|index| stage.control_address(index)).collect();
+    stage.publish(0, &configuration(), record)?;
+    stage.wait_ready()?;
+    let port = net.ports.server;
+    let sound = Habits { first_event_from_copy: ms(200), ..Habits::default() };
+    let leaving = engines.start("i-leaving", net.at(101, port), ZONES[0], daemons.clone(), sound.clone(), record)?;
+    thread::sleep(ms(1_500));
+    // The client's stream begins at the only engine.
+    let id = random_id();
+    let (address, log) = (stage.front_address(0), record.clone());
+    let request = stream_request(&id);
+    let sent = id.clone();
+    let client = thread::spawn(move || {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(ms(20_000))).unwrap();
+        let mut reader = BufReader::new(stream);
+        reader.get_mut().write_all(&request.encode()).unwrap();
+        log.line(&format!("client sends {sent}"));
+        let response = read_response(&mut reader, |_| {});
+        let (status, whole, pieces) = response.map_or((0, false, 0), |r| {
+            (r.status, r.whole, r.text().matches("data: ").count())
+        });
+        log.line(&format!("client gets {status}, {pieces} pieces, whole: {whole}"));
+    });
+    thread::sleep(ms(600));
+    // Most engines drop a request whose connection closes; this one does not.
+    let mut near = Habits { drops_closed: false, ..sound.clone() };
+    if trouble {
+        near.first_event_from_copy *= SLOWNESS;
+    }
+    let _near = engines.start("i-near", net.at(102, port), ZONES[0], daemons.clone(), near, record)?;
+    let _far = engines.start("i-far", net.at(103, port), ZONES[1], daemons.clone(), sound, record)?;
+    thread::sleep(ms(700));
+    record.line("i-leaving says that it drains");
+    leaving.heart.drain();
+    let until = Instant::now() + ms(12_000);
+    while !client.is_finished() && Instant::now() < until {
+        thread::sleep(ms(50));
+    }
+    thread::sleep(ms(1_000));
+    let spans = engines.spans();
+    let end = record.now_ms();
+    for span in &spans {
+        record.line(&format!("{span:?}"));
+    }
+    for (index, one) in spans.iter().enumerate() {
+        for two in &spans[index + 1..] {
+            let (Some(a), Some(b)) = (one.began, two.began) else { continue };
+            let overlap = one.ended.unwrap_or(end).min(two.ended.unwrap_or(end)) - a.max(b);
+            if one.request == two.request && one.engine != two.engine && overlap > OVERLAP_MS {
+                return Ok(Verdict::Broken(format!(
+                    "{} and {} worked on {id} at once for {overlap:.0} ms",
+                    one.engine, two.engine
+                )));
+            }
+        }
+    }
+    Ok(Verdict::Held)
+}
