--- a/review/stage/stage.rs
+++ b/review/stage/stage.rs
@@ -10,7 +10,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -39,23 +39,23 @@
     Duration::from_millis(ms)
 }
 
-/// Small pseudo-random generator; the seed is drawn from the time and the process id.
+/// Pseudo-random number (splitmix64); the seed is drawn from the time and the process id.
 pub fn random() -> u64 {
-    static STATE: AtomicU64 = AtomicU64::new(0);
-    let mut x = STATE.load(Ordering::Relaxed);
-    if x == 0 {
+    static SEED: OnceLock<u64> = OnceLock::new();
+    static COUNT: AtomicU64 = AtomicU64::new(0);
+    let seed = *SEED.get_or_init(|| {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as u64;
-        x = now ^ (u64::from(std::process::id()) << 32) | 1;
-    }
-    x ^= x << 13;
-    x ^= x >> 7;
-    x ^= x << 17;
-    STATE.store(x, Ordering::Relaxed);
-    x
+        now ^ (u64::from(std::process::id()) << 32)
+    });
+    let count = COUNT.fetch_add(1, Ordering::Relaxed).wrapping_add(1);
+    let mut x = seed.wrapping_add(count.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
 }
 
 pub fn random_id() -> String {
-    format!("{:016x}", random().rotate_left(17) ^ random())
+    format!("{:016x}", random())
 }
 
 /// `record.txt`: what was sent, answered and run, in milliseconds since the start.
