--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -29,7 +29,7 @@
     let net = stage.net.clone();
     let engines = Engines::default();
     let daemons: Vec<_> = (0..3).map(|index| stage.control_address(index)).collect();
-    stage.publish(0, &configuration(), record)?;
+    stage.publish(0, &configuration(false), record)?;
     stage.wait_ready()?;
     let port = net.ports.server;
     let sound = Habits { first_event_from_copy: ms(200), ..Habits::default() };
--- a/review/stage/engine.rs
+++ b/review/stage/engine.rs
@@ -28,6 +28,8 @@
     pub drops_closed: bool,
     /// Events of a whole stream.
     pub events: u64,
+    /// Event after which it breaks off its answer, although it works on.
+    pub breaks_off_after: Option<u64>,
 }
 
 impl Default for Habits {
@@ -39,6 +41,7 @@
             last_copy: ms(20),
             drops_closed: true,
             events: 100,
+            breaks_off_after: None,
         }
     }
 }
@@ -219,6 +222,11 @@
             if connected && exchange.chunk(data.as_bytes()).is_err() {
                 connected = false;
             }
+            if habits.breaks_off_after == Some(event) {
+                record.line(&format!("{engine}: breaks off its answer to {id} after event {event}"));
+                let _ = exchange.stream.shutdown(std::net::Shutdown::Both);
+                connected = false;
+            }
             if !connected && habits.drops_closed {
                 break "dropped";
             }
@@ -331,9 +339,15 @@
     rest.split('"').next().unwrap_or_default().to_string()
 }
 
-/// Configuration with one streaming route to the engines, as the small deployments have it.
-pub fn configuration() -> String {
-    r#"{"Version":1,"Routes":[{"Name":"draft","Host":"review.example","PathPrefix":"/draft/","Kind":"streaming","TimeoutMs":39000,"TargetLatencyMs":1800,"Priority":1,"Service":"llm","MaxAttempts":1,"AllowAnonymous":false,"Sticky":true,"ResumeStreams":false,"TargetGapMs":180}],"Services":[{"Name":"llm","HealthPath":"/health","MaxConnections":252,"Protocol":"h1","Tls":false,"Engine":{"Slots":24,"KvCacheTokens":34240,"KvTokenBytes":163840,"LinkMbps":24000.0,"Moves":true,"Backups":true,"Stride":4,"most":12,"PinMs":4000.0,"HoldMs":2000.0,"HandleS":5.0,"Models":[{"Name":"m"}]}}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":[{"Name":"one","ApiKeys":["key-one"]}]}"#.to_string()
+/// Configuration with one streaming route to the engines, as the small deployments have it. A
+/// route whose streams may be resumed has two attempts.
+pub fn configuration(resumable: bool) -> String {
+    let text = r#"{"Version":1,"Routes":[{"Name":"draft","Host":"review.example","PathPrefix":"/draft/","Kind":"streaming","TimeoutMs":39000,"TargetLatencyMs":1800,"Priority":1,"Service":"llm","MaxAttempts":1,"AllowAnonymous":false,"Sticky":true,"ResumeStreams":false,"TargetGapMs":180}],"Services":[{"Name":"llm","HealthPath":"/health","MaxConnections":252,"Protocol":"h1","Tls":false,"Engine":{"Slots":24,"KvCacheTokens":34240,"KvTokenBytes":163840,"LinkMbps":24000.0,"Moves":true,"Backups":true,"Stride":4,"most":12,"PinMs":4000.0,"HoldMs":2000.0,"HandleS":5.0,"Models":[{"Name":"m"}]}}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":[{"Name":"one","ApiKeys":["key-one"]}]}"#;
+    if !resumable {
+        return text.to_string();
+    }
+    let text = text.replace(r#""ResumeStreams":false"#, r#""ResumeStreams":true"#);
+    text.replace(r#""MaxAttempts":1"#, r#""MaxAttempts":2"#)
 }
 
 /// Request of a client for a stream.
