--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -33,7 +33,14 @@
     stage.wait_ready()?;
     let port = net.ports.server;
     let sound = Habits { first_event_from_copy: ms(200), ..Habits::default() };
-    let leaving = engines.start("i-leaving", net.at(101, port), ZONES[0], daemons.clone(), sound.clone(), record)?;
+    let leaving = engines.start(
+        "i-leaving",
+        net.at(101, port),
+        ZONES[0],
+        daemons.clone(),
+        sound.clone(),
+        record,
+    )?;
     thread::sleep(ms(1_500));
     // The client's stream begins at the only engine.
     let id = random_id();
@@ -47,9 +54,8 @@
         reader.get_mut().write_all(&request.encode()).unwrap();
         log.line(&format!("client sends {sent}"));
         let response = read_response(&mut reader, |_| {});
-        let (status, whole, pieces) = response.map_or((0, false, 0), |r| {
-            (r.status, r.whole, r.text().matches("data: ").count())
-        });
+        let (status, whole, pieces) = response
+            .map_or((0, false, 0), |r| (r.status, r.whole, r.text().matches("data: ").count()));
         log.line(&format!("client gets {status}, {pieces} pieces, whole: {whole}"));
     });
     thread::sleep(ms(600));
@@ -58,8 +64,10 @@
     if trouble {
         near.first_event_from_copy *= SLOWNESS;
     }
-    let _near = engines.start("i-near", net.at(102, port), ZONES[0], daemons.clone(), near, record)?;
-    let _far = engines.start("i-far", net.at(103, port), ZONES[1], daemons.clone(), sound, record)?;
+    let _near =
+        engines.start("i-near", net.at(102, port), ZONES[0], daemons.clone(), near, record)?;
+    let _far =
+        engines.start("i-far", net.at(103, port), ZONES[1], daemons.clone(), sound, record)?;
     thread::sleep(ms(700));
     record.line("i-leaving says that it drains");
     leaving.heart.drain();
--- a/review/stage/engine.rs
+++ b/review/stage/engine.rs
@@ -1,7 +1,7 @@
 //! Stand-in of a model engine that runs streams, and moves them as the pages say.
 #![allow(dead_code)]
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -30,6 +30,12 @@
     pub events: u64,
     /// Event after which it breaks off its answer, although it works on.
     pub breaks_off_after: Option<u64>,
+    /// Its streams have neither length nor chunks, and end with their connection.
+    pub is_unframed: bool,
+    /// Its answer to the first command to stop a run is lost; the copy goes on.
+    pub loses_first_stop: bool,
+    /// Time from the stop of a run to the end of its stream.
+    pub closes_after: Duration,
 }
 
 impl Default for Habits {
@@ -42,6 +48,9 @@
             drops_closed: true,
             events: 100,
             breaks_off_after: None,
+            is_unframed: false,
+            loses_first_stop: false,
+            closes_after: Duration::ZERO,
         }
     }
 }
@@ -89,6 +98,8 @@
     /// Source addresses and handles that were used: a handle can be used once.
     used: Vec<String>,
     moving: Vec<(String, String)>,
+    /// Runs of which the answer to a stop was lost.
+    lost: HashSet<(String, String)>,
     spans: Vec<Span>,
     next_handle: u64,
 }
@@ -123,7 +134,9 @@
         let server = Server::listen(address, move |exchange| {
             let request = exchange.request.clone();
             match (request.method.as_str(), request.path.as_str()) {
-                ("POST", "/v1/kv-move") => engines.move_run(&name, address, &habits, exchange, &log),
+                ("POST", "/v1/kv-move") => {
+                    engines.move_run(&name, address, &habits, exchange, &log)
+                }
                 ("DELETE", path) if path.starts_with("/v1/kv-handle/") => {
                     let handle = format!("{address}/{}", &path["/v1/kv-handle/".len()..]);
                     engines.0.lock().unwrap().copies.remove(&handle);
@@ -168,7 +181,9 @@
         let last: u64 =
             exchange.request.get("Last-Event-Id").and_then(|t| t.parse().ok()).unwrap_or(0);
         let from = exchange.request.get("Kv-From").map(str::to_string);
-        record.line(&format!("{engine}: request {id} {path} Kv-From={from:?} Last-Event-Id={last} arrives"));
+        record.line(&format!(
+            "{engine}: request {id} {path} Kv-From={from:?} Last-Event-Id={last} arrives"
+        ));
         if exchange.request.get("X-Expect-Instance") != Some(engine) {
             let headers = [("X-Instance-Id", engine), ("X-Request-Id", id.as_str())];
             exchange.answer("421 Misdirected Request", &headers, b"")?;
@@ -179,8 +194,12 @@
             let mut state = self.0.lock().unwrap();
             if let Some(from) = &from {
                 // A handle can be used once: at the holder of the copy or at a source that stopped.
-                let at_holder = state.copies.get(from).is_some_and(|(holder, r)| *holder == address && *r == id);
-                let at_source = from.starts_with(&format!("{address}/")) && state.kept.contains_key(&key);
+                let at_holder = state
+                    .copies
+                    .get(from)
+                    .is_some_and(|(holder, r)| *holder == address && *r == id);
+                let at_source =
+                    from.starts_with(&format!("{address}/")) && state.kept.contains_key(&key);
                 if state.used.contains(from) || !at_holder && !at_source {
                     drop(state);
                     record.line(&format!("{engine}: no copy {from}, {id} is not run"));
@@ -211,6 +230,7 @@
         record.line(&format!("{engine}: {id} starts to run after event {last}"));
         let stamp = format!("stamp.{engine}");
         let headers = [("X-Request-Id", id.as_str()), ("X-Server-Stamp", stamp.as_str())];
+        exchange.is_unframed = habits.is_unframed;
         let mut connected = exchange.begin_stream(&headers).is_ok();
         let mut event = last;
         let how = loop {
@@ -223,7 +243,8 @@
                 connected = false;
             }
             if habits.breaks_off_after == Some(event) {
-                record.line(&format!("{engine}: breaks off its answer to {id} after event {event}"));
+                record
+                    .line(&format!("{engine}: breaks off its answer to {id} after event {event}"));
                 let _ = exchange.stream.shutdown(std::net::Shutdown::Both);
                 connected = false;
             }
@@ -251,11 +272,18 @@
                 state.kept.insert(key, event);
             }
         }
-        record.line(&format!("{engine}: {id} ends at event {event}: {how}, its caller is {}", if connected { "there" } else { "gone" }));
-        if how == "complete" && connected {
+        record.line(&format!(
+            "{engine}: {id} ends at event {event}: {how}, its caller is {}",
+            if connected { "there" } else { "gone" }
+        ));
+        if how == "complete" && connected && !habits.is_unframed {
             exchange.stream_end()?;
             return Ok(Then::Keep);
         }
+        if how == "stopped" {
+            thread::sleep(habits.closes_after);
+            record.line(&format!("{engine}: closes the stream of {id}"));
+        }
         // A stopped stream is closed without its end.
         Ok(Then::Close)
     }
@@ -307,6 +335,15 @@
         {
             thread::sleep(ms(2));
         }
+        if last && habits.loses_first_stop && self.0.lock().unwrap().lost.insert(key.clone()) {
+            record.line(&format!("{engine}: the answer to this kv-move is lost"));
+            let (engines, time) = (self.clone(), habits.last_copy);
+            thread::spawn(move || {
+                thread::sleep(time);
+                engines.0.lock().unwrap().moving.retain(|moving| *moving != key);
+            });
+            return Ok(Then::Close);
+        }
         thread::sleep(if last { habits.last_copy } else { habits.copy });
         let (handle, made) = {
             let mut state = self.0.lock().unwrap();
--- a/review/stage/stage.rs
+++ b/review/stage/stage.rs
@@ -240,7 +240,8 @@
     }
 
     fn seeds(&self) -> String {
-        let seeds = (11..14).map(|host| format!("\"{}\"", self.net.at(host, self.net.ports.control)));
+        let seeds =
+            (11..14).map(|host| format!("\"{}\"", self.net.at(host, self.net.ports.control)));
         seeds.collect::<Vec<_>>().join(",")
     }
 
@@ -364,7 +365,8 @@
                     response.status
                 )),
                 Err(error) => {
-                    record.line(&format!("configuration not acknowledged by core {index}: {error}"));
+                    record
+                        .line(&format!("configuration not acknowledged by core {index}: {error}"));
                 }
             }
             index = (index + 1) % self.core.len();
@@ -577,11 +579,18 @@
 pub struct Exchange {
     pub stream: TcpStream,
     pub request: Request,
+    /// The stream that it answers with has neither length nor chunks.
+    pub is_unframed: bool,
 }
 
 impl Exchange {
     /// Answers with a body of a stated length and keeps the connection.
-    pub fn answer(&mut self, status: &str, headers: &[(&str, &str)], body: &[u8]) -> io::Result<()> {
+    pub fn answer(
+        &mut self,
+        status: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<()> {
         let mut text = format!("HTTP/1.1 {status}\r\n");
         for (name, value) in headers {
             text.push_str(&format!("{name}: {value}\r\n"));
@@ -592,17 +601,20 @@
         self.stream.write_all(&bytes)
     }
 
-    /// Begins a stream in chunks.
+    /// Begins a stream, in chunks unless it is unframed.
     pub fn begin_stream(&mut self, headers: &[(&str, &str)]) -> io::Result<()> {
         let mut text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n".to_string();
         for (name, value) in headers {
             text.push_str(&format!("{name}: {value}\r\n"));
         }
-        text.push_str("Transfer-Encoding: chunked\r\n\r\n");
+        text.push_str(if self.is_unframed { "\r\n" } else { "Transfer-Encoding: chunked\r\n\r\n" });
         self.stream.write_all(text.as_bytes())
     }
 
     pub fn chunk(&mut self, data: &[u8]) -> io::Result<()> {
+        if self.is_unframed {
+            return self.stream.write_all(data);
+        }
         let mut bytes = format!("{:x}\r\n", data.len()).into_bytes();
         bytes.extend_from_slice(data);
         bytes.extend_from_slice(b"\r\n");
@@ -679,7 +691,7 @@
         let length: usize = request.get("Content-Length").and_then(|t| t.parse().ok()).unwrap_or(0);
         request.body = vec![0; length];
         reader.read_exact(&mut request.body)?;
-        let mut exchange = Exchange { stream: stream.try_clone()?, request };
+        let mut exchange = Exchange { stream: stream.try_clone()?, request, is_unframed: false };
         if let Then::Close = handle(&mut exchange)? {
             let _ = stream.shutdown(std::net::Shutdown::Both);
             return Ok(());
