Remember a stop command without a result when the next one is refused

Cause: advance_move took a refused command for 'the generation is not stopped' and erased that the command before it had no result. Ruled out: an end without a length is not always taken as complete; without the second command the stream goes on elsewhere.

Change: what a command without a result may have done stays known until the stream has another source.

--- a/components/gateway/src/relay/migration.rs
+++ b/components/gateway/src/relay/migration.rs
@@ -46,12 +46,9 @@
                 StopResult::Kept(handle) => {
                     MoveState::Stopped(StoppedGeneration::kept(Some(copy), handle))
                 }
-                StopResult::Refused => {
-                    self.stopped_by = self.stopped_by.filter(|by| *by == StoppedBy::Peer);
-                    moves::retry_stop(&self.shared, &self.call, target, copy, self.progress.relayed)
-                }
-                // The generation may be queued at the source.
-                StopResult::NotRunning | StopResult::Unreachable => {
+                // The generation may be queued at the source. What an earlier command without a
+                // result has done remains unknown.
+                StopResult::NotRunning | StopResult::Unreachable | StopResult::Refused => {
                     moves::retry_stop(&self.shared, &self.call, target, copy, self.progress.relayed)
                 }
                 StopResult::Unknown => {
