Stop generations that an engine begins after their stream has gone on elsewhere

Cause: 'no such run' is about this moment, and was taken for 'will not run'. Ruled out: a stop command that comes too late or is not carried out; it came 0.6 s before the run, and nobody asked again. Log lines and a metric for what happens at engines that a stream has left are new.

Change: the engine that a stream has left is told to stop the generation every 150 ms until it has, is gone, or the deadline that it has for the request is over. The same on the related paths: the response was lost, the engine accepts no connection any more, the source broke off while it had preempted the generation, the source has not confirmed a stop in 2.5 s. A cancellation is withdrawn before the engine is offered the generation again, and before another gateway takes the stream.

--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -16,6 +16,8 @@
     pub(crate) connections_opened: IntCounterVec,
     /// Moves of generations to other engines, by outcome.
     pub(crate) moves: IntCounterVec,
+    /// Cancellations of generations at engines that their streams have left, by outcome.
+    pub(crate) cancellations: IntCounterVec,
     /// Streams that have ended, by cause.
     pub(crate) streams_ended: IntCounterVec,
     /// Requests whose connection ended before their response was complete, by cause and stage.
@@ -78,6 +80,11 @@
             requests: counter("requests_total", "Requests.", &["service", "outcome"])?,
             connections_opened: counter("connections_total", "Connections opened.", &["service"])?,
             moves: counter("moves_total", "Moves of generations.", &["outcome"])?,
+            cancellations: counter(
+                "cancellations_total",
+                "Cancellations of generations at engines that their streams have left.",
+                &["outcome"],
+            )?,
             streams_ended: counter("streams_ended_total", "Streams that ended.", &["outcome"])?,
             unfinished_requests: counter(
                 "unfinished_requests_total",
--- /dev/null
+++ b/components/gateway/src/moves/cancellation.rs
@@ -0,0 +1,179 @@
+//! Cancellation of generations at engines that their streams have left.
+//!
+//! An engine that does not run a generation may still have its request queued, and run it later,
+//! even if the connection of that request is closed. It is told to stop the generation until it
+//! confirms that it has, or can no longer run it.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use schema::UpstreamPhase;
+use tokio::sync::Mutex;
+use tokio::time::{Instant, sleep};
+
+use super::commands::{free, send_stop};
+use super::{PendingTask, StopResult};
+use crate::accept::Call;
+use crate::shared::Shared;
+use crate::target::Target;
+
+/// Interval of the commands: a generation may run at two engines for 400 ms, in which the engine
+/// also has to stop it.
+const CANCEL_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Request and incarnation of the engine at which it is cancelled.
+type Key = (CompactString, (CompactString, u64));
+
+/// Cancellations in progress.
+#[derive(Debug, Default)]
+pub(crate) struct Cancellations(RefCell<HashMap<Key, Cancellation>>);
+
+#[derive(Clone, Debug)]
+struct Cancellation {
+    engine: Target,
+    /// False once it is withdrawn; locked while a command is in flight.
+    is_active: Rc<Mutex<bool>>,
+}
+
+/// How a cancellation ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CancelOutcome {
+    /// The engine ran the generation and has stopped it.
+    Stopped,
+    /// The engine is gone.
+    Gone,
+    /// The deadline that the engine has for the request is over.
+    Expired,
+    /// The stream may go on at the engine after all.
+    Withdrawn,
+}
+
+impl CancelOutcome {
+    /// Returns the text of log lines and the label of the metric.
+    fn as_str(self) -> &'static str {
+        match self {
+            CancelOutcome::Stopped => "stopped",
+            CancelOutcome::Gone => "gone",
+            CancelOutcome::Expired => "expired",
+            CancelOutcome::Withdrawn => "withdrawn",
+        }
+    }
+}
+
+/// Starts to cancel a generation at an engine, unless that is in progress.
+pub(crate) fn start_cancellation(shared: &Rc<Shared>, call: &Rc<Call>, engine: &Target) {
+    let key = (call.head.id.clone(), engine.incarnation());
+    let cancellation =
+        Cancellation { engine: engine.clone(), is_active: Rc::new(Mutex::new(true)) };
+    let mut in_progress = shared.cancellations.0.borrow_mut();
+    if in_progress.contains_key(&key) {
+        return;
+    }
+    in_progress.insert(key.clone(), cancellation.clone());
+    log::info!(request = call.head.id.as_str(), upstream = engine.id.as_str(); "cancelling the generation at an engine that may run it later");
+    let (shared, call) = (shared.clone(), call.clone());
+    actix_rt::spawn(async move {
+        let outcome = cancel(&shared, &call, &cancellation).await;
+        // A cancellation that was withdrawn may have been started again.
+        if outcome != CancelOutcome::Withdrawn {
+            shared.cancellations.0.borrow_mut().remove(&key);
+        }
+        shared.metrics.cancellations.with_label_values(&[outcome.as_str()]).inc();
+        log::info!(request = call.head.id.as_str(), upstream = cancellation.engine.id.as_str(), outcome = outcome.as_str(); "cancellation of the generation ended");
+    });
+}
+
+/// Starts to cancel a generation at its source, unless a command to stop it that is `pending`
+/// has done so.
+pub(crate) fn start_cancellation_after(
+    shared: &Rc<Shared>,
+    call: &Rc<Call>,
+    source: &Target,
+    mut pending: PendingTask<StopResult>,
+) {
+    let (shared, call, source) = (shared.clone(), call.clone(), source.clone());
+    actix_rt::spawn(async move {
+        match pending.wait().await {
+            Some(StopResult::Copied(handle) | StopResult::Kept(handle)) => {
+                free(&shared, &call, &source, &handle).await;
+            }
+            _ => start_cancellation(&shared, &call, &source),
+        }
+    });
+}
+
+/// Withdraws the cancellation at an engine at which the generation may go on, once no command is
+/// in flight; returns whether there was one.
+pub(crate) async fn withdraw_cancellation(shared: &Shared, call: &Call, engine: &Target) -> bool {
+    let key = (call.head.id.clone(), engine.incarnation());
+    let Some(cancellation) = shared.cancellations.0.borrow_mut().remove(&key) else {
+        return false;
+    };
+    *cancellation.is_active.lock().await = false;
+    true
+}
+
+/// Withdraws the cancellations at all engines, and returns these.
+pub(crate) async fn withdraw_cancellations(shared: &Shared, call: &Call) -> Vec<Target> {
+    let engines: Vec<_> = {
+        let in_progress = shared.cancellations.0.borrow();
+        let of_call = in_progress.iter().filter(|((id, _), _)| *id == call.head.id);
+        of_call.map(|(_, cancellation)| cancellation.engine.clone()).collect()
+    };
+    for engine in &engines {
+        withdraw_cancellation(shared, call, engine).await;
+    }
+    engines
+}
+
+async fn cancel(shared: &Shared, call: &Call, cancellation: &Cancellation) -> CancelOutcome {
+    let Cancellation { engine, is_active } = cancellation;
+    loop {
+        sleep(CANCEL_INTERVAL).await;
+        let is_active = is_active.lock().await;
+        // The gateway that takes a stream back chooses among all engines.
+        if !*is_active || call.hand_back.is_offered() {
+            return CancelOutcome::Withdrawn;
+        }
+        if Instant::now() >= call.until {
+            return CancelOutcome::Expired;
+        }
+        if is_replaced(shared, engine) {
+            return CancelOutcome::Gone;
+        }
+        match send_stop(shared, call, engine, engine.address).await {
+            StopResult::Copied(handle) | StopResult::Kept(handle) => {
+                free(shared, call, engine, &handle).await;
+                return CancelOutcome::Stopped;
+            }
+            StopResult::Unreachable if is_gone(shared, engine) => return CancelOutcome::Gone,
+            StopResult::Unreachable
+            | StopResult::NotRunning
+            | StopResult::Refused
+            | StopResult::Unknown => {}
+        }
+    }
+}
+
+/// Returns whether another incarnation has the engine's id or its address.
+fn is_replaced(shared: &Shared, engine: &Target) -> bool {
+    shared.registry.borrow().iter().any(|upstream| {
+        let record = &upstream.record;
+        let is_same = record.id == engine.id && record.born_ms == engine.born_ms;
+        let has_address =
+            upstream.address == engine.address && record.phase() != UpstreamPhase::Gone;
+        !is_same && (record.id == engine.id || has_address)
+    })
+}
+
+/// Returns whether an engine that accepts no connection is gone. One that leaves without draining
+/// runs generations for a while.
+fn is_gone(shared: &Shared, engine: &Target) -> bool {
+    let registry = shared.registry.borrow();
+    registry
+        .get(&engine.id)
+        .is_none_or(|known| known.record.phase() == UpstreamPhase::Gone || known.is_silent())
+}
--- a/components/gateway/src/moves/mod.rs
+++ b/components/gateway/src/moves/mod.rs
@@ -7,6 +7,7 @@
 //! goes on before its source was told to stop it; if the other engine does not take it, the
 //! source, which keeps its KV cache, and further engines are asked in turn ([`Ways`]).
 
+mod cancellation;
 mod commands;
 mod stopping;
 mod unused;
@@ -30,6 +31,10 @@
 use crate::target::Target;
 use commands::{free, send_move};
 
+pub(crate) use cancellation::{
+    Cancellations, start_cancellation, start_cancellation_after, withdraw_cancellation,
+    withdraw_cancellations,
+};
 pub(crate) use commands::{StopResult, send_stop};
 pub(crate) use stopping::{
     StopAndCopy, StoppedGeneration, continue_until, free_late_copy, stop_and_copy, stop_at_source,
--- a/components/gateway/src/moves/stopping.rs
+++ b/components/gateway/src/moves/stopping.rs
@@ -35,22 +35,25 @@
     pub(crate) kept: Option<CompactString>,
     /// Result of the command to stop the generation, if it is to come.
     pub(crate) ending: Option<PendingTask<StopResult>>,
+    /// The source has not said that it stopped the generation, and may run it later.
+    pub(crate) may_run: bool,
 }
 
 impl StoppedGeneration {
+    /// The source has not confirmed that it stopped the generation.
     fn from_copy(copy: CacheCopy) -> Self {
-        StoppedGeneration { copy: Some(copy), kept: None, ending: None }
+        StoppedGeneration { copy: Some(copy), kept: None, ending: None, may_run: true }
     }
 
     /// The source has copied the rest of the KV cache under a new handle.
     pub(crate) fn up_to_date(mut copy: CacheCopy, handle: CompactString) -> Self {
         copy.cache.handle = handle.clone();
-        StoppedGeneration { copy: Some(copy), kept: Some(handle), ending: None }
+        StoppedGeneration { copy: Some(copy), kept: Some(handle), ending: None, may_run: false }
     }
 
     /// The source has not copied the rest of the KV cache: an earlier copy may do.
     pub(crate) fn kept(copy: Option<CacheCopy>, handle: CompactString) -> Self {
-        StoppedGeneration { copy, kept: Some(handle), ending: None }
+        StoppedGeneration { copy, kept: Some(handle), ending: None, may_run: false }
     }
 }
 
--- a/components/gateway/src/relay/continuation.rs
+++ b/components/gateway/src/relay/continuation.rs
@@ -40,6 +40,8 @@
     unused: UnusedCopies,
     /// Engines that are not asked for a further copy, unless there are no others.
     refused: Excluded,
+    /// Source that may run the generation later.
+    unconfirmed: Option<Target>,
     /// Until when the generation may wait for an engine.
     until: Instant,
     /// Requests that were sent to engines.
@@ -48,10 +50,11 @@
 
 impl Continuation {
     fn new(relay: &Relay, stopped: StoppedGeneration, source: Target) -> Self {
-        let StoppedGeneration { copy, kept, ending } = stopped;
+        let StoppedGeneration { copy, kept, ending, may_run } = stopped;
         let mut generation = Continuation {
             ways: Ways::new(copy.is_some(), kept.is_some()),
             refused: smallvec![source.id.clone()],
+            unconfirmed: may_run.then(|| source.clone()),
             source,
             copy,
             offered: None,
@@ -87,6 +90,7 @@
         let Some(StopResult::Copied(handle) | StopResult::Kept(handle)) = result else {
             return false;
         };
+        self.unconfirmed = None;
         self.kept = Some(handle);
         self.ways.keep();
         self.track_copies();
@@ -136,10 +140,21 @@
         if moved.is_none() {
             return Err(NotContinued::default());
         }
+        self.cancel_at_source(&mut generation);
         log::info!(request = self.call.head.id.as_str(), outcome, events = self.progress.relayed; "generation moved");
         Ok(())
     }
 
+    /// Has a source that has not confirmed that it stopped the generation stop it, now that the
+    /// generation runs elsewhere.
+    fn cancel_at_source(&self, generation: &mut Continuation) {
+        if let Some((ending, source)) = generation.unused.ending.take() {
+            moves::start_cancellation_after(&self.shared, &self.call, &source, ending);
+        } else if let Some(source) = &generation.unconfirmed {
+            moves::start_cancellation(&self.shared, &self.call, source);
+        }
+    }
+
     async fn try_way(&mut self, generation: &mut Continuation, way: Way) -> Result<(), Outcome> {
         if way == Way::NextCopy {
             return Err(self.copy_again(generation).await);
@@ -157,7 +172,12 @@
         generation.refused.push(target.id.clone());
         let handle = cache.handle.clone();
         log::info!(request = self.call.head.id.as_str(), from = generation.source.id.as_str(), to = target.id.as_str(), way:? = way, events = self.progress.relayed; "moving generation");
-        match self.ask_to_go_on(generation, way, reservation, cache).await? {
+        let was_cancelled = moves::withdraw_cancellation(&self.shared, &self.call, &target).await;
+        let asked = self.ask_to_go_on(generation, way, reservation, cache).await;
+        if was_cancelled && !matches!(asked, Ok(Ok(_))) {
+            moves::start_cancellation(&self.shared, &self.call, &target);
+        }
+        match asked? {
             Ok(source) => {
                 if way == Way::Source {
                     self.avoided = generation.refused.clone();
@@ -173,7 +193,8 @@
             Err(ResumeError::Unreachable) => Err(Outcome::NotRun),
             Err(ResumeError::Failed) => Err(Outcome::MayRun),
             Err(ResumeError::Lost) => {
-                Err(self.end_run(generation, target).await.unwrap_or(Outcome::NotRun))
+                let ended = self.end_run(generation, &target).await;
+                Err(self.leave(&target, ended.unwrap_or(Outcome::NotRun)))
             }
         }
     }
@@ -231,11 +252,20 @@
         if others.repeats_or_ends(accepts_return(&self.shared, &generation.source)) {
             return Ok(asking.await);
         }
-        match self.end_run(generation, target).await {
+        match self.end_run(generation, &target).await {
             // Without its word, the engine may still answer.
             None | Some(Outcome::MayRun) => Ok(asking.await),
-            Some(outcome) => Err(outcome),
+            Some(outcome) => Err(self.leave(&target, outcome)),
+        }
+    }
+
+    /// Leaves an engine that was sent the generation. One that does not run it may have its request
+    /// queued, and is told to stop it once it does.
+    fn leave(&self, engine: &Target, outcome: Outcome) -> Outcome {
+        if outcome == Outcome::NotRun {
+            moves::start_cancellation(&self.shared, &self.call, engine);
         }
+        outcome
     }
 
     /// Counts the generation at an engine that knows it.
@@ -270,13 +300,13 @@
 
     /// Stops the generation at an engine that may have begun to run it, so that it may go on
     /// elsewhere; `None` if the engine accepts no connection.
-    async fn end_run(&self, generation: &mut Continuation, engine: Target) -> Option<Outcome> {
+    async fn end_run(&self, generation: &mut Continuation, engine: &Target) -> Option<Outcome> {
         let to = generation.source.address;
-        match moves::send_stop(&self.shared, &self.call, &engine, to).await {
+        match moves::send_stop(&self.shared, &self.call, engine, to).await {
             StopResult::Unreachable => None,
             StopResult::NotRunning => Some(Outcome::NotRun),
             StopResult::Copied(handle) | StopResult::Kept(handle) => {
-                generation.source = engine;
+                generation.source = engine.clone();
                 generation.copy = None;
                 generation.kept = Some(handle);
                 generation.track_copies();
--- a/components/gateway/src/relay/peers.rs
+++ b/components/gateway/src/relay/peers.rs
@@ -98,6 +98,8 @@
         let source = target.clone().filter(|_| may_move);
         let attempts = Attempts::from_peer(runs, runs, Excluded::new());
         let progress = (self.progress.last_event_id, self.progress.relayed);
+        // The other gateway chooses among all engines.
+        let cancelled = moves::withdraw_cancellations(&self.shared, &self.call).await;
         let continued = peer::continue_stream(
             &self.shared,
             &self.call,
@@ -108,7 +110,12 @@
         );
         let body = match continued.await {
             Continued::Stream(body) => body,
-            Continued::NotTaken => return false,
+            Continued::NotTaken => {
+                for engine in &cancelled {
+                    moves::start_cancellation(&self.shared, &self.call, engine);
+                }
+                return false;
+            }
             Continued::Unknown => {
                 self.runs = runs;
                 if may_move {
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -27,6 +27,7 @@
 use crate::held::HeldMemory;
 use crate::histories::RouteHistories;
 use crate::metrics::Metrics;
+use crate::moves::Cancellations;
 use crate::peer::Peers;
 use crate::pool::{Connection, Pool};
 use crate::state::{
@@ -89,6 +90,7 @@
     pub(crate) origins: RefCell<OriginLog>,
     pub(crate) leaving: RefCell<LeavingUpstreams>,
     pub(crate) copies: RefCell<KnownCopies>,
+    pub(crate) cancellations: Cancellations,
     /// Upstreams that want no requests of this gateway for a time.
     pub(crate) pauses: RefCell<Pauses>,
     placements: RefCell<PlacementNumbers>,
@@ -156,6 +158,7 @@
             origins: RefCell::default(),
             leaving: RefCell::default(),
             copies: RefCell::default(),
+            cancellations: Cancellations::default(),
             pauses: RefCell::default(),
             placements: RefCell::default(),
             budgets: RefCell::default(),
--- a/components/registry/src/fleet.rs
+++ b/components/registry/src/fleet.rs
@@ -61,7 +61,7 @@
 
     /// Returns whether every control process that reports this incarnation missed its
     /// announcements.
-    fn is_silent(&self) -> bool {
+    pub fn is_silent(&self) -> bool {
         let mut reports = self.current_reports().peekable();
         reports.peek().is_some() && reports.all(|report| report.is_silent)
     }
