Deliver a stream that ended in order as complete although a stop command has no result

Callers got all events of a stream in a response that looked truncated: the stream ended in order, with its last chunk, while a command to stop it was in flight; the response to that was lost and the engine exited, so that the stream was continued at another engine, which had nothing to add.

Cause: the state of the command was asked before the stream's end. Ruled out: a generation that is stopped closes its stream without the end of the response, so a response that ends in order is whole.

--- a/components/gateway/src/relay/interruption.rs
+++ b/components/gateway/src/relay/interruption.rs
@@ -39,6 +39,10 @@
             // The other gateway may know that it was.
             Some(StoppedBy::Peer) => true,
         };
+        if is_framed && !may_be_stopped && self.find_broken_end().is_none() {
+            self.discard_move();
+            return Ended::Complete;
+        }
         if let Some((stopped, source)) = self.take_stopped(may_be_stopped).await {
             let continued = Box::pin(self.go_on(stopped, source)).await;
             return Ended::Continued(self.continue_or_end(continued, "stopped for a move"));
