Remember a stop command without a result when later ones cannot be sent or find no run

Callers saw a part of a stream without a length as complete on two more paths: the engine answered the repeated command with 404 or accepted none, and 'not running' or 'unreachable' replaced that the command before had no result; the stream then ended with its connection, at once or after no other engine had continued it.

Ruled out: that 404 proves an end in order; an engine may count a generation that it has stopped as none.

Change: once a command had no result, only one that stopped the generation tells more; a stream that stays at its engine keeps what is known.

--- a/components/gateway/src/moves/stopping.rs
+++ b/components/gateway/src/moves/stopping.rs
@@ -37,23 +37,27 @@
     pub(crate) ending: Option<PendingTask<StopResult>>,
     /// The source has not said that it stopped the generation, and may run it later.
     pub(crate) may_run: bool,
+    /// The source has stopped the generation, or a command without a result may have.
+    pub(crate) may_be_stopped: bool,
 }
 
 impl StoppedGeneration {
     /// The source has not confirmed that it stopped the generation.
-    fn from_copy(copy: CacheCopy) -> Self {
-        StoppedGeneration { copy: Some(copy), kept: None, ending: None, may_run: true }
+    fn unconfirmed(copy: CacheCopy, may_be_stopped: bool) -> Self {
+        let copy = Some(copy);
+        StoppedGeneration { copy, kept: None, ending: None, may_run: true, may_be_stopped }
     }
 
     /// The source has copied the rest of the KV cache under a new handle.
     pub(crate) fn up_to_date(mut copy: CacheCopy, handle: CompactString) -> Self {
         copy.cache.handle = handle.clone();
-        StoppedGeneration { copy: Some(copy), kept: Some(handle), ending: None, may_run: false }
+        StoppedGeneration::kept(Some(copy), handle)
     }
 
     /// The source has not copied the rest of the KV cache: an earlier copy may do.
     pub(crate) fn kept(copy: Option<CacheCopy>, handle: CompactString) -> Self {
-        StoppedGeneration { copy, kept: Some(handle), ending: None, may_run: false }
+        let kept = Some(handle);
+        StoppedGeneration { copy, kept, ending: None, may_run: false, may_be_stopped: true }
     }
 }
 
@@ -106,10 +110,14 @@
             free_later(shared, call, source, copy.cache.handle);
             None
         }
-        Ok(_) => Some(StoppedGeneration::from_copy(copy)),
+        Ok(result) => {
+            let may_be_stopped = matches!(result, Some(StopResult::Unknown));
+            Some(StoppedGeneration::unconfirmed(copy, may_be_stopped))
+        }
         Err(_) => {
             log::info!(request = call.head.id.as_str(), upstream = source.id.as_str(), limit_ms = limit.as_millis(); "going on before the engine confirmed that the generation has ended");
-            Some(StoppedGeneration { ending: Some(ending), ..StoppedGeneration::from_copy(copy) })
+            let stopped = StoppedGeneration::unconfirmed(copy, true);
+            Some(StoppedGeneration { ending: Some(ending), ..stopped })
         }
     }
 }
@@ -131,7 +139,7 @@
 
 /// Tells the engine to stop the generation until it says that it has, does not know the
 /// generation or accepts no connection; starts with the result of a command that was `sent`
-/// before.
+/// before. Once a command had no result, only one that stopped the generation tells more.
 async fn stop_until_known(
     shared: &Shared,
     call: &Call,
@@ -144,10 +152,15 @@
         Some(mut sent) => sent.wait().await.unwrap_or(StopResult::Unknown),
         None => send_stop(shared, call, source, to).await,
     };
+    let mut may_be_stopped = false;
     while matches!(result, StopResult::Refused | StopResult::Unknown) && Instant::now() < until {
+        may_be_stopped |= matches!(result, StopResult::Unknown);
         sleep(RETRY_DELAY).await;
         result = send_stop(shared, call, source, to).await;
     }
+    if may_be_stopped && !matches!(result, StopResult::Copied(_) | StopResult::Kept(_)) {
+        result = StopResult::Unknown;
+    }
     if matches!(result, StopResult::Refused | StopResult::Unknown) {
         log::warn!(request = call.head.id.as_str(), upstream = source.id.as_str(); "the engine did not confirm that the generation has ended");
     }
--- a/components/gateway/src/relay/continuation.rs
+++ b/components/gateway/src/relay/continuation.rs
@@ -50,7 +50,7 @@
 
 impl Continuation {
     fn new(relay: &Relay, stopped: StoppedGeneration, source: Target) -> Self {
-        let StoppedGeneration { copy, kept, ending, may_run } = stopped;
+        let StoppedGeneration { copy, kept, ending, may_run, .. } = stopped;
         let mut generation = Continuation {
             ways: Ways::new(copy.is_some(), kept.is_some()),
             refused: smallvec![source.id.clone()],
@@ -107,7 +107,7 @@
         source: Target,
     ) -> Result<(), NotContinued> {
         // The stream of a source that may have stopped is not complete when it ends.
-        if stopped.kept.is_some() || stopped.ending.is_some() {
+        if stopped.may_be_stopped {
             self.stopped_by.get_or_insert(StoppedBy::Command);
         }
         let mut generation = Continuation::new(self, stopped, source);
