Count a stop command as without a result unless its response says what became of the generation

Callers saw a part of a stream without a length as complete if an engine stopped the generation and answered the command with 500 or 504, or with a 200 that cannot be read.

Cause: every status other than 200, 503 with a handle and 404 was taken for a refusal. Ruled out: 409 and other 4xx, and 503 without a handle, refuse the command (the platform's page: a 503 to a command that stopped a run includes the handle).

--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -122,8 +122,10 @@
     Kept(CompactString),
     /// The source runs no such generation.
     NotRunning,
-    /// The copy failed.
+    /// The copy failed, or the command was refused.
     Failed,
+    /// The response does not say what has become of the generation.
+    Unknown,
 }
 
 /// Translates between the gateway and the headers and commands of callers and
--- a/components/gateway/src/moves/commands.rs
+++ b/components/gateway/src/moves/commands.rs
@@ -50,6 +50,7 @@
         Ok(MoveResult::Kept(handle)) => StopResult::Kept(handle),
         Ok(MoveResult::NotRunning) => StopResult::NotRunning,
         Ok(MoveResult::Failed) => StopResult::Refused,
+        Ok(MoveResult::Unknown) => StopResult::Unknown,
         Err(ExchangeError::NotSent(_) | ExchangeError::Evacuated) => StopResult::Unreachable,
         Err(
             ExchangeError::ConnectionLost(_) | ExchangeError::NoAnswer(_) | ExchangeError::TimedOut,
--- a/components/gateway/src/moves/mod.rs
+++ b/components/gateway/src/moves/mod.rs
@@ -275,7 +275,7 @@
             }
             // It is not the other engine that failed.
             Ok(MoveResult::NotRunning) | Err(_) => {}
-            Ok(MoveResult::Kept(_) | MoveResult::Failed) => {
+            Ok(MoveResult::Kept(_) | MoveResult::Failed | MoveResult::Unknown) => {
                 excluded.push(reservation.target.id.clone());
             }
         }
