End a cancellation's entry with it, and start it again only after a refusal

A cancellation that ended because the stream was offered back kept its entry, so that the engine could not be cancelled again; one was started again at an engine that had stopped the generation and keeps its KV cache, and would have freed that. Found by reading; no test.

--- a/components/gateway/src/moves/cancellation.rs
+++ b/components/gateway/src/moves/cancellation.rs
@@ -77,9 +77,11 @@
     let (shared, call) = (shared.clone(), call.clone());
     actix_rt::spawn(async move {
         let outcome = cancel(&shared, &call, &cancellation).await;
-        // A cancellation that was withdrawn may have been started again.
-        if outcome != CancelOutcome::Withdrawn {
-            shared.cancellations.0.borrow_mut().remove(&key);
+        // One that was withdrawn may have been started again.
+        let is_same = |other: &Cancellation| Rc::ptr_eq(&other.is_active, &cancellation.is_active);
+        let mut in_progress = shared.cancellations.0.borrow_mut();
+        if in_progress.get(&key).is_some_and(is_same) {
+            in_progress.remove(&key);
         }
         shared.metrics.cancellations.with_label_values(&[outcome.as_str()]).inc();
         log::info!(request = call.head.id.as_str(), upstream = cancellation.engine.id.as_str(), outcome = outcome.as_str(); "cancellation of the generation ended");
--- a/components/gateway/src/relay/continuation.rs
+++ b/components/gateway/src/relay/continuation.rs
@@ -174,7 +174,8 @@
         log::info!(request = self.call.head.id.as_str(), from = generation.source.id.as_str(), to = target.id.as_str(), way:? = way, events = self.progress.relayed; "moving generation");
         let was_cancelled = moves::withdraw_cancellation(&self.shared, &self.call, &target).await;
         let asked = self.ask_to_go_on(generation, way, reservation, cache).await;
-        if was_cancelled && !matches!(asked, Ok(Ok(_))) {
+        let is_refused = matches!(asked, Ok(Err(ResumeError::NotRun | ResumeError::Unreachable)));
+        if was_cancelled && is_refused {
             moves::start_cancellation(&self.shared, &self.call, &target);
         }
         match asked? {
