Take an engine that refuses connections for gone when it is cancelled

A crashed engine that had announced its exit was told to stop generations until their deadline.

Cause: such an engine stays known until it says that it is gone.

Change: an engine at whose address nothing listens is gone, as elsewhere (crashes::refuses_connections).

--- a/components/gateway/src/crashes.rs
+++ b/components/gateway/src/crashes.rs
@@ -108,7 +108,7 @@
 }
 
 /// Returns whether nothing listens at the address any more.
-async fn refuses_connections(shared: &Shared, address: SocketAddr) -> bool {
+pub(crate) async fn refuses_connections(shared: &Shared, address: SocketAddr) -> bool {
     let connecting = timeout(PROBE_TIMEOUT, shared.dialer.connect(address)).await;
     matches!(connecting, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
 }
--- a/components/gateway/src/moves/cancellation.rs
+++ b/components/gateway/src/moves/cancellation.rs
@@ -17,6 +17,7 @@
 use super::commands::{free, send_stop};
 use super::{PendingTask, StopResult};
 use crate::accept::Call;
+use crate::crashes::refuses_connections;
 use crate::shared::Shared;
 use crate::target::Target;
 
@@ -151,7 +152,9 @@
                 free(shared, call, engine, &handle).await;
                 return CancelOutcome::Stopped;
             }
-            StopResult::Unreachable if is_gone(shared, engine) => return CancelOutcome::Gone,
+            StopResult::Unreachable if is_gone(shared, engine).await => {
+                return CancelOutcome::Gone;
+            }
             StopResult::Unreachable
             | StopResult::NotRunning
             | StopResult::Refused
@@ -171,11 +174,14 @@
     })
 }
 
-/// Returns whether an engine that accepts no connection is gone. One that leaves without draining
-/// runs generations for a while.
-fn is_gone(shared: &Shared, engine: &Target) -> bool {
-    let registry = shared.registry.borrow();
-    registry
-        .get(&engine.id)
-        .is_none_or(|known| known.record.phase() == UpstreamPhase::Gone || known.is_silent())
+/// Returns whether an engine that accepts no connection is gone: nothing listens at its address, or
+/// it is known to have ended. One that leaves without draining runs generations for a while.
+async fn is_gone(shared: &Shared, engine: &Target) -> bool {
+    let is_known_to_have_ended = {
+        let registry = shared.registry.borrow();
+        registry
+            .get(&engine.id)
+            .is_none_or(|known| known.record.phase() == UpstreamPhase::Gone || known.is_silent())
+    };
+    is_known_to_have_ended || refuses_connections(shared, engine.address).await
 }
