Send commands of a cancellation without waiting for the one before

Cause: commands followed each other, so that a slow one left the engine without a command for up to its time-out of 2.5 s. Ruled out: the engine did not refuse or miss it; its record has the late arrival.

Change: a command every 150 ms, four in flight at most; a withdrawal waits for those in flight.

--- a/components/gateway/src/moves/cancellation.rs
+++ b/components/gateway/src/moves/cancellation.rs
@@ -10,9 +10,12 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use futures::StreamExt as _;
+use futures::stream::FuturesUnordered;
 use schema::UpstreamPhase;
-use tokio::sync::Mutex;
-use tokio::time::{Instant, sleep};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, MissedTickBehavior, interval_at};
 
 use super::commands::{free, send_stop};
 use super::{PendingTask, StopResult};
@@ -24,6 +27,8 @@
 /// Interval of the commands: a generation may run at two engines for 400 ms, in which the engine
 /// also has to stop it.
 const CANCEL_INTERVAL: Duration = Duration::from_millis(150);
+/// Commands in flight: the engine may begin the generation while one waits for a lost packet.
+const MAX_COMMANDS: usize = 4;
 
 /// Request and incarnation of the engine at which it is cancelled.
 type Key = (CompactString, (CompactString, u64));
@@ -32,11 +37,11 @@
 #[derive(Debug, Default)]
 pub(crate) struct Cancellations(RefCell<HashMap<Key, Cancellation>>);
 
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 struct Cancellation {
     engine: Target,
-    /// False once it is withdrawn; locked while a command is in flight.
-    is_active: Rc<Mutex<bool>>,
+    withdrawn: watch::Sender<bool>,
+    task: JoinHandle<()>,
 }
 
 /// How a cancellation ended.
@@ -67,26 +72,31 @@
 /// Starts to cancel a generation at an engine, unless that is in progress.
 pub(crate) fn start_cancellation(shared: &Rc<Shared>, call: &Rc<Call>, engine: &Target) {
     let key = (call.head.id.clone(), engine.incarnation());
-    let cancellation =
-        Cancellation { engine: engine.clone(), is_active: Rc::new(Mutex::new(true)) };
-    let mut in_progress = shared.cancellations.0.borrow_mut();
-    if in_progress.contains_key(&key) {
+    if shared.cancellations.0.borrow().contains_key(&key) {
         return;
     }
-    in_progress.insert(key.clone(), cancellation.clone());
     log::info!(request = call.head.id.as_str(), upstream = engine.id.as_str(); "cancelling the generation at an engine that may run it later");
-    let (shared, call) = (shared.clone(), call.clone());
-    actix_rt::spawn(async move {
-        let outcome = cancel(&shared, &call, &cancellation).await;
-        // One that was withdrawn may have been started again.
-        let is_same = |other: &Cancellation| Rc::ptr_eq(&other.is_active, &cancellation.is_active);
-        let mut in_progress = shared.cancellations.0.borrow_mut();
-        if in_progress.get(&key).is_some_and(is_same) {
-            in_progress.remove(&key);
-        }
-        shared.metrics.cancellations.with_label_values(&[outcome.as_str()]).inc();
-        log::info!(request = call.head.id.as_str(), upstream = cancellation.engine.id.as_str(), outcome = outcome.as_str(); "cancellation of the generation ended");
-    });
+    let (withdrawn, receiver) = watch::channel(false);
+    let task = actix_rt::spawn(run(shared.clone(), call.clone(), engine.clone(), receiver));
+    let cancellation = Cancellation { engine: engine.clone(), withdrawn, task };
+    shared.cancellations.0.borrow_mut().insert(key, cancellation);
+}
+
+/// Runs one cancellation, and removes it from those in progress.
+async fn run(
+    shared: Rc<Shared>,
+    call: Rc<Call>,
+    engine: Target,
+    mut withdrawn: watch::Receiver<bool>,
+) {
+    let outcome = cancel(&shared, &call, &engine, &mut withdrawn).await;
+    // One that was withdrawn is removed, and may have been started again.
+    if !*withdrawn.borrow() {
+        let key = (call.head.id.clone(), engine.incarnation());
+        shared.cancellations.0.borrow_mut().remove(&key);
+    }
+    shared.metrics.cancellations.with_label_values(&[outcome.as_str()]).inc();
+    log::info!(request = call.head.id.as_str(), upstream = engine.id.as_str(), outcome = outcome.as_str(); "cancellation of the generation ended");
 }
 
 /// Starts to cancel a generation at its source, unless a command to stop it that is `pending`
@@ -115,7 +125,11 @@
     let Some(cancellation) = shared.cancellations.0.borrow_mut().remove(&key) else {
         return false;
     };
-    *cancellation.is_active.lock().await = false;
+    let Cancellation { withdrawn, task, .. } = cancellation;
+    withdrawn.send_replace(true);
+    if let Err(error) = task.await {
+        log::error!(request = call.head.id.as_str(), upstream = engine.id.as_str(), error = error.to_string().as_str(); "cancellation of the generation failed");
+    }
     true
 }
 
@@ -132,35 +146,56 @@
     engines
 }
 
-async fn cancel(shared: &Shared, call: &Call, cancellation: &Cancellation) -> CancelOutcome {
-    let Cancellation { engine, is_active } = cancellation;
-    loop {
-        sleep(CANCEL_INTERVAL).await;
-        let is_active = is_active.lock().await;
-        // The gateway that takes a stream back chooses among all engines.
-        if !*is_active || call.hand_back.is_offered() {
-            return CancelOutcome::Withdrawn;
-        }
-        if Instant::now() >= call.until {
-            return CancelOutcome::Expired;
-        }
-        if is_replaced(shared, engine) {
-            return CancelOutcome::Gone;
-        }
-        match send_stop(shared, call, engine, engine.address).await {
-            StopResult::Copied(handle) | StopResult::Kept(handle) => {
-                free(shared, call, engine, &handle).await;
-                return CancelOutcome::Stopped;
+async fn cancel(
+    shared: &Shared,
+    call: &Call,
+    engine: &Target,
+    withdrawn: &mut watch::Receiver<bool>,
+) -> CancelOutcome {
+    let mut commands = FuturesUnordered::new();
+    let mut ticks = interval_at(Instant::now() + CANCEL_INTERVAL, CANCEL_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut outcome = loop {
+        tokio::select! {
+            _ = withdrawn.wait_for(|withdrawn| *withdrawn) => break CancelOutcome::Withdrawn,
+            Some(result) = commands.next() => match result {
+                StopResult::Copied(handle) | StopResult::Kept(handle) => {
+                    free(shared, call, engine, &handle).await;
+                    break CancelOutcome::Stopped;
+                }
+                StopResult::Unreachable if is_gone(shared, engine).await => {
+                    break CancelOutcome::Gone;
+                }
+                StopResult::Unreachable
+                | StopResult::NotRunning
+                | StopResult::Refused
+                | StopResult::Unknown => {}
+            },
+            _ = ticks.tick() => {
+                if Instant::now() >= call.until {
+                    break CancelOutcome::Expired;
+                }
+                if is_replaced(shared, engine) {
+                    break CancelOutcome::Gone;
+                }
+                // The gateway that takes a stream back chooses among all engines.
+                if call.hand_back.is_offered() {
+                    break CancelOutcome::Withdrawn;
+                }
+                if commands.len() < MAX_COMMANDS {
+                    commands.push(send_stop(shared, call, engine, engine.address));
+                }
             }
-            StopResult::Unreachable if is_gone(shared, engine).await => {
-                return CancelOutcome::Gone;
-            }
-            StopResult::Unreachable
-            | StopResult::NotRunning
-            | StopResult::Refused
-            | StopResult::Unknown => {}
+        }
+    };
+    // The engine may still carry out a command that is in flight.
+    while let Some(result) = commands.next().await {
+        if let StopResult::Copied(handle) | StopResult::Kept(handle) = result {
+            free(shared, call, engine, &handle).await;
+            outcome = CancelOutcome::Stopped;
         }
     }
+    outcome
 }
 
 /// Returns whether another incarnation has the engine's id or its address.
