Continue a stopped stream although its engine ended it in order

Ruled out: load; the test fails each time there.

Change: the end of the stream and what the engine says of the command are weighed together. After an end in order only a confirmed stop goes on elsewhere; after an end with the connection, everything but 'no such run' does. A stream that ended inside an event is asked about as before.

--- a/components/gateway/src/moves/mod.rs
+++ b/components/gateway/src/moves/mod.rs
@@ -37,8 +37,8 @@
 };
 pub(crate) use commands::{StopResult, send_stop};
 pub(crate) use stopping::{
-    StopAndCopy, StoppedGeneration, continue_until, free_late_copy, stop_and_copy, stop_at_source,
-    take_stopped,
+    SourceEnd, StopAndCopy, StoppedGeneration, continue_until, free_late_copy, stop_and_copy,
+    stop_at_source, take_stopped,
 };
 pub(crate) use unused::UnusedCopies;
 pub(crate) use ways::{Outcome, Way, Ways};
--- a/components/gateway/src/moves/stopping.rs
+++ b/components/gateway/src/moves/stopping.rs
@@ -27,6 +27,18 @@
 /// reachable at all.
 const END_CONFIRM_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// How the stream of a source ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum SourceEnd {
+    /// In order, in a response that says itself where it ends: unless the source says that it
+    /// stopped the generation, the stream is complete.
+    InOrder,
+    /// With its connection: the stream is complete unless the generation may have been stopped.
+    WithConnection,
+    /// Not at all, or too early, or the generation may have been stopped.
+    Interrupted,
+}
+
 /// Generation that no longer runs at its source.
 #[derive(Debug)]
 pub(crate) struct StoppedGeneration {
@@ -62,18 +74,17 @@
 }
 
 /// Returns the generation to go on with, once it is known to have ended at its source or the
-/// wait for that is over. If the stream ended normally (`interrupted` is false), it goes on only
-/// if the generation may have been stopped for the move.
+/// wait for that is over; `None` if the stream is complete.
 pub(crate) async fn take_stopped(
     shared: &Rc<Shared>,
     call: &Rc<Call>,
     source: &Target,
     state: MoveState,
-    interrupted: bool,
+    end: SourceEnd,
 ) -> Option<StoppedGeneration> {
     let (copy, sent, limit) = match state {
         MoveState::Idle | MoveState::Copying(..) => return None,
-        MoveState::Copied(..) if !interrupted => {
+        MoveState::Copied(..) if end != SourceEnd::Interrupted => {
             discard(shared, call, source, state);
             return None;
         }
@@ -84,7 +95,7 @@
             (copy, Some(result), limit)
         }
     };
-    wait_until_ended(shared, call, source, copy, sent, limit, interrupted).await
+    wait_until_ended(shared, call, source, copy, sent, limit, end).await
 }
 
 /// Waits up to `limit` until the generation is known to have ended at its source. An engine
@@ -96,7 +107,7 @@
     copy: CacheCopy,
     sent: Option<PendingTask<StopResult>>,
     limit: Duration,
-    interrupted: bool,
+    end: SourceEnd,
 ) -> Option<StoppedGeneration> {
     let to = copy.reservation.target.address;
     let (ending_shared, ending_call, engine) = (shared.clone(), call.clone(), source.clone());
@@ -106,7 +117,11 @@
     match timeout(limit, ending.wait()).await {
         Ok(Some(StopResult::Copied(handle))) => Some(StoppedGeneration::up_to_date(copy, handle)),
         Ok(Some(StopResult::Kept(handle))) => Some(StoppedGeneration::kept(Some(copy), handle)),
-        Ok(Some(StopResult::NotRunning)) if !interrupted => {
+        Ok(result)
+            if end == SourceEnd::InOrder
+                || end == SourceEnd::WithConnection
+                    && matches!(result, Some(StopResult::NotRunning)) =>
+        {
             free_later(shared, call, source, copy.cache.handle);
             None
         }
--- a/components/gateway/src/relay/interruption.rs
+++ b/components/gateway/src/relay/interruption.rs
@@ -6,7 +6,7 @@
 use crate::answer::ResponseTruncated;
 use crate::crashes;
 use crate::health::record_failure;
-use crate::moves::MoveState;
+use crate::moves::{MoveState, SourceEnd};
 use crate::place::is_draining_or_gone;
 
 /// No engine or gateway continues the stream; how it ends unless its source goes on.
@@ -32,22 +32,21 @@
     pub(super) async fn end_of_source(&mut self) -> Ended {
         self.end_source();
         let is_framed = self.source.as_ref().is_none_or(|source| source.is_framed);
-        let may_be_stopped = match self.stopped_by {
-            None => false,
+        let is_in_order = is_framed && self.find_broken_end().is_none();
+        let source_end = match (self.stopped_by, is_in_order) {
             // A generation that was stopped does not end its response.
-            Some(StoppedBy::Command) => !is_framed,
-            // The other gateway may know that it was.
-            Some(StoppedBy::Peer) => true,
+            (None | Some(StoppedBy::Command), true) => SourceEnd::InOrder,
+            (None, false) => SourceEnd::WithConnection,
+            // The other gateway may know that it was stopped.
+            (Some(StoppedBy::Command), false) | (Some(StoppedBy::Peer), _) => {
+                SourceEnd::Interrupted
+            }
         };
-        if is_framed && !may_be_stopped && self.find_broken_end().is_none() {
-            self.discard_move();
-            return Ended::Complete;
-        }
-        if let Some((stopped, source)) = self.take_stopped(may_be_stopped).await {
+        if let Some((stopped, source)) = self.take_stopped(source_end).await {
             let continued = Box::pin(self.go_on(stopped, source)).await;
             return Ended::Continued(self.continue_or_end(continued, "stopped for a move"));
         }
-        if may_be_stopped {
+        if source_end == SourceEnd::Interrupted {
             let end = match self.stopped_by {
                 Some(StoppedBy::Peer) => StreamEnd::StoppedByPeer,
                 Some(StoppedBy::Command) | None => StreamEnd::NotContinued,
--- a/components/gateway/src/relay/migration.rs
+++ b/components/gateway/src/relay/migration.rs
@@ -3,7 +3,7 @@
 use schema::RepeatKind;
 
 use super::{Relay, StoppedBy};
-use crate::moves::{self, MoveEvent, MoveState, StopResult, StoppedGeneration};
+use crate::moves::{self, MoveEvent, MoveState, SourceEnd, StopResult, StoppedGeneration};
 use crate::place::is_draining_or_gone;
 use crate::target::Target;
 use crate::timing::elapsed_ms;
@@ -68,16 +68,16 @@
         }
     }
 
-    /// Returns the generation to go on with, and its source. If the stream ended before its
-    /// generation was stopped, the copy is freed.
+    /// Returns the generation to go on with, and its source. If the stream is complete, the copy
+    /// is freed.
     pub(super) async fn take_stopped(
         &mut self,
-        interrupted: bool,
+        end: SourceEnd,
     ) -> Option<(StoppedGeneration, Target)> {
         let state = std::mem::take(&mut self.move_state);
         let source = self.source.as_ref()?.reservation.target.clone();
         let (shared, call) = (&self.shared, &self.call);
-        let stopped = moves::take_stopped(shared, call, &source, state, interrupted).await?;
+        let stopped = moves::take_stopped(shared, call, &source, state, end).await?;
         Some((stopped, source))
     }
 }
--- a/components/gateway/src/relay/resume.rs
+++ b/components/gateway/src/relay/resume.rs
@@ -16,6 +16,7 @@
 use crate::events::EventSplitter;
 use crate::exchange::{ExchangeError, exchange};
 use crate::health::{record_failure, record_lost, record_unreachable};
+use crate::moves::SourceEnd;
 use crate::notices;
 use crate::place::{ReserveError, wait_for_slot};
 use crate::quarantine;
@@ -59,7 +60,7 @@
         if self.shared.is_cut_off() && Box::pin(self.continue_at_peer()).await {
             return Ok(());
         }
-        if let Some((stopped, source)) = self.take_stopped(true).await {
+        if let Some((stopped, source)) = self.take_stopped(SourceEnd::Interrupted).await {
             return Box::pin(self.go_on(stopped, source)).await;
         }
         let resumable = self.call.route.kind() == RepeatKind::ResumableStream;
