--- a/components/gateway/src/moves/cancellation.rs
+++ b/components/gateway/src/moves/cancellation.rs
@@ -1,8 +1,8 @@
 //! Cancellation of generations at engines that their streams have left.
 //!
 //! An engine that does not run a generation may still have its request queued, and run it later,
-//! even if the connection of that request is closed. It is told to stop the generation until it
-//! confirms that it has, or can no longer run it.
+//! even if the connection of that request is closed. It receives stop commands until it confirms
+//! the stop, or can no longer run the generation.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -53,7 +53,7 @@
     Gone,
     /// The deadline that the engine has for the request is over.
     Expired,
-    /// The stream may go on at the engine after all.
+    /// The stream may resume at the engine.
     Withdrawn,
 }
 
@@ -99,8 +99,7 @@
     log::info!(request = call.head.id.as_str(), upstream = engine.id.as_str(), outcome = outcome.as_str(); "cancellation of the generation ended");
 }
 
-/// Starts to cancel a generation at its source, unless a command to stop it that is `pending`
-/// has done so.
+/// Starts to cancel a generation at its source, unless the `pending` stop command succeeds.
 pub(crate) fn start_cancellation_after(
     shared: &Rc<Shared>,
     call: &Rc<Call>,
@@ -118,8 +117,8 @@
     });
 }
 
-/// Withdraws the cancellation at an engine at which the generation may go on, once no command is
-/// in flight; returns whether there was one.
+/// Withdraws the cancellation at an engine at which the generation may resume, and waits for the
+/// commands in flight; returns whether there was one.
 pub(crate) async fn withdraw_cancellation(shared: &Shared, call: &Call, engine: &Target) -> bool {
     let key = (call.head.id.clone(), engine.incarnation());
     let Some(cancellation) = shared.cancellations.0.borrow_mut().remove(&key) else {
--- a/components/gateway/src/moves/stopping.rs
+++ b/components/gateway/src/moves/stopping.rs
@@ -154,7 +154,7 @@
 
 /// Tells the engine to stop the generation until it says that it has, does not know the
 /// generation or accepts no connection; starts with the result of a command that was `sent`
-/// before. Once a command had no result, only one that stopped the generation tells more.
+/// before. After a command without a result, only a confirmed stop replaces that result.
 async fn stop_until_known(
     shared: &Shared,
     call: &Call,
--- a/components/gateway/src/relay/continuation.rs
+++ b/components/gateway/src/relay/continuation.rs
@@ -145,8 +145,8 @@
         Ok(())
     }
 
-    /// Has a source that has not confirmed that it stopped the generation stop it, now that the
-    /// generation runs elsewhere.
+    /// Cancels the generation at a source that has not confirmed the stop, now that the generation
+    /// runs elsewhere.
     fn cancel_at_source(&self, generation: &mut Continuation) {
         if let Some((ending, source)) = generation.unused.ending.take() {
             moves::start_cancellation_after(&self.shared, &self.call, &source, ending);
@@ -260,8 +260,8 @@
         }
     }
 
-    /// Leaves an engine that was sent the generation. One that does not run it may have its request
-    /// queued, and is told to stop it once it does.
+    /// Leaves an engine that was sent the generation, and cancels it there if the engine does not
+    /// run it: its request may be queued.
     fn leave(&self, engine: &Target, outcome: Outcome) -> Outcome {
         if outcome == Outcome::NotRun {
             moves::start_cancellation(&self.shared, &self.call, engine);
