Move the receiving side of route sets into distribution

The gateway, the command line and the tests each put chunks together and applied changes with code of their own; the decision which set comes next now is in `RouteReceiver`, without I/O, beside the `RouteSource` that it is the counterpart of. Behaviour is unchanged: after a change that does not apply, a complete set is requested. The tests of the distribution drive the receiver in place of their copies of it; their assertions are the same, and one asserts `NothingNewer` in addition.

--- a/components/distribution/src/assembly.rs
+++ b/components/distribution/src/assembly.rs
@@ -12,22 +12,8 @@
 const MAX_CHANGE_BYTES: u64 = 32 << 20;
 
 /// Change that a gateway receives in chunks.
-///
-/// ```
-/// use distribution::{Assembly, RouteSource};
-/// let set = schema::RouteSet { number: 4, ..Default::default() };
-/// let mut source = RouteSource::default();
-/// source.record(&set);
-/// let mut assembly = Assembly::default();
-///
-/// let reply = source.next_chunk(&assembly.next_request(0), &set);
-///
-/// let (id, change) = assembly.add(reply)?.expect("the set fits into one chunk");
-/// assert_eq!((id.base_number, change.number), (0, 4));
-/// # Ok::<(), distribution::ChangeError>(())
-/// ```
 #[derive(Debug, Default)]
-pub struct Assembly {
+pub(crate) struct Assembly {
     id: Option<RouteChangeId>,
     received: BytesMut,
 }
@@ -35,7 +21,7 @@
 impl Assembly {
     /// Returns the request for the next chunk; `base_number` is the set that the gateway
     /// serves.
-    pub fn next_request(&self, base_number: u64) -> FetchRoutesRequest {
+    pub(crate) fn next_request(&self, base_number: u64) -> FetchRoutesRequest {
         let offset = self.received.len() as u64;
         FetchRoutesRequest { base_number, change: self.id, offset }
     }
@@ -46,7 +32,7 @@
     /// # Errors
     ///
     /// After an error, the assembly starts anew with the next chunk.
-    pub fn add(
+    pub(crate) fn add(
         &mut self,
         reply: FetchRoutesReply,
     ) -> Result<Option<(RouteChangeId, RouteSetChange)>, ChangeError> {
--- /dev/null
+++ b/components/distribution/src/receiver.rs
@@ -0,0 +1,106 @@
+//! Receiving side of the distribution.
+
+use schema::{FetchRoutesReply, FetchRoutesRequest, RouteChangeId, RouteSet, RouteSetChange};
+
+use crate::assembly::Assembly;
+use crate::{ChangeError, Fingerprint, apply_change};
+
+/// What a reply of a control process led to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Received {
+    /// The control process has no newer set.
+    NothingNewer,
+    /// The change is not complete yet.
+    Chunk,
+    /// The next set, and the change that led to it.
+    Set(RouteSet, RouteChangeId),
+}
+
+/// Receiving side of a [`RouteSource`](crate::RouteSource): knows which set is in force at a
+/// gateway, and follows the changes to it.
+///
+/// ```
+/// use distribution::{Received, RouteReceiver, RouteSource};
+/// use schema::RouteSet;
+/// let set = RouteSet { number: 4, ..RouteSet::default() };
+/// let mut source = RouteSource::default();
+/// source.record(&set);
+/// let mut receiver = RouteReceiver::default();
+///
+/// let reply = source.next_chunk(&receiver.next_request(), &set);
+/// let received = receiver.receive(reply, &RouteSet::default())?;
+///
+/// let Received::Set(received, id) = received else { panic!("it fits into one chunk") };
+/// assert_eq!((received, id.base_number), (set, 0));
+/// assert_eq!(receiver.number(), 4);
+/// # Ok::<(), distribution::ChangeError>(())
+/// ```
+#[derive(Debug, Default)]
+pub struct RouteReceiver {
+    in_force: Fingerprint,
+    /// The last change could not be applied to the set in force.
+    needs_complete_set: bool,
+    assembly: Assembly,
+}
+
+impl RouteReceiver {
+    /// Creates the receiver of a gateway at which `set` is in force.
+    pub fn of(set: &RouteSet) -> Self {
+        RouteReceiver { in_force: Fingerprint::of(set), ..RouteReceiver::default() }
+    }
+
+    /// Returns the number of the set in force; 0 without one.
+    pub fn number(&self) -> u64 {
+        self.in_force.number()
+    }
+
+    /// Returns the request for the next chunk.
+    pub fn next_request(&self) -> FetchRoutesRequest {
+        let base_number = if self.needs_complete_set { 0 } else { self.in_force.number() };
+        self.assembly.next_request(base_number)
+    }
+
+    /// Processes the reply to the last request. `in_force` is the set in force; a set that is
+    /// returned replaces it. Chunks that were received before a lost reply are kept.
+    ///
+    /// # Errors
+    ///
+    /// After an error, the next request is for the first chunk of a complete set.
+    pub fn receive(
+        &mut self,
+        reply: FetchRoutesReply,
+        in_force: &RouteSet,
+    ) -> Result<Received, ChangeError> {
+        if reply.change.is_none() {
+            return Ok(Received::NothingNewer);
+        }
+        let received = self.try_receive(reply, in_force);
+        self.needs_complete_set |= received.is_err();
+        received
+    }
+
+    fn try_receive(
+        &mut self,
+        reply: FetchRoutesReply,
+        in_force: &RouteSet,
+    ) -> Result<Received, ChangeError> {
+        let Some((id, change)) = self.assembly.add(reply)? else { return Ok(Received::Chunk) };
+        let (set, fingerprint) = self.apply(id, change, in_force)?;
+        self.in_force = fingerprint;
+        self.needs_complete_set = false;
+        Ok(Received::Set(set, id))
+    }
+
+    fn apply(
+        &self,
+        id: RouteChangeId,
+        change: RouteSetChange,
+        in_force: &RouteSet,
+    ) -> Result<(RouteSet, Fingerprint), ChangeError> {
+        match id.base_number {
+            0 => apply_change(&RouteSet::default(), &Fingerprint::default(), change),
+            base if base == self.number() => apply_change(in_force, &self.in_force, change),
+            _ => Err(ChangeError::WrongBase),
+        }
+    }
+}
--- a/components/distribution/tests/changes.rs
+++ b/components/distribution/tests/changes.rs
@@ -1,6 +1,8 @@
 //! Changes between arbitrary sets, and chunks that are damaged.
 
-use distribution::{Assembly, ChangeError, Fingerprint, RouteSource, apply_change, compute_change};
+use distribution::{
+    ChangeError, Fingerprint, Received, RouteReceiver, RouteSource, apply_change, compute_change,
+};
 use proptest::prelude::*;
 use schema::{CallerLimits, FetchRoutesReply, RouteRule, RouteSet, RoutedService, RoutedWorkspace};
 
@@ -59,15 +61,16 @@
     let current = set(2, &[1, 2, 3], &[1], &[1], 5);
     let mut source = RouteSource::default();
     source.record(&current);
-    let mut assembly = Assembly::default();
-    let sound = source.next_chunk(&assembly.next_request(0), &current);
+    let mut receiver = RouteReceiver::default();
+    let sound = source.next_chunk(&receiver.next_request(), &current);
     let mut damaged = sound.chunk.to_vec();
     damaged[3] ^= 1;
 
-    let refused = assembly.add(FetchRoutesReply { chunk: damaged.into(), ..sound });
+    let damaged = FetchRoutesReply { chunk: damaged.into(), ..sound };
+    let refused = receiver.receive(damaged, &RouteSet::default());
 
     assert_eq!(refused, Err(ChangeError::Corrupted));
-    assert_eq!(assembly.next_request(0).offset, 0);
+    assert_eq!(receiver.next_request().offset, 0);
 }
 
 #[test]
@@ -76,7 +79,9 @@
     let mut source = RouteSource::default();
     source.record(&current);
 
-    let reply = source.next_chunk(&Assembly::default().next_request(2), &current);
+    let mut receiver = RouteReceiver::of(&current);
+    let reply = source.next_chunk(&receiver.next_request(), &current);
 
     assert_eq!(reply, FetchRoutesReply::default());
+    assert_eq!(receiver.receive(reply, &current), Ok(Received::NothingNewer));
 }
--- a/components/distribution/tests/growing_set.rs
+++ b/components/distribution/tests/growing_set.rs
@@ -2,8 +2,7 @@
 //! holds and sends.
 
 use distribution::{
-    Assembly, CHANGE_CACHE_BYTES, CHUNK_BYTES, Fingerprint, HISTORY_ITEMS, RouteSource,
-    apply_change,
+    CHANGE_CACHE_BYTES, CHUNK_BYTES, HISTORY_ITEMS, Received, RouteReceiver, RouteSource,
 };
 use prost::Message as _;
 use schema::{FetchRoutesReply, RouteRule, RouteSet, WeightedService};
@@ -36,33 +35,28 @@
 #[derive(Default)]
 struct Gateway {
     set: RouteSet,
-    fingerprint: Fingerprint,
-    assembly: Assembly,
+    receiver: RouteReceiver,
     received_bytes: usize,
 }
 
 impl Gateway {
-    /// Fetches one chunk; returns false if there is nothing newer.
-    fn fetch(&mut self, source: &mut RouteSource, current: &RouteSet) -> bool {
-        let reply = source.next_chunk(&self.assembly.next_request(self.set.number), current);
-        if reply.change.is_none() {
-            return false;
-        }
-        self.receive(reply);
-        true
+    /// Gateway at which `set` is in force.
+    fn with(set: &RouteSet) -> Self {
+        let set = without_document(set);
+        Gateway { receiver: RouteReceiver::of(&set), set, received_bytes: 0 }
     }
 
-    fn receive(&mut self, reply: FetchRoutesReply) {
+    /// Fetches one chunk; returns false if there is nothing newer.
+    fn fetch(&mut self, source: &mut RouteSource, current: &RouteSet) -> bool {
+        let reply = source.next_chunk(&self.receiver.next_request(), current);
         assert!(reply.chunk.len() <= CHUNK_BYTES, "no reply is larger than a chunk");
         self.received_bytes += reply.chunk.len();
-        let Some((id, change)) = self.assembly.add(reply).expect("chunks follow each other") else {
-            return;
-        };
-        let empty = (RouteSet::default(), Fingerprint::default());
-        let (base, fingerprint) =
-            if id.base_number == 0 { (&empty.0, &empty.1) } else { (&self.set, &self.fingerprint) };
-        (self.set, self.fingerprint) =
-            apply_change(base, fingerprint, change).expect("the change applies");
+        match self.receiver.receive(reply, &self.set).expect("chunks follow each other") {
+            Received::NothingNewer => return false,
+            Received::Chunk => {}
+            Received::Set(set, _) => self.set = set,
+        }
+        true
     }
 }
 
@@ -106,12 +100,8 @@
     let current = set(21, 0..7 * STEP);
     let mut source = RouteSource::default();
     source.record(&current);
-    let mut gateways: Vec<Gateway> = (0..GATEWAYS)
-        .map(|index| {
-            let set = without_document(&old[index % old.len()]);
-            Gateway { fingerprint: Fingerprint::of(&set), set, ..Gateway::default() }
-        })
-        .collect();
+    let mut gateways: Vec<Gateway> =
+        (0..GATEWAYS).map(|index| Gateway::with(&old[index % old.len()])).collect();
 
     for gateway in &mut gateways {
         while gateway.fetch(&mut source, &current) {}
@@ -167,8 +157,7 @@
     first.record(&current);
     let mut second = RouteSource::default();
     second.record(&current);
-    let mut gateway = Gateway { set: without_document(&set(4, 0..STEP)), ..Gateway::default() };
-    gateway.fingerprint = Fingerprint::of(&gateway.set);
+    let mut gateway = Gateway::with(&set(4, 0..STEP));
     gateway.fetch(&mut first, &current);
 
     while gateway.fetch(&mut second, &current) {}
--- a/components/gateway/src/route_sets.rs
+++ b/components/gateway/src/route_sets.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use displaydoc::Display;
-use distribution::{Assembly, ChangeError, Fingerprint, apply_change};
+use distribution::{ChangeError, Received, RouteReceiver};
 use routing::RouteTable;
-use schema::{EntryPhase, Request, RouteChangeId, RouteSet, RouteSetChange, reply, request};
+use schema::{EntryPhase, FetchRoutesReply, FetchRoutesRequest, Request, RouteSet, reply, request};
 use tokio::sync::watch;
 use tokio::time::timeout;
 use wire::CallError;
@@ -33,24 +33,14 @@
     Change(ChangeError),
 }
 
-/// Set that the gateway serves, and the change that it receives.
-#[derive(Debug, Default)]
-struct Fetcher {
-    served: Fingerprint,
-    /// The last change could not be applied to the set that is served.
-    needs_complete_set: bool,
-    assembly: Assembly,
-}
-
 /// Fetches each newer set that a control process reports.
 pub(crate) async fn fetch_sets(shared: Rc<Shared>) {
     let mut offers = shared.route_offers.subscribe();
-    let mut fetcher = Fetcher::default();
+    let mut receiver = RouteReceiver::default();
     loop {
         let address = next_source(&shared, &mut offers).await;
-        if let Err(error) = fetcher.fetch_set(&shared, address).await {
+        if let Err(error) = fetch_set(&shared, &mut receiver, address).await {
             log::warn!(control = address.to_string().as_str(), error = error.to_string().as_str(); "set of routes not fetched");
-            fetcher.needs_complete_set |= matches!(error, FetchError::Change(_));
             let now_ms = shared.now_ms();
             shared.route_offers.send_modify(|offers| offers.suspend(address, now_ms));
         }
@@ -82,61 +72,40 @@
     }
 }
 
-impl Fetcher {
-    /// Fetches a newer set and puts it in force. Chunks that were fetched before an error
-    /// are kept for the next call.
-    async fn fetch_set(&mut self, shared: &Shared, address: SocketAddr) -> Result<(), FetchError> {
-        loop {
-            if let Some(set) = self.fetch_chunk(shared, address).await? {
+/// Fetches a newer set and puts it in force.
+async fn fetch_set(
+    shared: &Shared,
+    receiver: &mut RouteReceiver,
+    address: SocketAddr,
+) -> Result<(), FetchError> {
+    loop {
+        let reply = fetch_chunk(shared, receiver.next_request(), address).await?;
+        let table = shared.table();
+        match receiver.receive(reply, table.set()).map_err(FetchError::Change)? {
+            Received::NothingNewer => return Err(FetchError::NothingNewer),
+            Received::Chunk => {}
+            Received::Set(set, id) => {
+                log::info!(number = set.number, base = id.base_number, bytes = id.size_bytes; "set of routes fetched");
                 activate_set(shared, set, address);
                 return Ok(());
             }
         }
     }
+}
 
-    /// Fetches one chunk; returns the new set once it is complete.
-    async fn fetch_chunk(
-        &mut self,
-        shared: &Shared,
-        address: SocketAddr,
-    ) -> Result<Option<RouteSet>, FetchError> {
-        let link = shared.control_links.borrow().get(&address).cloned();
-        let link = link.ok_or(FetchError::NotConnected)?;
-        let base_number = if self.needs_complete_set { 0 } else { self.served.number() };
-        let fetch = self.assembly.next_request(base_number);
-        let body = Some(request::Body::FetchRoutes(fetch));
-        let request = Request { traceparent: String::new(), body };
-        let reply = match link.call(request, CHUNK_TIMEOUT).await {
-            Ok(reply::Body::FetchRoutes(reply)) => reply,
-            Ok(_) => return Err(FetchError::Call(CallError::UnexpectedReply)),
-            Err(error) => return Err(FetchError::Call(error)),
-        };
-        if reply.change.is_none() {
-            return Err(FetchError::NothingNewer);
-        }
-        match self.assembly.add(reply).map_err(FetchError::Change)? {
-            Some((id, change)) => self.apply(shared, id, change).map(Some),
-            None => Ok(None),
-        }
-    }
-
-    fn apply(
-        &mut self,
-        shared: &Shared,
-        id: RouteChangeId,
-        change: RouteSetChange,
-    ) -> Result<RouteSet, FetchError> {
-        let table = shared.table();
-        let applied = match id.base_number {
-            0 => apply_change(&RouteSet::default(), &Fingerprint::default(), change),
-            base if base == self.served.number() => apply_change(table.set(), &self.served, change),
-            _ => Err(ChangeError::WrongBase),
-        };
-        let (set, fingerprint) = applied.map_err(FetchError::Change)?;
-        log::info!(number = set.number, base = id.base_number, bytes = id.size_bytes; "set of routes fetched");
-        self.served = fingerprint;
-        self.needs_complete_set = false;
-        Ok(set)
+async fn fetch_chunk(
+    shared: &Shared,
+    fetch: FetchRoutesRequest,
+    address: SocketAddr,
+) -> Result<FetchRoutesReply, FetchError> {
+    let link = shared.control_links.borrow().get(&address).cloned();
+    let link = link.ok_or(FetchError::NotConnected)?;
+    let body = Some(request::Body::FetchRoutes(fetch));
+    let request = Request { traceparent: String::new(), body };
+    match link.call(request, CHUNK_TIMEOUT).await {
+        Ok(reply::Body::FetchRoutes(reply)) => Ok(reply),
+        Ok(_) => Err(FetchError::Call(CallError::UnexpectedReply)),
+        Err(error) => Err(FetchError::Call(error)),
     }
 }
 
--- a/src/in_force.rs
+++ b/src/in_force.rs
@@ -1,6 +1,6 @@
 //! Reads the set of routes in force from a control process.
 
-use distribution::{Assembly, ChangeError, Fingerprint, apply_change};
+use distribution::{Received, RouteReceiver};
 use schema::{FetchRoutesReply, FetchRoutesRequest, RouteSet, reply, request};
 
 use crate::connection::Connection;
@@ -9,18 +9,16 @@
 /// Fetches the set of routes that a control process holds, as gateways do; its number is 0 if
 /// none was published.
 pub async fn fetch_routes(connection: &Connection) -> Result<RouteSet, CommandError> {
-    let (mut set, mut fingerprint) = (RouteSet::default(), Fingerprint::default());
-    let mut assembly = Assembly::default();
+    let mut set = RouteSet::default();
+    let mut receiver = RouteReceiver::default();
     loop {
-        let reply = fetch_chunk(connection, assembly.next_request(set.number)).await?;
-        if reply.change.is_none() {
-            return Ok(set);
+        let reply = fetch_chunk(connection, receiver.next_request()).await?;
+        let received = receiver.receive(reply, &set);
+        match received.map_err(|error| CommandError::Unavailable(error.to_string()))? {
+            Received::NothingNewer => return Ok(set),
+            Received::Chunk => {}
+            Received::Set(next, _) => set = next,
         }
-        let Some((id, change)) = assembly.add(reply).map_err(damaged)? else { continue };
-        if id.base_number == 0 {
-            (set, fingerprint) = (RouteSet::default(), Fingerprint::default());
-        }
-        (set, fingerprint) = apply_change(&set, &fingerprint, change).map_err(damaged)?;
     }
 }
 
@@ -34,7 +32,3 @@
         _ => Err(CommandError::Unavailable("another kind of reply than expected".to_string())),
     }
 }
-
-fn damaged(error: ChangeError) -> CommandError {
-    CommandError::Unavailable(error.to_string())
-}
