Log which set of routes an activation replaces, and which transfer is resumed

"set of routes activated" named the new number only, so that a gateway that went back looked like one that had just started, and nothing said that a transfer had been continued at another control process.

--- a/components/distribution/src/assembly.rs
+++ b/components/distribution/src/assembly.rs
@@ -26,6 +26,12 @@
         FetchRoutesRequest { base_number, change: self.id, offset }
     }
 
+    /// Returns the change that is received and the bytes of it that are there; `None` before
+    /// the first chunk.
+    pub(crate) fn progress(&self) -> Option<(RouteChangeId, u64)> {
+        Some((self.id?, self.received.len() as u64))
+    }
+
     /// Adds a chunk; returns the change once it is complete, and `None` before. The first
     /// chunk of another change replaces what was received.
     ///
--- a/components/distribution/src/receiver.rs
+++ b/components/distribution/src/receiver.rs
@@ -54,6 +54,12 @@
         self.in_force.number()
     }
 
+    /// Returns the change that is received and the bytes of it that are there; `None` before
+    /// its first chunk.
+    pub fn progress(&self) -> Option<(RouteChangeId, u64)> {
+        self.assembly.progress()
+    }
+
     /// Returns the request for the next chunk.
     pub fn next_request(&self) -> FetchRoutesRequest {
         let base_number = if self.needs_complete_set { 0 } else { self.in_force.number() };
--- a/components/gateway/src/route_sets.rs
+++ b/components/gateway/src/route_sets.rs
@@ -39,6 +39,9 @@
     let mut receiver = RouteReceiver::default();
     loop {
         let address = next_source(&shared, &mut offers).await;
+        if let Some((id, received_bytes)) = receiver.progress() {
+            log::info!(number = id.number, base = id.base_number, bytes = id.size_bytes, received_bytes, control = address.to_string().as_str(); "transfer of the set of routes resumed");
+        }
         if let Err(error) = fetch_set(&shared, &mut receiver, address).await {
             log::warn!(control = address.to_string().as_str(), error = error.to_string().as_str(); "set of routes not fetched");
             let now_ms = shared.now_ms();
@@ -116,7 +119,8 @@
 /// Puts a set of routes in force.
 fn activate_set(shared: &Shared, set: RouteSet, address: SocketAddr) {
     let number = set.number;
-    log::info!(number, routes = set.routes.len(), control = address.to_string().as_str(); "set of routes activated");
+    let replaced = shared.table().number();
+    log::info!(number, replaced, routes = set.routes.len(), control = address.to_string().as_str(); "set of routes activated");
     let timeouts_ms = timeouts_by_route(&set);
     let previous_ms = timeouts_by_route(shared.table().set());
     let is_unchanged = |route: &str| timeouts_ms.get(route) == previous_ms.get(route);
