Put only newer sets of routes in force at gateways

Cause: after a change that it could not use, a gateway requested a complete set like one without any set, control processes answered with any complete set that they keep encoded, and the gateway put it in force without comparing numbers.

`RouteReceiver` accepts newer sets only, judged by the first chunk and again by the result, and the request names the set in force (`served_number`), so that control processes send no complete set that is older. Both directions work with programs of the release before: without `served_number` the base counts, and an older set that such a control process sends is refused with its first chunk.

Failed before: both tests of components/distribution/tests/interrupted.rs ("left: Ok(1), right: Ok(3)"; the older set was put in force) and platform/tests/route_transfers.rs ("left: 1, right: 0" requests on the dropped route). They pass now, as do the tests of distribution, growing_sets, readiness, cold_arbiters and evacuation_arbiters.

--- a/components/distribution/src/assembly.rs
+++ b/components/distribution/src/assembly.rs
@@ -2,7 +2,7 @@
 
 use bytes::BytesMut;
 use prost::Message as _;
-use schema::{FetchRoutesReply, FetchRoutesRequest, RouteChangeId, RouteSetChange};
+use schema::{FetchRoutesReply, RouteChangeId, RouteSetChange};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ChangeError;
@@ -19,13 +19,6 @@
 }
 
 impl Assembly {
-    /// Returns the request for the next chunk; `base_number` is the set that the gateway
-    /// serves.
-    pub(crate) fn next_request(&self, base_number: u64) -> FetchRoutesRequest {
-        let offset = self.received.len() as u64;
-        FetchRoutesRequest { base_number, change: self.id, offset }
-    }
-
     /// Returns the change that is received and the bytes of it that are there; `None` before
     /// the first chunk.
     pub(crate) fn progress(&self) -> Option<(RouteChangeId, u64)> {
--- a/components/distribution/src/error.rs
+++ b/components/distribution/src/error.rs
@@ -17,6 +17,8 @@
     WrongBase,
     /// the result does not have the announced digest
     WrongResult,
+    /// the result is not newer than the set in force
+    NotNewer,
 }
 
 impl std::error::Error for ChangeError {}
--- a/components/distribution/src/receiver.rs
+++ b/components/distribution/src/receiver.rs
@@ -62,29 +62,39 @@
 
     /// Returns the request for the next chunk.
     pub fn next_request(&self) -> FetchRoutesRequest {
-        let base_number = if self.needs_complete_set { 0 } else { self.in_force.number() };
-        self.assembly.next_request(base_number)
+        let base_number = if self.needs_complete_set { 0 } else { self.number() };
+        let (change, offset) = self.progress().unzip();
+        let offset = offset.unwrap_or(0);
+        FetchRoutesRequest { base_number, change, offset, served_number: self.number() }
     }
 
     /// Processes the reply to the last request. `in_force` is the set in force; a set that is
-    /// returned replaces it. Chunks that were received before a lost reply are kept.
+    /// returned is newer and replaces it. Chunks that were received before a lost reply are
+    /// kept.
     ///
     /// # Errors
     ///
-    /// After an error, the next request is for the first chunk of a complete set.
+    /// After an error, the next request is for the first chunk: of a complete set, unless the
+    /// one that was sent is not newer.
     pub fn receive(
         &mut self,
         reply: FetchRoutesReply,
         in_force: &RouteSet,
     ) -> Result<Received, ChangeError> {
-        if reply.change.is_none() {
-            return Ok(Received::NothingNewer);
+        let Some(id) = reply.change else { return Ok(Received::NothingNewer) };
+        if let Err(error) = self.require_newer(id.number) {
+            self.assembly = Assembly::default();
+            return Err(error);
         }
         let received = self.try_receive(reply, in_force);
         self.needs_complete_set |= received.is_err();
         received
     }
 
+    fn require_newer(&self, number: u64) -> Result<(), ChangeError> {
+        if number > self.number() { Ok(()) } else { Err(ChangeError::NotNewer) }
+    }
+
     fn try_receive(
         &mut self,
         reply: FetchRoutesReply,
@@ -92,6 +102,8 @@
     ) -> Result<Received, ChangeError> {
         let Some((id, change)) = self.assembly.add(reply)? else { return Ok(Received::Chunk) };
         let (set, fingerprint) = self.apply(id, change, in_force)?;
+        // The number that the first chunk named is not covered by the digest.
+        self.require_newer(set.number)?;
         self.in_force = fingerprint;
         self.needs_complete_set = false;
         Ok(Received::Set(set, id))
--- a/components/distribution/src/source.rs
+++ b/components/distribution/src/source.rs
@@ -75,21 +75,29 @@
         {
             return change.chunk(request.offset);
         }
-        if current.number == 0 || request.base_number >= current.number {
+        // Gateways of earlier releases do not send `served_number`.
+        let served_number = request.served_number.max(request.base_number);
+        if served_number >= current.number {
             return FetchRoutesReply::default();
         }
-        self.change_for(request.base_number, current).chunk(0)
+        self.change_for(request.base_number, served_number, current).chunk(0)
     }
 
-    /// Returns the change for a gateway with the set `base_number`: to the set in force, or
-    /// a complete set that is encoded already and for which the next change is kept.
-    fn change_for(&mut self, base_number: u64, current: &RouteSet) -> EncodedChange {
+    /// Returns the change for a gateway that serves the set `served_number`: from the set
+    /// `base_number` to the one in force, or a complete set that is newer than the one it serves,
+    /// is encoded already, and for which the next change is kept.
+    fn change_for(
+        &mut self,
+        base_number: u64,
+        served_number: u64,
+        current: &RouteSet,
+    ) -> EncodedChange {
         let RouteSource { history, changes } = self;
         let find = |number| history.iter().find(|kept| kept.number() == number);
         let base = find(base_number);
         let is_usable = |id: &RouteChangeId| match base {
             Some(_) => id.base_number == base_number && id.number == current.number,
-            None => id.base_number == 0 && id.number > base_number && find(id.number).is_some(),
+            None => id.base_number == 0 && id.number > served_number && find(id.number).is_some(),
         };
         if let Some(change) = touch(changes, is_usable) {
             return change;
