--- a/components/distribution/tests/growing_set.rs
+++ b/components/distribution/tests/growing_set.rs
@@ -5,7 +5,7 @@
     CHANGE_CACHE_BYTES, CHUNK_BYTES, HISTORY_ITEMS, Received, RouteReceiver, RouteSource,
 };
 use prost::Message as _;
-use schema::{FetchRoutesReply, RouteRule, RouteSet, WeightedService};
+use schema::{RouteRule, RouteSet, WeightedService};
 
 const GATEWAYS: usize = 95;
 const STEP: usize = 1_400;
