Continue an interrupted transfer of routes at the requested position

Cause: a control process that did not keep the requested change computed it and sent its first chunk, as for a change with another id; the same sets give the same id everywhere, so the gateway appended that chunk to what it had. Ruled out: another change between the same sets (the id would differ, and the gateway would discard its chunks). The same happened at one process that had dropped the change from its cache.

`next_chunk` compares the id of the computed change with the requested one and continues at the offset.

--- a/components/distribution/src/source.rs
+++ b/components/distribution/src/source.rs
@@ -80,7 +80,10 @@
         if served_number >= current.number {
             return FetchRoutesReply::default();
         }
-        self.change_for(request.base_number, served_number, current).chunk(0)
+        let change = self.change_for(request.base_number, served_number, current);
+        // Another process, or this one before it dropped the change, computed the same one.
+        let is_same = requested == Some(change.id);
+        change.chunk(if is_same { request.offset } else { 0 })
     }
 
     /// Returns the change for a gateway that serves the set `served_number`: from the set
--- a/components/distribution/tests/interrupted.rs
+++ b/components/distribution/tests/interrupted.rs
@@ -1,6 +1,8 @@
 //! Transfers that fail halfway: what a gateway receives next.
 
-use distribution::{ChangeError, Received, RouteReceiver, RouteSource};
+use distribution::{
+    CHANGE_CACHE_BYTES, CHUNK_BYTES, ChangeError, Received, RouteReceiver, RouteSource,
+};
 use schema::{FetchRoutesReply, RouteRule, RouteSet};
 
 /// Set with so many routes that all `number`s have a change of several chunks.
@@ -45,6 +47,12 @@
     }
 }
 
+/// Asserts without printing thousands of routes.
+fn assert_received(received: &Result<RouteSet, ChangeError>, expected: &RouteSet) {
+    let number = received.as_ref().map(|set| set.number);
+    assert!(received.as_ref() == Ok(expected), "{number:?} instead of {}", expected.number);
+}
+
 /// Guards against a complete set that was encoded for gateways which started earlier and is older
 /// than the one in force at the gateway that needs a complete set.
 #[test]
@@ -62,8 +70,8 @@
 
     let received = fetch(&mut receiver, &mut source, &sets[1], &sets[2]);
 
-    assert_eq!(refused, Err(ChangeError::Corrupted));
-    assert_eq!(received.map(|set| set.number), Ok(3));
+    assert!(refused == Err(ChangeError::Corrupted), "the damage is noticed");
+    assert_received(&received, &sets[2]);
 }
 
 /// Guards against a set that is put in force because its transfer ended well, whatever its
@@ -83,3 +91,72 @@
         assert_eq!((receiver.number(), receiver.progress()), (2, None));
     }
 }
+
+/// Returns the position of the next chunk after `receiver` has got two from `source`.
+fn fetch_two_chunks(
+    receiver: &mut RouteReceiver,
+    source: &mut RouteSource,
+    in_force: &RouteSet,
+    current: &RouteSet,
+) -> u64 {
+    for _ in 0..2 {
+        let reply = source.next_chunk(&receiver.next_request(), current);
+        let received = receiver.receive(reply, in_force);
+        assert!(received == Ok(Received::Chunk), "the change has more than two chunks");
+    }
+    receiver.next_request().offset
+}
+
+/// Guards against chunks of two transfers in one change: another control process computes the
+/// same change, but sent its first chunk.
+#[test]
+fn transfer_continues_at_another_process_with_the_same_sets() {
+    let sets = [set(1), set(2)];
+    let (mut first, mut second) = (source_of(&sets), source_of(&sets));
+    let mut receiver = RouteReceiver::of(&sets[0]);
+    let position = fetch_two_chunks(&mut receiver, &mut first, &sets[0], &sets[1]);
+
+    let reply = second.next_chunk(&receiver.next_request(), &sets[1]);
+    let received = receiver.receive(reply, &sets[0]);
+    let next_position = receiver.next_request().offset;
+    let set = fetch(&mut receiver, &mut second, &sets[0], &sets[1]);
+
+    assert!(received == Ok(Received::Chunk), "the change is not complete yet");
+    assert_eq!((position, next_position), (2 * CHUNK_BYTES as u64, 3 * CHUNK_BYTES as u64));
+    assert_received(&set, &sets[1]);
+}
+
+/// Guards against the same at a single control process, which has to compute the change again as
+/// it kept others in the meantime.
+#[test]
+fn transfer_continues_once_the_change_is_computed_again() {
+    let sets: Vec<RouteSet> = (1..=75).map(set).collect();
+    let [base, .., current] = sets.as_slice() else { unreachable!() };
+    let mut source = source_of(&sets);
+    let mut receiver = RouteReceiver::of(base);
+    fetch_two_chunks(&mut receiver, &mut source, base, current);
+    let first_id = receiver.progress().expect("two chunks are there").0;
+    for other in &sets[1..74] {
+        source.next_chunk(&RouteReceiver::of(other).next_request(), current);
+    }
+    let others_bytes = 73 * first_id.size_bytes;
+    assert!(others_bytes > CHANGE_CACHE_BYTES as u64, "{others_bytes} do not fill the cache");
+
+    let received = fetch(&mut receiver, &mut source, base, current);
+
+    assert_received(&received, current);
+}
+
+/// A set is published while a transfer goes on at another process: the new change replaces the
+/// one that was received in part.
+#[test]
+fn transfer_of_an_older_change_is_replaced_at_a_process_that_never_encoded_it() {
+    let sets = [set(1), set(2), set(3)];
+    let (mut first, mut second) = (source_of(&sets[..2]), source_of(&sets));
+    let mut receiver = RouteReceiver::of(&sets[0]);
+    fetch_two_chunks(&mut receiver, &mut first, &sets[0], &sets[1]);
+
+    let received = fetch(&mut receiver, &mut second, &sets[0], &sets[2]);
+
+    assert_received(&received, &sets[2]);
+}
