Continue transfers of complete sets of routes at other control processes

A gateway that changes between control processes while it receives a complete set could start anew each time, and a gateway whose set a control process no longer knows could serve a set before the newest one for a moment.

Cause: for a gateway without a known base, a control process sent whatever complete set it kept encoded, also if the gateway was receiving another one. Now it computes the change that the gateway is receiving if that leads to the set in force, and sends an older complete set only to a gateway that starts, which serves none before the newest. Of several that are kept, the newest is taken.

--- a/components/distribution/src/source.rs
+++ b/components/distribution/src/source.rs
@@ -80,27 +80,31 @@
         if served_number >= current.number {
             return FetchRoutesReply::default();
         }
-        let change = self.change_for(request.base_number, served_number, current);
+        let change = self.change_for(request, served_number, current);
         // Another process, or this one before it dropped the change, computed the same one.
         let is_same = requested == Some(change.id);
         change.chunk(if is_same { request.offset } else { 0 })
     }
 
-    /// Returns the change for a gateway that serves the set `served_number`: from the set
-    /// `base_number` to the one in force, or a complete set that is newer than the one it serves,
-    /// is encoded already, and for which the next change is kept.
+    /// Returns the change to the set in force for a gateway that serves the set
+    /// `served_number`: the one that it is receiving, if it can be computed again. A gateway that
+    /// starts may get a complete set before the one in force if that is encoded already and the
+    /// next change to it is kept, as it serves none until it has the newest.
     fn change_for(
         &mut self,
-        base_number: u64,
+        request: &FetchRoutesRequest,
         served_number: u64,
         current: &RouteSet,
     ) -> EncodedChange {
         let RouteSource { history, changes } = self;
         let find = |number| history.iter().find(|kept| kept.number() == number);
-        let base = find(base_number);
-        let is_usable = |id: &RouteChangeId| match base {
-            Some(_) => id.base_number == base_number && id.number == current.number,
-            None => id.base_number == 0 && id.number > served_number && find(id.number).is_some(),
+        let receiving = request.change.filter(|id| id.number == current.number);
+        let base = find(receiving.map_or(request.base_number, |id| id.base_number));
+        let base_number = base.map_or(0, Fingerprint::number);
+        let may_be_older = base.is_none() && served_number == 0 && request.change.is_none();
+        let is_usable = |id: &RouteChangeId| {
+            let is_kept = || may_be_older && find(id.number).is_some();
+            id.base_number == base_number && (id.number == current.number || is_kept())
         };
         if let Some(change) = touch(changes, is_usable) {
             return change;
@@ -146,12 +150,13 @@
     }
 }
 
-/// Returns a kept change and marks it as the most recently used one.
+/// Returns the kept change to the newest set and marks it as the most recently used one.
 fn touch(
     changes: &mut VecDeque<EncodedChange>,
     is_wanted: impl Fn(&RouteChangeId) -> bool,
 ) -> Option<EncodedChange> {
-    let index = changes.iter().position(|change| is_wanted(&change.id))?;
+    let wanted = changes.iter().enumerate().filter(|(_, change)| is_wanted(&change.id));
+    let (index, _) = wanted.max_by_key(|(_, change)| change.id.number)?;
     let change = changes.remove(index)?;
     changes.push_back(change.clone());
     Some(change)
--- a/components/distribution/tests/interrupted.rs
+++ b/components/distribution/tests/interrupted.rs
@@ -160,3 +160,34 @@
 
     assert_received(&received, &sets[2]);
 }
+
+/// Guards against a transfer of the newest complete set that is given up for an older one, which
+/// another control process keeps encoded: gateways that alternate between processes never got one.
+#[test]
+fn transfer_of_a_complete_set_continues_at_a_process_that_keeps_an_older_one() {
+    let sets = [set(1), set(2)];
+    let (mut first, mut second) = (source_of(&sets), source_of(&sets[..1]));
+    let nothing = RouteSet::default();
+    fetch(&mut RouteReceiver::default(), &mut second, &nothing, &sets[0]).expect("it is sent");
+    second.record(&sets[1]);
+    let mut receiver = RouteReceiver::default();
+    fetch_two_chunks(&mut receiver, &mut first, &nothing, &sets[1]);
+
+    let received = fetch(&mut receiver, &mut second, &nothing, &sets[1]);
+
+    assert_received(&received, &sets[1]);
+}
+
+/// Guards against an older set that a gateway serves for a moment, as a control process keeps it
+/// encoded while it no longer knows the set of the gateway.
+#[test]
+fn gateway_with_a_set_that_is_not_kept_gets_the_newest_one() {
+    let sets = [set(1), set(2), set(3)];
+    let mut source = source_of(&sets[1..2]);
+    fetch(&mut RouteReceiver::of(&sets[0]), &mut source, &sets[0], &sets[1]).expect("it is sent");
+    source.record(&sets[2]);
+
+    let received = fetch(&mut RouteReceiver::of(&sets[0]), &mut source, &sets[0], &sets[2]);
+
+    assert_received(&received, &sets[2]);
+}
