Adopt members of the control group at gateways only if they are the newest

A gateway closed its connection to a control process that had joined, and opened it again, with each pair of syncs, as long as that process had not caught up: 25 times in 2 s in the test.

Cause: each sync reply names all members, and a gateway dropped the others whichever process replied. Replies now name the members in effect at the commit index, with that index, and a gateway adopts a list only if no connected process reports a greater one. With the greatest index that was ever seen, a group that lost its data would never be found again, so only connected processes count. A union of all lists needs no index, but would keep a removed process that still names itself.

Failed before: platform/tests/control_members.rs ("left: (25, [...]), right: (1, [])").

--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -344,7 +344,9 @@
         let evacuations = self.state.evacuations();
         let limits_changed = request.limits_digest != syncs.limit_list.digest;
         let quarantine_changed = request.quarantine_digest != quarantine.digest();
-        let members = self.node.configuration().replicas.iter();
+        let configuration_index = self.node.commit_index();
+        let configuration = self.node.configuration_at(configuration_index);
+        let members = configuration.replicas.iter();
         let changes = syncs.registry.changes_since(known_version, MAX_REPLY_UPSTREAMS);
         SyncReply {
             registry_epoch: syncs.registry_epoch,
@@ -362,6 +364,7 @@
             quarantine: if quarantine_changed { quarantine.to_message() } else { Vec::new() },
             ejections: if request.wants_use { syncs.ejection_messages(now_ms) } else { Vec::new() },
             control_addresses: members.map(|replica| replica.peer_address.clone()).collect(),
+            configuration_index,
             evacuations_version: evacuations.version(),
             evacuated_data_centres: evacuations.names_after(request.evacuations_version),
         }
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -18,7 +18,7 @@
 use crate::origins;
 use crate::quarantine;
 use crate::shared::Shared;
-use crate::state::{AnsweredFeatures, RegistryPosition};
+use crate::state::{AnsweredFeatures, MemberLists, RegistryPosition};
 use crate::vm_load;
 
 /// Longest time for which the control process that aggregates upstream load
@@ -42,13 +42,19 @@
     shared: Rc<Shared>,
     endpoint: Endpoint,
     tasks: RefCell<BTreeMap<SocketAddr, JoinHandle<()>>>,
+    member_lists: RefCell<MemberLists>,
 }
 
 impl ControlLinks {
     /// Starts syncing with the seeds; other control processes are discovered
     /// from their replies.
     pub(crate) fn start(shared: Rc<Shared>, endpoint: Endpoint) -> Rc<Self> {
-        let links = Rc::new(ControlLinks { shared, endpoint, tasks: RefCell::default() });
+        let links = Rc::new(ControlLinks {
+            shared,
+            endpoint,
+            tasks: RefCell::default(),
+            member_lists: RefCell::default(),
+        });
         let seeds = links.shared.config.seeds.iter().copied().collect();
         links.add(&seeds);
         links
@@ -91,6 +97,7 @@
     /// Forgets what a control process reported that is no longer connected.
     fn forget(&self, address: SocketAddr) {
         self.set_connected(address, None);
+        self.member_lists.borrow_mut().remove(address);
         self.shared.registry.borrow_mut().remove_source(address);
         self.shared.applied_registries.borrow_mut().remove(address);
         self.shared.gateway_counts.borrow_mut().remove(address);
@@ -311,7 +318,8 @@
     shared.gateway_counts.borrow_mut().record(address, reply.entries);
     let members = reply.control_addresses.iter().filter_map(|text| text.parse().ok());
     let members: BTreeSet<SocketAddr> = members.collect();
-    if !members.is_empty() {
+    let is_newest = links.member_lists.borrow_mut().record(address, reply.configuration_index);
+    if is_newest && !members.is_empty() {
         links.add(&members);
         links.remove_non_members(&members);
     }
