End the newest life of a server by a withdrawal that names none

Cause: a withdrawal without a start time was given that of the incarnation which the asked process knew; gateways that knew a newer one dropped it as late and confirmed it. Ruled out: a lost withdrawal or one that is confirmed too early (the gateways had applied the version that was awaited).

Such a withdrawal now ends newer incarnations too, for 0.8 s; gateways report which one it ended, and it is acknowledged once they have confirmed the end of that one. Weighed: asking the other control processes, which holds up withdrawals beside a frozen one.

Failed before: both tests of platform/tests/withdrawals.rs ("left: 5, right: 1" requests at the server after the acknowledgement; "left: 200, right: 503"). They pass now.

--- a/components/control/src/replica/confirmations.rs
+++ b/components/control/src/replica/confirmations.rs
@@ -1,5 +1,7 @@
 //! Waits for gateways to confirm with their syncs what they have applied.
 
+use compact_str::CompactString;
+use registry::Registry;
 use tokio::sync::oneshot;
 
 use super::Replica;
@@ -11,19 +13,27 @@
 const CONFIRM_TIMEOUT_MS: u64 = 600;
 
 /// What gateways are to confirm.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum Awaited {
-    /// This version of the upstream registry.
-    Registry(u64),
+    /// The end of this upstream, also of the incarnations that gateways report meanwhile.
+    End(CompactString),
     /// This version of the evacuated data centres.
     Evacuations(u64),
 }
 
 impl Awaited {
-    fn is_confirmed_by(self, gateway: &GatewayState) -> bool {
+    fn is_confirmed_by(&self, gateway: &GatewayState, registry: &Registry) -> bool {
         match self {
-            Awaited::Registry(version) => gateway.confirmed_version >= version,
-            Awaited::Evacuations(version) => gateway.evacuations_version >= version,
+            Awaited::End(id) => gateway.confirmed_version >= registry.version_of(id),
+            Awaited::Evacuations(version) => gateway.evacuations_version >= *version,
+        }
+    }
+
+    /// Returns false for the withdrawal of an upstream that no gateway knows.
+    fn has_effect(&self, registry: &Registry) -> bool {
+        match self {
+            Awaited::End(id) => registry.is_known(id),
+            Awaited::Evacuations(_) => true,
         }
     }
 }
@@ -38,7 +48,7 @@
 impl GatewaySyncs {
     /// Returns a receiver that yields true once every live gateway has confirmed
     /// `awaited` or the confirmation timed out, and false if no gateway is live
-    /// by then.
+    /// by then or none knows the upstream.
     pub(super) fn wait_for_confirmation(
         &mut self,
         awaited: Awaited,
@@ -59,8 +69,8 @@
         }
         let has_gateway = syncs.has_live_gateway(now_ms);
         for wait in std::mem::take(&mut syncs.confirmations) {
-            let missing = syncs.live_gateways(now_ms).filter(|g| !wait.awaited.is_confirmed_by(g));
-            let missing = missing.count();
+            let is_missing = |g: &&GatewayState| !wait.awaited.is_confirmed_by(g, &syncs.registry);
+            let missing = syncs.live_gateways(now_ms).filter(is_missing).count();
             let is_confirmed = has_gateway && missing == 0;
             if !is_confirmed && now_ms < wait.deadline_ms {
                 syncs.confirmations.push(wait);
@@ -69,7 +79,11 @@
             if missing > 0 {
                 log::warn!(awaited:? = wait.awaited, missing; "gateways have not confirmed in time");
             }
-            let _ = wait.result.send(has_gateway);
+            let has_effect = wait.awaited.has_effect(&syncs.registry);
+            if !has_effect {
+                log::warn!(awaited:? = wait.awaited; "no gateway knows the withdrawn upstream");
+            }
+            let _ = wait.result.send(has_gateway && has_effect);
         }
     }
 }
--- a/components/control/src/replica/local.rs
+++ b/components/control/src/replica/local.rs
@@ -68,7 +68,7 @@
 
 /// Announcement of an upstream. Returns true once it may be acknowledged: for
 /// the end of an upstream, once the gateways confirmed it or the wait for them
-/// timed out. Returns false if no gateway is connected.
+/// timed out. Returns false if no gateway is connected, or none knows the upstream.
 #[derive(Debug, Message)]
 #[rtype(result = "bool")]
 pub(crate) struct Announce(pub(crate) UpstreamRecord);
@@ -93,9 +93,8 @@
             self.serve_gateways();
             return Box::pin(std::future::ready(true));
         }
-        let version = self.gateway_syncs.registry.version();
-        let confirmed =
-            self.gateway_syncs.wait_for_confirmation(Awaited::Registry(version), now_ms);
+        let awaited = Awaited::End(id.as_str().into());
+        let confirmed = self.gateway_syncs.wait_for_confirmation(awaited, now_ms);
         self.serve_gateways();
         Box::pin(async move { confirmed.await.unwrap_or(false) })
     }
--- a/components/registry/src/fleet.rs
+++ b/components/registry/src/fleet.rs
@@ -8,7 +8,7 @@
 use schema::{EndedIncarnation, UpstreamPhase, UpstreamRecord};
 use smallvec::SmallVec;
 
-use crate::registry::{TOMBSTONE_RETENTION_MS, phase_of_order, phase_order};
+use crate::registry::{OPEN_WITHDRAWAL_MS, TOMBSTONE_RETENTION_MS, phase_of_order, phase_order};
 
 /// Time for which an upstream that no control process reports is kept. This covers
 /// the restart of a control process, which receives the upstream's next
@@ -45,11 +45,19 @@
     born_ms: u64,
     order: u8,
     is_silent: bool,
+    /// Until when it ends newer incarnations too, if it does.
+    open_until_ms: u64,
 }
 
 impl SourceReport {
-    fn new(source: SocketAddr, record: &UpstreamRecord, is_silent: bool) -> Self {
-        SourceReport { source, born_ms: record.born_ms, order: phase_order(record), is_silent }
+    fn new(source: SocketAddr, record: &UpstreamRecord, is_silent: bool, now_ms: u64) -> Self {
+        SourceReport {
+            source,
+            born_ms: record.born_ms,
+            order: phase_order(record),
+            is_silent,
+            open_until_ms: if record.ends_newest { now_ms + OPEN_WITHDRAWAL_MS } else { 0 },
+        }
     }
 }
 
@@ -89,7 +97,7 @@
 ///
 /// The newest incarnation counts, in the latest phase that any process reports: the order
 /// in which reports arrive does not matter, but for withdrawals that name no incarnation.
-/// Those end the one that is known when they arrive.
+/// Those end the one that is known when they arrive, and newer ones until they are completed.
 #[derive(Debug, Default)]
 pub struct MergedRegistry {
     upstreams: BTreeMap<CompactString, KnownUpstream>,
@@ -134,7 +142,7 @@
         }
         let id = CompactString::from(record.id.as_str());
         let address = record.address.parse().ok();
-        let report = SourceReport::new(source, &record, is_silent);
+        let report = SourceReport::new(source, &record, is_silent, now_ms);
         let Some(known) = self.upstreams.get_mut(&id) else {
             let phase = record.phase();
             // A withdrawal has no address, and is kept: another control process may still
@@ -152,16 +160,28 @@
                 _ => Some(UpstreamChange::Joined(id)),
             };
         };
-        let ends_any_incarnation = record.phase() == UpstreamPhase::Gone && record.born_ms == 0;
-        if !ends_any_incarnation && record.born_ms < known.record.born_ms {
+        let is_earlier = record.born_ms < known.record.born_ms;
+        let ends_known = record.phase() == UpstreamPhase::Gone
+            && (record.born_ms == 0 || record.ends_newest && is_earlier);
+        if !ends_known && is_earlier {
             known.set_report(report);
             return None;
         }
-        if !ends_any_incarnation && record.born_ms > known.record.born_ms {
+        if !ends_known && record.born_ms > known.record.born_ms {
+            let open = known
+                .reports
+                .iter()
+                .copied()
+                .filter(|r| now_ms < r.open_until_ms && r.source != source);
+            let open: SmallVec<[SourceReport; 3]> = open.collect();
+            if !open.is_empty() {
+                record.set_phase(UpstreamPhase::Gone);
+            }
             let draining = record.phase() == UpstreamPhase::Draining;
             let gone = record.phase() == UpstreamPhase::Gone;
             let address = address.unwrap_or(known.address);
             *known = new_upstream(record, address, now_ms);
+            known.reports = open;
             known.reports.push(report);
             return Some(match (draining, gone) {
                 (true, _) => UpstreamChange::Draining(id),
@@ -180,15 +200,19 @@
 
     /// Returns upstreams, `max_count` at most, that are draining or gone as another control
     /// process reports, while the one at `source` reports an earlier phase or incarnation, or
-    /// a withdrawal without one. That process is told, so that gateways which join later do
+    /// a withdrawal that names none. That process is told, so that gateways which join later do
     /// not depend on which process they hear first.
     pub fn ended_elsewhere(&self, source: SocketAddr, max_count: usize) -> Vec<EndedIncarnation> {
         let ended = self.upstreams.values().filter(|known| {
             let rank = (known.record.born_ms, known.reported_order);
             let mut reports = known.reports.iter();
             let reported = reports.find(|report| report.source == source);
+            let is_withdrawn =
+                |report: &SourceReport| report.open_until_ms > 0 && known.address != NO_ADDRESS;
             known.reported_order > 0
-                && reported.is_some_and(|report| (report.born_ms, report.order) < rank)
+                && reported.is_some_and(|report| {
+                    (report.born_ms, report.order) < rank || is_withdrawn(report)
+                })
         });
         let ended = ended.map(|known| EndedIncarnation {
             id: known.record.id.clone(),
@@ -254,7 +278,8 @@
 
     /// Adopts what a later announcement of the same incarnation states.
     fn update_announced(&mut self, record: &UpstreamRecord, now_ms: u64) {
-        if record.sequence > self.record.sequence {
+        let is_same = record.born_ms == self.record.born_ms;
+        if is_same && record.sequence > self.record.sequence {
             self.record.sequence = record.sequence;
             self.record.version.clone_from(&record.version);
             self.warm_up_until_ms = now_ms.saturating_add(record.warm_up_ms);
--- a/components/registry/src/registry.rs
+++ b/components/registry/src/registry.rs
@@ -12,6 +12,10 @@
 /// ended incarnation is a tombstone, kept for longer than a network partition may
 /// delay an announcement.
 pub(crate) const TOMBSTONE_RETENTION_MS: u64 = 120_000;
+/// Time for which a withdrawal that names no incarnation ends those that become known. It covers
+/// the wait for the gateways' confirmation; an upstream serves for longer after its withdrawal,
+/// so that no incarnation which starts later is ended.
+pub(crate) const OPEN_WITHDRAWAL_MS: u64 = 800;
 
 /// Result of applying one announcement.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -41,6 +45,11 @@
     /// Registry version at which this record last changed.
     version: u64,
     last_announced_ms: u64,
+    /// Until when the record ends newer incarnations, if it does.
+    open_until_ms: u64,
+    /// False for a withdrawal without a start time of an upstream that did not announce itself
+    /// here, until a gateway reports that it knew one.
+    is_known: bool,
 }
 
 /// Upstreams that announced themselves to one control process.
@@ -61,22 +70,42 @@
         self.by_id.get(id).map(|stored| &stored.record)
     }
 
+    /// Returns the version at which the record of an upstream last changed; 0 without one.
+    pub fn version_of(&self, id: &str) -> u64 {
+        self.by_id.get(id).map_or(0, |stored| stored.version)
+    }
+
+    /// Returns whether the upstream announced itself here, was withdrawn by its start time, or is
+    /// known to a gateway.
+    pub fn is_known(&self, id: &str) -> bool {
+        self.by_id.get(id).is_some_and(|stored| stored.is_known)
+    }
+
     /// Applies an announcement. A phase of [`UpstreamPhase::Gone`] with a
-    /// `born_ms` of 0 ends the known incarnation, whichever it is.
+    /// `born_ms` of 0 ends the newest incarnation that any gateway knows.
     pub fn apply_announcement(
         &mut self,
         mut record: UpstreamRecord,
         now_ms: u64,
     ) -> AnnounceOutcome {
+        let mut open_until_ms = now_ms + OPEN_WITHDRAWAL_MS;
+        record.ends_newest = record.phase() == UpstreamPhase::Gone && record.born_ms == 0;
+        let is_known = !record.ends_newest || self.is_known(record.id.as_str());
         if let Some(stored) = self.by_id.get_mut(record.id.as_str()) {
             let known = &stored.record;
-            if record.phase() == UpstreamPhase::Gone && record.born_ms == 0 {
+            if record.ends_newest {
                 record.born_ms = known.born_ms;
                 record.sequence = known.sequence;
             }
             if is_outdated(&record, known) {
                 return AnnounceOutcome::Outdated;
             }
+            if known.ends_newest && !record.ends_newest {
+                // Of the withdrawn incarnation, and delayed.
+                record.set_phase(UpstreamPhase::Gone);
+                record.ends_newest = true;
+                open_until_ms = stored.open_until_ms;
+            }
             if record.born_ms == known.born_ms && phase_order(&record) < phase_order(known) {
                 // An incarnation that is known as draining or gone does not become ready
                 // again.
@@ -90,8 +119,13 @@
             }
         }
         self.version += 1;
-        let stored =
-            RegisteredUpstream { record, version: self.version, last_announced_ms: now_ms };
+        let stored = RegisteredUpstream {
+            record,
+            version: self.version,
+            last_announced_ms: now_ms,
+            open_until_ms,
+            is_known,
+        };
         self.by_id.insert(stored.record.id.as_str().into(), stored);
         AnnounceOutcome::Changed(self.version)
     }
@@ -109,9 +143,9 @@
         true
     }
 
-    /// Adopts that an incarnation is draining or gone, as another control process was told; a
-    /// withdrawal that named no incarnation is completed. Returns whether the registry
-    /// changed.
+    /// Adopts that an incarnation is draining or gone, as another control process was told or
+    /// as a withdrawal here that named no incarnation ended it at a gateway. Returns whether the
+    /// registry changed.
     pub fn mark_ended(&mut self, ended: &EndedIncarnation) -> bool {
         let Some(stored) = self.by_id.get_mut(ended.id.as_str()) else { return false };
         let known = &mut stored.record;
@@ -121,10 +155,12 @@
             phase: ended.phase,
             ..UpstreamRecord::default()
         };
+        stored.is_known = true;
         if phase_order(&told) == 0 || rank(&told) <= rank(known) {
             return false;
         }
-        let is_withdrawn = known.phase() == UpstreamPhase::Gone && known.born_ms == 0;
+        let is_withdrawn =
+            known.phase() == UpstreamPhase::Gone && (known.born_ms == 0 || known.ends_newest);
         if !is_withdrawn {
             known.phase = ended.phase;
         }
@@ -134,12 +170,17 @@
         true
     }
 
-    /// Marks ready upstreams that missed several announcements as silent and removes
-    /// those without an announcement for longer than the tombstone retention;
+    /// Marks ready upstreams that missed several announcements as silent, completes
+    /// withdrawals that named no incarnation, and removes upstreams without an announcement for longer than the tombstone retention;
     /// returns the ids of the newly silent ones.
     pub fn expire(&mut self, interval_ms: u64, now_ms: u64) -> Vec<CompactString> {
         let mut silent = Vec::new();
         for (id, stored) in &mut self.by_id {
+            if stored.record.ends_newest && now_ms >= stored.open_until_ms {
+                self.version += 1;
+                stored.version = self.version;
+                stored.record.ends_newest = false;
+            }
             let age_ms = now_ms.saturating_sub(stored.last_announced_ms);
             let is_ready = stored.record.phase() == UpstreamPhase::Ready;
             if is_ready && age_ms > SILENT_AFTER_INTERVALS * interval_ms {
@@ -150,7 +191,10 @@
             }
         }
         self.by_id.retain(|_, stored| {
-            now_ms.saturating_sub(stored.last_announced_ms) < TOMBSTONE_RETENTION_MS
+            // A withdrawal that no gateway completed ended nothing.
+            let is_empty = !stored.is_known && now_ms >= stored.open_until_ms;
+            let age_ms = now_ms.saturating_sub(stored.last_announced_ms);
+            !is_empty && age_ms < TOMBSTONE_RETENTION_MS
         });
         silent
     }
--- a/components/registry/tests/incarnations.rs
+++ b/components/registry/tests/incarnations.rs
@@ -19,6 +19,7 @@
         phase: phase.into(),
         warm_up_ms: 0,
         version: "v1".into(),
+        ends_newest: false,
     }
 }
 
