Request the list of gateways apart from the caller that needs it

Cause: the list counted as fetched when it was requested. Now a task of its own requests the list, all callers wait for it, and it counts as fetched once the request has ended. Ruled out as a mend: recording the time after the reply only, which had been tried; dropped callers then repeat the request, one after the other.

--- a/components/gateway/src/peer/known.rs
+++ b/components/gateway/src/peer/known.rs
@@ -9,7 +9,7 @@
 use rand::seq::{IndexedRandom as _, IteratorRandom as _};
 use schema::{FindGatewaysRequest, GatewayPeer, Request, reply, request};
 use smallvec::SmallVec;
-use tokio::sync::Mutex;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use wire::{Endpoint, Link};
 
@@ -68,32 +68,26 @@
 /// Gateways that a request is not handed to again.
 pub(crate) type Asked = SmallVec<[CompactString; 4]>;
 
-impl PeerList {
-    fn is_fresh(&self) -> bool {
-        let ttl = if self.peers.is_empty() { EMPTY_LIST_TTL } else { LIST_TTL };
-        self.fetched.is_some_and(|at| at.elapsed() < ttl)
-    }
-}
-
 /// Other gateways.
 #[derive(Debug)]
 pub(crate) struct Peers {
     endpoint: Endpoint,
-    list: RefCell<PeerList>,
-    /// Held while the list is asked for.
-    fetching: Mutex<()>,
+    list: Rc<RefCell<PeerList>>,
+    /// Closed once the last request for the list has ended.
+    in_flight: RefCell<watch::Receiver<()>>,
 }
 
 #[derive(Debug, Default)]
 struct PeerList {
     peers: Vec<Rc<Peer>>,
-    /// When the list was last asked for.
+    /// When the last request for the list ended.
     fetched: Option<Instant>,
 }
 
 impl Peers {
     pub(crate) fn new(endpoint: Endpoint) -> Self {
-        Peers { endpoint, list: RefCell::default(), fetching: Mutex::default() }
+        let (_, in_flight) = watch::channel(());
+        Peers { endpoint, list: Rc::default(), in_flight: RefCell::new(in_flight) }
     }
 
     /// Chooses the less used of two gateways drawn at random.
@@ -116,48 +110,80 @@
     }
 
     async fn refresh(&self, shared: &Shared) {
-        let _fetching = self.fetching.lock().await;
         if self.list.borrow().is_fresh() {
             return;
         }
-        self.list.borrow_mut().fetched = Some(Instant::now());
+        if self.in_flight.borrow().has_changed().is_err() {
+            self.start_fetch(shared);
+        }
+        let mut in_flight = self.in_flight.borrow().clone();
+        while in_flight.changed().await.is_ok() {}
+    }
+
+    /// Requests the list in a task of its own, as the request of a caller that leaves is dropped
+    /// while others wait for the reply.
+    fn start_fetch(&self, shared: &Shared) {
         let link = shared.control_links.borrow().values().choose(&mut rand::rng()).cloned();
-        let Some(link) = link else {
-            log::info!("no control process to ask for other gateways");
-            return;
-        };
         let find = FindGatewaysRequest {
             vm: shared.config.vm.to_string(),
             data_centre: shared.config.data_centre.to_string(),
         };
-        let body = Some(request::Body::FindGateways(find));
-        match link.call(Request { traceparent: String::new(), body }, FIND_TIMEOUT).await {
-            Ok(reply::Body::FindGateways(found)) => self.replace(&found.gateways),
-            Ok(_) => log::warn!("another reply than a list of gateways"),
-            Err(error) => {
-                log::warn!(error = error.to_string().as_str(); "cannot get the list of gateways");
+        let (list, endpoint) = (self.list.clone(), self.endpoint.clone());
+        let (end, in_flight) = watch::channel(());
+        *self.in_flight.borrow_mut() = in_flight;
+        actix_rt::spawn(async move {
+            let _end = end;
+            let found = match link {
+                Some(link) => fetch_list(link, find).await,
+                None => {
+                    log::info!("no control process to ask for other gateways");
+                    None
+                }
+            };
+            let mut list = list.borrow_mut();
+            if let Some(found) = found {
+                list.replace(&found, &endpoint);
             }
+            list.fetched = Some(Instant::now());
+        });
+    }
+}
+
+async fn fetch_list(link: Link, find: FindGatewaysRequest) -> Option<Vec<GatewayPeer>> {
+    let body = Some(request::Body::FindGateways(find));
+    match link.call(Request { traceparent: String::new(), body }, FIND_TIMEOUT).await {
+        Ok(reply::Body::FindGateways(found)) => return Some(found.gateways),
+        Ok(_) => log::warn!("another reply than a list of gateways"),
+        Err(error) => {
+            log::warn!(error = error.to_string().as_str(); "cannot get the list of gateways");
         }
     }
+    None
+}
+
+impl PeerList {
+    fn is_fresh(&self) -> bool {
+        let ttl = if self.peers.is_empty() { EMPTY_LIST_TTL } else { LIST_TTL };
+        self.fetched.is_some_and(|at| at.elapsed() < ttl)
+    }
 
     /// Replaces the list, and keeps the links to gateways that stay on it.
-    fn replace(&self, found: &[GatewayPeer]) {
-        let mut list = self.list.borrow_mut();
+    fn replace(&mut self, found: &[GatewayPeer], endpoint: &Endpoint) {
         let peers = found.iter().filter_map(|found| {
             let address: SocketAddr = found.peer_address.parse().ok()?;
-            let kept = list
+            let kept = self
                 .peers
                 .iter()
                 .find(|peer| peer.vm == found.vm.as_str() && peer.link.address() == address);
             Some(kept.cloned().unwrap_or_else(|| {
                 Rc::new(Peer {
                     vm: found.vm.as_str().into(),
-                    link: self.endpoint.link(address, credentials::Role::Entry),
+                    link: endpoint.link(address, credentials::Role::Entry),
                     outstanding: Cell::new(0),
                     avoid_until: Cell::new(None),
                 })
             }))
         });
-        list.peers = peers.collect();
+        self.peers = peers.collect();
     }
 }
