--- a/components/distribution/tests/interrupted.rs
+++ b/components/distribution/tests/interrupted.rs
@@ -147,8 +147,8 @@
     assert_received(&received, current);
 }
 
-/// A set is published while a transfer goes on at another process: the new change replaces the
-/// one that was received in part.
+/// A transfer continues at a process that has a newer set by then: the new change replaces the one
+/// that was received in part.
 #[test]
 fn transfer_of_an_older_change_is_replaced_at_a_process_that_never_encoded_it() {
     let sets = [set(1), set(2), set(3)];
--- a/components/registry/src/fleet.rs
+++ b/components/registry/src/fleet.rs
@@ -200,8 +200,8 @@
 
     /// Returns upstreams, `max_count` at most, that are draining or gone as another control
     /// process reports, while the one at `source` reports an earlier phase or incarnation, or
-    /// a withdrawal that names none. That process is told, so that gateways which join later do
-    /// not depend on which process they hear first.
+    /// a withdrawal that names none. They are reported to that process, so that gateways which
+    /// join later do not depend on the order in which processes reply.
     pub fn ended_elsewhere(&self, source: SocketAddr, max_count: usize) -> Vec<EndedIncarnation> {
         let ended = self.upstreams.values().filter(|known| {
             let rank = (known.record.born_ms, known.reported_order);
--- a/components/registry/src/registry.rs
+++ b/components/registry/src/registry.rs
@@ -143,9 +143,9 @@
         true
     }
 
-    /// Adopts that an incarnation is draining or gone, as another control process was told or
-    /// as a withdrawal here that named no incarnation ended it at a gateway. Returns whether the
-    /// registry changed.
+    /// Adopts that an incarnation is draining or gone, as another control process reported to a
+    /// gateway, or as a withdrawal here that named no incarnation ended it there. Returns whether
+    /// the registry changed.
     pub fn mark_ended(&mut self, ended: &EndedIncarnation) -> bool {
         let Some(stored) = self.by_id.get_mut(ended.id.as_str()) else { return false };
         let known = &mut stored.record;
--- a/components/registry/tests/two_lives.rs
+++ b/components/registry/tests/two_lives.rs
@@ -12,7 +12,7 @@
 const INTERVAL_MS: u64 = 1_000;
 /// Longest wait of a control process for its gateways.
 const CONFIRM_TIMEOUT_MS: u64 = 600;
-/// Time for which a server goes on serving after its withdrawal, at least.
+/// Shortest time for which a server still serves after its withdrawal.
 const SERVING_MS: u64 = 2_000;
 
 #[derive(Clone, Copy, Debug)]
@@ -196,30 +196,31 @@
         }
     }
 
-    fn sync(&mut self, gateway: usize, control: usize, loss: Loss) {
+    fn sync(&mut self, gateway_index: usize, control_index: usize, loss: Loss) {
         if matches!(loss, Loss::Request) {
             return;
         }
-        let (joined, told) = (&mut self.gateways[gateway], &mut self.controls[control]);
-        for ended in joined.fleet.ended_elsewhere(source(control), 9) {
-            told.registry.mark_ended(&ended);
+        let gateway = &mut self.gateways[gateway_index];
+        let control = &mut self.controls[control_index];
+        for ended in gateway.fleet.ended_elsewhere(source(control_index), 9) {
+            control.registry.mark_ended(&ended);
         }
-        told.confirmed[gateway] = joined.applied[control];
-        if let Some((life, deadline_ms)) = told.waiting
+        control.confirmed[gateway_index] = gateway.applied[control_index];
+        if let Some((life, deadline_ms)) = control.waiting
             && self.now_ms < deadline_ms
-            && told.is_confirmed()
+            && control.is_confirmed()
         {
             self.acknowledged_life = self.acknowledged_life.max(life);
-            told.waiting = None;
+            control.waiting = None;
         }
         if matches!(loss, Loss::Reply) {
             return;
         }
-        let is_first = joined.applied[control] == 0;
-        let changes = told.registry.changes_since(joined.applied[control], 9);
-        joined.applied[control] = changes.version;
+        let is_first = gateway.applied[control_index] == 0;
+        let changes = control.registry.changes_since(gateway.applied[control_index], 9);
+        gateway.applied[control_index] = changes.version;
         let records = changes.records.into_iter().cloned().collect();
-        joined.fleet.apply(source(control), is_first, records, self.now_ms);
+        gateway.fleet.apply(source(control_index), is_first, records, self.now_ms);
     }
 
     fn pass(&mut self, time_ms: u64) {
--- a/components/registry/tests/withdrawals.rs
+++ b/components/registry/tests/withdrawals.rs
@@ -121,8 +121,8 @@
     assert!(!accepts(&fleet) && !accepts(&later), "{late:?}");
 }
 
-/// Guards against a withdrawal that ends an earlier life only, as the process that is told knows
-/// no later one, and against a gateway that learns of the later one from another process afterwards.
+/// Guards against a withdrawal that ends an earlier incarnation only, as the process that receives it
+/// knows no later one, and against a gateway that learns of the later one from another process.
 #[test]
 fn withdrawal_without_a_start_time_ends_the_newest_incarnation() {
     let mut behind = Registry::default();
@@ -131,7 +131,7 @@
     fleet.apply(source(1), true, all_records(&behind), 0);
     fleet.apply(source(2), true, vec![record(9, UpstreamPhase::Ready)], 0);
     behind.apply_announcement(withdrawal(0), 10);
-    let version_told = behind.version_of("e1");
+    let version_before = behind.version_of("e1");
 
     let changes = fleet.apply(source(1), false, all_records(&behind), 20);
     for ended in fleet.ended_elsewhere(source(1), 9) {
@@ -143,11 +143,11 @@
 
     assert_eq!(changes, [UpstreamChange::Gone("e1".into())]);
     assert!(!accepts(&fleet) && !accepts(&later));
-    assert!(behind.version_of("e1") > version_told, "gateways confirm the later one too");
+    assert!(behind.version_of("e1") > version_before, "gateways confirm the later one too");
 }
 
 /// Guards against a gateway that learns of the withdrawn incarnation only after it has confirmed the
-/// withdrawal, as it was in touch with another control process later than with the one told.
+/// withdrawal, as it was in touch with another control process later than with the one that received it.
 #[test]
 fn incarnation_that_arrives_while_a_withdrawal_is_not_completed_ends() {
     let mut behind = Registry::default();
@@ -166,31 +166,31 @@
 /// The same for servers that name no start time at all.
 #[test]
 fn withdrawal_of_a_server_without_start_times_is_known_from_a_gateway() {
-    let mut told = Registry::default();
-    told.apply_announcement(withdrawal(0), 0);
+    let mut asked = Registry::default();
+    asked.apply_announcement(withdrawal(0), 0);
     let mut fleet = MergedRegistry::default();
     fleet.apply(source(2), true, vec![record(0, UpstreamPhase::Ready)], 0);
-    fleet.apply(source(1), true, all_records(&told), 10);
-    let known_before = told.is_known("e1");
+    fleet.apply(source(1), true, all_records(&asked), 10);
+    let known_before = asked.is_known("e1");
 
     for ended in fleet.ended_elsewhere(source(1), 9) {
-        told.mark_ended(&ended);
+        asked.mark_ended(&ended);
     }
 
     assert!(!accepts(&fleet));
-    assert_eq!((known_before, told.is_known("e1")), (false, true));
+    assert_eq!((known_before, asked.is_known("e1")), (false, true));
 }
 
 /// Guards against a withdrawal that nobody could complete and that ends a server which starts later.
 #[test]
 fn withdrawal_of_an_unknown_server_is_forgotten() {
-    let mut told = Registry::default();
-    told.apply_announcement(withdrawal(0), 0);
-    told.expire(1_000, 2_000);
+    let mut asked = Registry::default();
+    asked.apply_announcement(withdrawal(0), 0);
+    asked.expire(1_000, 2_000);
     let mut fleet = MergedRegistry::default();
     fleet.apply(source(2), true, vec![record(9, UpstreamPhase::Ready)], 2_000);
 
-    fleet.apply(source(1), true, all_records(&told), 2_010);
+    fleet.apply(source(1), true, all_records(&asked), 2_010);
 
     assert!(accepts(&fleet));
 }
