--- a/components/registry/src/registry.rs
+++ b/components/registry/src/registry.rs
@@ -171,7 +171,8 @@
     }
 
     /// Marks ready upstreams that missed several announcements as silent, completes
-    /// withdrawals that named no incarnation, and removes upstreams without an announcement for longer than the tombstone retention;
+    /// withdrawals that named no incarnation, and removes upstreams without an announcement for
+    /// longer than the tombstone retention;
     /// returns the ids of the newly silent ones.
     pub fn expire(&mut self, interval_ms: u64, now_ms: u64) -> Vec<CompactString> {
         let mut silent = Vec::new();
