Assert that withdrawals are confirmed while they are open

The wait for the confirmation of a withdrawal without a start time has to end before gateways stop ending newer incarnations by it. Only a comment tied the two constants, which are in two components; now the build fails otherwise.

--- a/components/control/src/replica/confirmations.rs
+++ b/components/control/src/replica/confirmations.rs
@@ -1,7 +1,7 @@
 //! Waits for gateways to confirm with their syncs what they have applied.
 
 use compact_str::CompactString;
-use registry::Registry;
+use registry::{OPEN_WITHDRAWAL_MS, Registry};
 use tokio::sync::oneshot;
 
 use super::Replica;
@@ -11,6 +11,7 @@
 /// centre is evacuated; upstreams and operators retry at another control process after a
 /// second.
 const CONFIRM_TIMEOUT_MS: u64 = 600;
+const _: () = assert!(CONFIRM_TIMEOUT_MS < OPEN_WITHDRAWAL_MS, "confirmed while still open");
 
 /// What gateways are to confirm.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -9,4 +9,4 @@
 mod registry;
 
 pub use fleet::{KnownUpstream, MergedRegistry, UpstreamChange};
-pub use registry::{AnnounceOutcome, Registry, RegistryChanges};
+pub use registry::{AnnounceOutcome, OPEN_WITHDRAWAL_MS, Registry, RegistryChanges};
--- a/components/registry/src/registry.rs
+++ b/components/registry/src/registry.rs
@@ -15,7 +15,7 @@
 /// Time for which a withdrawal that names no incarnation ends those that become known. It covers
 /// the wait for the gateways' confirmation; an upstream serves for longer after its withdrawal,
 /// so that no incarnation which starts later is ended.
-pub(crate) const OPEN_WITHDRAWAL_MS: u64 = 800;
+pub const OPEN_WITHDRAWAL_MS: u64 = 800;
 
 /// Result of applying one announcement.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
