Count the time of a withdrawal from when its reply was made

A server that had started again got no requests from any gateway, for as long as it lived: a withdrawal of its earlier incarnation reached a gateway late.

Cause: a withdrawal without a start time ends newer incarnations for 0.8 s, counted at each gateway from when it applied the reply. If the reply was delayed, or the gateway frozen, that was seconds after the withdrawal; the gateway ended the incarnation that it knew, or learned of then, and reported its end to all control processes. Ruled out: dropping replies that are applied after the timeout of their request, as the remaining delay of 1.2 s and 0.8 s at the control process are together longer than a server serves after its withdrawal.

Change: a reply to a sync says for how long it was held; with the time of the request, a gateway knows when it was made, but for the way of the request. The registry of gateways is updated as of then, and a withdrawal ends what had become known before it closed.

--- a/components/control/src/replica/sync.rs
+++ b/components/control/src/replica/sync.rs
@@ -71,6 +71,7 @@
 
 struct OpenSync {
     request: SyncRequest,
+    received_ms: u64,
     deadline_ms: u64,
     result: oneshot::Sender<Reply>,
 }
@@ -270,7 +271,12 @@
         self.confirm_pending(now_ms);
         let deadline_ms = now_ms + u64::from(request.wait_ms.min(MAX_HOLD_MS));
         let (result, receiver) = oneshot::channel();
-        self.gateway_syncs.open_syncs.push(OpenSync { request, deadline_ms, result });
+        self.gateway_syncs.open_syncs.push(OpenSync {
+            request,
+            received_ms: now_ms,
+            deadline_ms,
+            result,
+        });
         Box::pin(async move {
             let stopping = || error_reply(ErrorCode::NotLeader, "the process is stopping");
             receiver.await.unwrap_or_else(|_| stopping())
@@ -314,7 +320,7 @@
         syncs.open_syncs = open;
         let due: Vec<OpenSync> = due;
         for sync in due {
-            let reply = self.sync_reply(&sync.request, now_ms);
+            let reply = self.sync_reply(&sync, now_ms);
             // Fails if the gateway disconnected meanwhile.
             let _ = sync.result.send(Reply { body: Some(reply::Body::Sync(reply)) });
         }
@@ -322,7 +328,8 @@
         self.grant_slots();
     }
 
-    fn sync_reply(&self, request: &SyncRequest, now_ms: u64) -> SyncReply {
+    fn sync_reply(&self, sync: &OpenSync, now_ms: u64) -> SyncReply {
+        let request = &sync.request;
         let syncs = &self.gateway_syncs;
         let known_version = if request.registry_epoch == syncs.registry_epoch {
             request.registry_version
@@ -365,6 +372,7 @@
             ejections: if request.wants_use { syncs.ejection_messages(now_ms) } else { Vec::new() },
             control_addresses: members.map(|replica| replica.peer_address.clone()).collect(),
             configuration_index,
+            held_ms: u32::try_from(now_ms.saturating_sub(sync.received_ms)).unwrap_or(u32::MAX),
             evacuations_version: evacuations.version(),
             evacuated_data_centres: evacuations.names_after(request.evacuations_version),
         }
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -210,7 +210,7 @@
                 }
                 reports.confirm(&shared, address);
                 // A process that has started again knows only what this request named.
-                let has_started_again = apply_reply(&links, address, reply);
+                let has_started_again = apply_reply(&links, address, reply, reports.sent_ms);
                 let knows_earlier = last_stream == 0 || !has_started_again;
                 last_stream = if knows_earlier { reports.last_stream } else { 0 };
                 sleep_until(started + MIN_SYNC_INTERVAL).await;
@@ -291,15 +291,23 @@
     (request, last_finding)
 }
 
-/// Applies a reply; returns whether the control process has started since the last one.
-fn apply_reply(links: &Rc<ControlLinks>, address: SocketAddr, reply: SyncReply) -> bool {
+/// Applies the reply to a request that was sent at `sent_ms`; returns whether the control process
+/// has started since the last one.
+fn apply_reply(
+    links: &Rc<ControlLinks>,
+    address: SocketAddr,
+    reply: SyncReply,
+    sent_ms: u64,
+) -> bool {
     let shared = &links.shared;
     let applied = RegistryPosition { epoch: reply.registry_epoch, version: reply.registry_version };
     let before = shared.applied_registries.borrow_mut().record(address, applied);
     let has_started_again = applied.epoch != before.epoch;
     let now_ms = shared.now_ms();
+    // The reply may have been delayed, or this process frozen since.
+    let made_ms = now_ms.min(sent_ms + u64::from(reply.held_ms));
     let changes =
-        shared.registry.borrow_mut().apply(address, has_started_again, reply.upstreams, now_ms);
+        shared.registry.borrow_mut().apply(address, has_started_again, reply.upstreams, made_ms);
     shared.apply_changes(&changes);
     evacuations::apply(shared, address, reply.evacuations_version, &reply.evacuated_data_centres);
     cold::refresh(shared);
--- a/components/registry/src/fleet.rs
+++ b/components/registry/src/fleet.rs
@@ -28,7 +28,7 @@
     pub address: SocketAddr,
     /// Time until which the upstream is warming up and serves more slowly.
     pub warm_up_until_ms: u64,
-    /// When this incarnation became known.
+    /// When this incarnation became known, as of the reply that reported it.
     pub joined_ms: u64,
     reports: SmallVec<[SourceReport; 3]>,
     /// Order of the latest phase that a control process reported; the known one may be later,
@@ -114,27 +114,27 @@
         self.upstreams.values()
     }
 
-    /// Merges the records that the control process at `source` reported; with
-    /// `full_sync` they replace all its earlier reports. Returns the resulting
-    /// changes.
+    /// Merges the records that the control process at `source` reported at `made_ms`, which is
+    /// earlier than now if the reply was delayed; with `full_sync` they replace all its earlier
+    /// reports. Returns the resulting changes.
     pub fn apply(
         &mut self,
         source: SocketAddr,
         full_sync: bool,
         records: Vec<UpstreamRecord>,
-        now_ms: u64,
+        made_ms: u64,
     ) -> Vec<UpstreamChange> {
         if full_sync {
             self.remove_source(source);
         }
-        records.into_iter().filter_map(|record| self.merge(source, record, now_ms)).collect()
+        records.into_iter().filter_map(|record| self.merge(source, record, made_ms)).collect()
     }
 
     fn merge(
         &mut self,
         source: SocketAddr,
         mut record: UpstreamRecord,
-        now_ms: u64,
+        made_ms: u64,
     ) -> Option<UpstreamChange> {
         let is_silent = record.phase() == UpstreamPhase::Silent;
         if is_silent {
@@ -142,7 +142,7 @@
         }
         let id = CompactString::from(record.id.as_str());
         let address = record.address.parse().ok();
-        let report = SourceReport::new(source, &record, is_silent, now_ms);
+        let report = SourceReport::new(source, &record, is_silent, made_ms);
         let Some(known) = self.upstreams.get_mut(&id) else {
             let phase = record.phase();
             // A withdrawal has no address, and is kept: another control process may still
@@ -151,7 +151,7 @@
                 UpstreamPhase::Gone => address.unwrap_or(NO_ADDRESS),
                 _ => address?,
             };
-            let mut upstream = new_upstream(record, address, now_ms);
+            let mut upstream = new_upstream(record, address, made_ms);
             upstream.reports.push(report);
             self.upstreams.insert(id.clone(), upstream);
             return match phase {
@@ -162,7 +162,11 @@
         };
         let is_earlier = record.born_ms < known.record.born_ms;
         let ends_known = record.phase() == UpstreamPhase::Gone
-            && (record.born_ms == 0 || record.ends_newest && is_earlier);
+            && is_earlier
+            && match record.ends_newest {
+                true => known.joined_ms < report.open_until_ms,
+                false => record.born_ms == 0,
+            };
         if !ends_known && is_earlier {
             known.set_report(report);
             return None;
@@ -172,7 +176,7 @@
                 .reports
                 .iter()
                 .copied()
-                .filter(|r| now_ms < r.open_until_ms && r.source != source);
+                .filter(|r| made_ms < r.open_until_ms && r.source != source);
             let open: SmallVec<[SourceReport; 3]> = open.collect();
             if !open.is_empty() {
                 record.set_phase(UpstreamPhase::Gone);
@@ -180,7 +184,7 @@
             let draining = record.phase() == UpstreamPhase::Draining;
             let gone = record.phase() == UpstreamPhase::Gone;
             let address = address.unwrap_or(known.address);
-            *known = new_upstream(record, address, now_ms);
+            *known = new_upstream(record, address, made_ms);
             known.reports = open;
             known.reports.push(report);
             return Some(match (draining, gone) {
@@ -191,7 +195,7 @@
         }
         known.set_report(report);
         known.reported_order = known.reported_order.max(report.order);
-        known.update_announced(&record, now_ms);
+        known.update_announced(&record, made_ms);
         known.advance_phase(&record).then(|| match record.phase() {
             UpstreamPhase::Gone => UpstreamChange::Gone(id),
             _ => UpstreamChange::Draining(id),
--- a/components/registry/tests/two_lives.rs
+++ b/components/registry/tests/two_lives.rs
@@ -20,6 +20,8 @@
     None,
     Request,
     Reply,
+    /// The reply is delayed, or the gateway freezes before it applies it.
+    Late,
 }
 
 #[derive(Clone, Debug)]
@@ -39,6 +41,11 @@
         control: usize,
         loss: Loss,
     },
+    /// A gateway applies a late reply of a control process.
+    ApplyLate {
+        gateway: usize,
+        control: usize,
+    },
     Pass(u64),
 }
 
@@ -47,6 +54,7 @@
         8 => Just(Loss::None),
         1 => Just(Loss::Request),
         1 => Just(Loss::Reply),
+        2 => Just(Loss::Late),
     ];
     prop_oneof![
         4 => (0..CONTROLS).prop_map(Step::Announce),
@@ -56,6 +64,8 @@
         1 => Just(Step::Restart),
         24 => (0..GATEWAYS, 0..CONTROLS, loss)
             .prop_map(|(gateway, control, loss)| Step::Sync { gateway, control, loss }),
+        6 => (0..GATEWAYS, 0..CONTROLS)
+            .prop_map(|(gateway, control)| Step::ApplyLate { gateway, control }),
         4 => (1..120_u64).prop_map(Step::Pass),
         1 => Just(Step::Pass(SERVING_MS)),
     ]
@@ -99,13 +109,27 @@
     }
 }
 
+/// Reply of a control process to a sync.
+struct SyncedRecords {
+    is_first: bool,
+    records: Vec<UpstreamRecord>,
+    made_ms: u64,
+}
+
 #[derive(Default)]
 struct Gateway {
     fleet: MergedRegistry,
     applied: [u64; CONTROLS],
+    /// Late reply of each control process.
+    late: [Option<SyncedRecords>; CONTROLS],
 }
 
 impl Gateway {
+    fn apply(&mut self, control: usize, reply: SyncedRecords) {
+        let SyncedRecords { is_first, records, made_ms } = reply;
+        self.fleet.apply(source(control), is_first, records, made_ms);
+    }
+
     fn accepted_life(&self) -> Option<u64> {
         let known = self.fleet.get("e1").filter(|known| known.accepts_requests())?;
         Some(known.record.born_ms / 100)
@@ -153,6 +177,7 @@
             Step::Withdraw(control) => self.withdraw(control),
             Step::Restart => self.restart(),
             Step::Sync { gateway, control, loss } => self.sync(gateway, control, loss),
+            Step::ApplyLate { gateway, control } => self.apply_late(gateway, control),
             Step::Pass(time_ms) => self.pass(time_ms),
         }
         for gateway in &self.gateways {
@@ -201,6 +226,9 @@
             return;
         }
         let gateway = &mut self.gateways[gateway_index];
+        if gateway.late[control_index].is_some() {
+            return;
+        }
         let control = &mut self.controls[control_index];
         for ended in gateway.fleet.ended_elsewhere(source(control_index), 9) {
             control.registry.mark_ended(&ended);
@@ -220,7 +248,18 @@
         let changes = control.registry.changes_since(gateway.applied[control_index], 9);
         gateway.applied[control_index] = changes.version;
         let records = changes.records.into_iter().cloned().collect();
-        gateway.fleet.apply(source(control_index), is_first, records, self.now_ms);
+        let reply = SyncedRecords { is_first, records, made_ms: self.now_ms };
+        match loss {
+            Loss::Late => gateway.late[control_index] = Some(reply),
+            _ => gateway.apply(control_index, reply),
+        }
+    }
+
+    fn apply_late(&mut self, gateway: usize, control: usize) {
+        let gateway = &mut self.gateways[gateway];
+        if let Some(reply) = gateway.late[control].take() {
+            gateway.apply(control, reply);
+        }
     }
 
     fn pass(&mut self, time_ms: u64) {
@@ -234,6 +273,7 @@
     fn rest(&mut self) {
         self.pass(SERVING_MS);
         for control in 0..CONTROLS {
+            (0..GATEWAYS).for_each(|gateway| self.apply_late(gateway, control));
             self.announce(control, UpstreamPhase::Ready);
         }
         for _ in 0..4 {
--- a/components/registry/tests/withdrawals.rs
+++ b/components/registry/tests/withdrawals.rs
@@ -121,6 +121,27 @@
     assert!(!accepts(&fleet) && !accepts(&later), "{late:?}");
 }
 
+/// Guards against a withdrawal that ends an incarnation which started after it: its reply is
+/// delayed, and the gateway learns of that incarnation from another process meanwhile.
+#[test]
+fn delayed_withdrawal_does_not_end_an_incarnation_that_became_known_later() {
+    let mut unaware = Registry::default();
+    unaware.apply_announcement(withdrawal(0), 1_000);
+    let mut behind = Registry::default();
+    behind.apply_announcement(record(5, UpstreamPhase::Ready), 0);
+    behind.apply_announcement(withdrawal(0), 1_000);
+    for delayed in [&unaware, &behind] {
+        let mut fleet = MergedRegistry::default();
+        fleet.apply(source(2), true, vec![record(5, UpstreamPhase::Ready)], 0);
+        fleet.apply(source(2), false, vec![record(9, UpstreamPhase::Ready)], 4_000);
+
+        let changes = fleet.apply(source(1), true, all_records(delayed), 1_000);
+
+        assert_eq!(changes, []);
+        assert!(accepts(&fleet));
+    }
+}
+
 /// Guards against a withdrawal that ends an earlier incarnation only, as the process that receives it
 /// knows no later one, and against a gateway that learns of the later one from another process.
 #[test]
