Request the list of gateways once more after a request for it failed

A gateway that is partitioned from all upstreams answered 503 "upstreams out of reach" to all callers that waited for the list of gateways while one request for it timed out, and to those of the next 0.1 s.

Cause: since all callers wait for one request, and an empty list counts as fresh from the end of that request. If the asked control process is frozen, no other one was asked for them.

Change: a list that could not be fetched counts as old as the request for it, and a caller waits for two requests.

--- a/components/gateway/src/peer/known.rs
+++ b/components/gateway/src/peer/known.rs
@@ -20,6 +20,8 @@
 const EMPTY_LIST_TTL: Duration = Duration::from_millis(100);
 /// Timeout of the request for the list.
 const FIND_TIMEOUT: Duration = Duration::from_millis(200);
+/// Requests for the list that a caller waits for.
+const MAX_FETCHES: usize = 2;
 /// Time for which a gateway that took no request is avoided.
 const BACKOFF: Duration = Duration::from_millis(500);
 
@@ -80,7 +82,7 @@
 #[derive(Debug, Default)]
 struct PeerList {
     peers: Vec<Rc<Peer>>,
-    /// When the last request for the list ended.
+    /// When the last request for the list ended with a reply, or began if it failed.
     fetched: Option<Instant>,
 }
 
@@ -110,14 +112,16 @@
     }
 
     async fn refresh(&self, shared: &Shared) {
-        if self.list.borrow().is_fresh() {
-            return;
-        }
-        if self.in_flight.borrow().has_changed().is_err() {
-            self.start_fetch(shared);
+        for _ in 0..MAX_FETCHES {
+            if self.list.borrow().is_fresh() {
+                return;
+            }
+            if self.in_flight.borrow().has_changed().is_err() {
+                self.start_fetch(shared);
+            }
+            let mut in_flight = self.in_flight.borrow().clone();
+            while in_flight.changed().await.is_ok() {}
         }
-        let mut in_flight = self.in_flight.borrow().clone();
-        while in_flight.changed().await.is_ok() {}
     }
 
     /// Requests the list in a task of its own, as the request of a caller that leaves is dropped
@@ -133,6 +137,7 @@
         *self.in_flight.borrow_mut() = in_flight;
         actix_rt::spawn(async move {
             let _end = end;
+            let started = Instant::now();
             let found = match link {
                 Some(link) => fetch_list(link, find).await,
                 None => {
@@ -141,10 +146,13 @@
                 }
             };
             let mut list = list.borrow_mut();
-            if let Some(found) = found {
-                list.replace(&found, &endpoint);
-            }
-            list.fetched = Some(Instant::now());
+            list.fetched = Some(match found {
+                Some(found) => {
+                    list.replace(&found, &endpoint);
+                    Instant::now()
+                }
+                None => started,
+            });
         });
     }
 }
