--- a/review/12/case.rs
+++ b/review/12/case.rs
@@ -10,7 +10,9 @@
 use std::thread;
 use std::time::Duration;
 
-use stage::{Answer, ClientRequest, Engine, Message, Record, World, draw_id, is_calm, response_text, run};
+use stage::{
+    Answer, ClientRequest, Engine, Message, Record, World, draw_id, is_calm, response_text, run,
+};
 
 const BOOKINGS: usize = 60;
 /// Share of its requests that the grey engine fails: 0.45, as in the site file.
@@ -63,14 +65,20 @@
             Ok(response) => {
                 let has_run = ran.lock().unwrap().contains(&id);
                 let stamp = response.header("x-server-stamp").unwrap_or_else(|| "none".into());
-                record.line(format!("client: {id} got {} (stamp {stamp}), has run: {has_run}", response.status));
+                record.line(format!(
+                    "client: {id} got {} (stamp {stamp}), has run: {has_run}",
+                    response.status
+                ));
                 succeeded += usize::from(response.status == 200);
                 if is_repeat && has_run {
                     record.line("the client's booking has run twice");
                     twice += 1;
                 }
                 if PROMISES.contains(&response.status) && has_run {
-                    record.line(format!("REFUSED: {id} was answered {} and has run", response.status));
+                    record.line(format!(
+                        "REFUSED: {id} was answered {} and has run",
+                        response.status
+                    ));
                     broken += 1;
                     repeats = !is_repeat;
                 }
@@ -80,7 +88,9 @@
         thread::sleep(Duration::from_millis(100));
     }
     record.line(format!("{succeeded} of {BOOKINGS} requests succeeded, {broken} broke the rule"));
-    record.line(format!("{twice} bookings ran twice, as their clients repeated them after the promise"));
+    record.line(format!(
+        "{twice} bookings ran twice, as their clients repeated them after the promise"
+    ));
     if succeeded == 0 {
         return Err("nothing was served".into());
     }
@@ -95,7 +105,8 @@
         let id = request.id();
         ran.lock().unwrap().insert(id.clone());
         thread::sleep(Duration::from_millis(30));
-        let fails = is_grey && count.fetch_add(1, Ordering::Relaxed) * FAILED_OF_20 % 20 < FAILED_OF_20;
+        let fails =
+            is_grey && count.fetch_add(1, Ordering::Relaxed) * FAILED_OF_20 % 20 < FAILED_OF_20;
         let status = if fails { "503 Service Unavailable" } else { "200 OK" };
         record.line(format!("engine: ran {id}, answers {status}"));
         response_text(status, &id, "X-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\n", "done")
--- a/review/15/case.rs
+++ b/review/15/case.rs
@@ -10,8 +10,8 @@
 use std::time::{Duration, Instant};
 
 use stage::{
-    Answer, ClientRequest, Engine, Message, Record, World, delete, draw_id, is_calm, put, response_text, run,
-    wait_for,
+    Answer, ClientRequest, Engine, Message, Record, World, delete, draw_id, is_calm, put,
+    response_text, run, wait_for,
 };
 
 const KEY: &str = "xd9dnn2ctnfzs989anu6";
@@ -83,20 +83,32 @@
     }
     thread::sleep(LATE.saturating_sub(at.elapsed()));
     let status = controls.iter().find_map(|control| put(*control, &path, &late_beat).ok());
-    record.line(format!("its late heartbeat is answered {:?}", status.map(|response| response.status)));
+    record.line(format!(
+        "its late heartbeat is answered {:?}",
+        status.map(|response| response.status)
+    ));
     thread::sleep(SERVES_ON.saturating_sub(at.elapsed()));
     sends.store(false, Ordering::Relaxed);
     drop(leaving);
-    let sent: Vec<_> = clients.into_iter().flat_map(|client| client.join().unwrap_or_default()).collect();
+    let sent: Vec<_> =
+        clients.into_iter().flat_map(|client| client.join().unwrap_or_default()).collect();
     let sent_at = |id: &str| sent.iter().find(|(sent, ..)| sent == id).map(|(_, at, _)| *at);
     let runs = runs.lock().unwrap();
     let late = runs.iter().filter(|(_, ran)| *ran > at + DRAIN);
-    let late: Vec<_> = late.filter(|(id, _)| sent_at(id).is_some_and(|sent| sent > in_touch)).collect();
+    let late: Vec<_> =
+        late.filter(|(id, _)| sent_at(id).is_some_and(|sent| sent > in_touch)).collect();
     for (id, ran) in late.iter().take(5) {
-        record.line(format!("DRAIN: {id} reached it {} ms after the acknowledgement", (*ran - at).as_millis()));
+        record.line(format!(
+            "DRAIN: {id} reached it {} ms after the acknowledgement",
+            (*ran - at).as_millis()
+        ));
     }
     let succeeded = sent.iter().filter(|(.., status)| *status == 200).count();
-    record.line(format!("{succeeded} of {} requests succeeded; {} reached the server too late", sent.len(), late.len()));
+    record.line(format!(
+        "{succeeded} of {} requests succeeded; {} reached the server too late",
+        sent.len(),
+        late.len()
+    ));
     if succeeded == 0 {
         return Err("nothing was served".into());
     }
--- a/review/stage-3/stage.rs
+++ b/review/stage-3/stage.rs
@@ -123,7 +123,8 @@
             gateways: Vec::new(),
         };
         for number in 1..=3u8 {
-            let process = world.process("core", number, "target/release/shallottray-gateway-control");
+            let process =
+                world.process("core", number, "target/release/shallottray-gateway-control");
             world.controls.push(process);
         }
         for number in 1..=gateways {
@@ -205,7 +206,8 @@
         let address = SocketAddr::from((self.gateways[index].ip, READY_PORT));
         let request = "GET /v1/ready HTTP/1.1\r\nHost: ready\r\n\r\n";
         wait_for(Duration::from_secs(20), || {
-            exchange(address, request.as_bytes(), Duration::from_secs(1)).is_ok_and(|r| r.status == 200)
+            exchange(address, request.as_bytes(), Duration::from_secs(1))
+                .is_ok_and(|r| r.status == 200)
         })
     }
 
@@ -232,9 +234,10 @@
     for attempt in 0..50 {
         let number = (seed + attempt * 7_919) % 25_000;
         let net = [100 + (number / 250) as u8, (number % 250) as u8];
-        let is_free = [(31, CONTROL_PORT), (61, FRONT_PORT), (91, ENGINE_PORT)].iter().all(
-            |(host, port)| TcpListener::bind((Ipv4Addr::new(127, net[0], net[1], *host), *port)).is_ok(),
-        );
+        let is_free =
+            [(31, CONTROL_PORT), (61, FRONT_PORT), (91, ENGINE_PORT)].iter().all(|(host, port)| {
+                TcpListener::bind((Ipv4Addr::new(127, net[0], net[1], *host), *port)).is_ok()
+            });
         if is_free {
             return Ok(net);
         }
@@ -302,7 +305,9 @@
     }
     let status = message.start_line.split(' ').nth(1).unwrap_or_default();
     message.status = status.parse().unwrap_or(0);
-    if let Some(length) = message.header("content-length").and_then(|text| text.parse::<usize>().ok()) {
+    if let Some(length) =
+        message.header("content-length").and_then(|text| text.parse::<usize>().ok())
+    {
         while buffer.len() < length {
             fill(stream, buffer)?;
         }
@@ -367,8 +372,9 @@
 }
 
 pub fn delete(address: SocketAddr, path: &str) -> io::Result<Message> {
-    let request =
-        format!("DELETE {path} HTTP/1.1\r\nHost: control\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    let request = format!(
+        "DELETE {path} HTTP/1.1\r\nHost: control\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+    );
     exchange(address, request.as_bytes(), Duration::from_secs(1))
 }
 
@@ -470,7 +476,8 @@
                 let text = beat_text(&service, address, born_ms, number);
                 let mut acknowledged = false;
                 for _ in 0..controls.len() {
-                    if put(controls[at], &path, &text).is_ok_and(|response| response.status == 200) {
+                    if put(controls[at], &path, &text).is_ok_and(|response| response.status == 200)
+                    {
                         acknowledged = true;
                         break;
                     }
