Withhold statuses that promise not-run from upstreams that do not state it

Callers saw: a booking that its upstream ran and answered with 503, without X-Not-Executed, got this 503 from the gateway.

Cause: the attempt was rightly counted as one that may have run, but its response was passed on with a status that tells callers the opposite. 429 and 408 took the same way. Ruled out: a rejection by the gateway itself, as the response bears the upstream's stamp and the request was not sent again.

Change: such a response ends its attempt as ambiguous. Requests that may run again go to another upstream; others get the gateway's own 502 with may-have-run. Nothing else makes such a status from a response of an upstream, so that the remaining ones are the gateway's refusals, which are true for all attempts.

--- a/components/gateway/src/attempts.rs
+++ b/components/gateway/src/attempts.rs
@@ -30,6 +30,9 @@
     Evacuated,
     /// The upstream ran the request and returned a server error.
     Failed(Response<Body>),
+    /// The upstream's status would promise callers that the request has not run, which the
+    /// upstream does not state; the request may have run.
+    Ambiguous(&'static str),
     /// The response was lost; the request may have run.
     Lost(&'static str),
     /// The request was quarantined; it may have run.
@@ -99,7 +102,7 @@
                 self.runs += 1;
                 self.failed = Some((response, upstream.clone()));
             }
-            Attempt::Lost(reason) => self.record_lost(reason),
+            Attempt::Ambiguous(reason) | Attempt::Lost(reason) => self.record_lost(reason),
             Attempt::Withdrawn(reason) => {
                 self.refuse(Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, reason));
             }
@@ -109,7 +112,7 @@
         }
     }
 
-    /// Records that the response was lost, to an attempt that may have run the request.
+    /// Records an attempt that may have run the request and has no response for the caller.
     pub(crate) fn record_lost(&mut self, reason: &'static str) {
         self.runs += 1;
         self.refuse(Refusal::unknown_outcome(StatusCode::BAD_GATEWAY, reason));
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -174,7 +174,10 @@
             Attempt::Responded(_) | Attempt::Withdrawn(_) | Attempt::TimedOut => false,
             Attempt::Lost(_) => crashes::handle_break_off(shared, &call, &target, sent).await,
             Attempt::Rejected(_) => limits::may_send_rejected(shared, &upstream, attempts.sends),
-            Attempt::Unreachable | Attempt::Evacuated | Attempt::Failed(_) => true,
+            Attempt::Unreachable
+            | Attempt::Evacuated
+            | Attempt::Ambiguous(_)
+            | Attempt::Failed(_) => true,
         };
         // A request that was not sent puts no load on any upstream.
         let needs_budget = !matches!(ended, Attempt::Unreachable | Attempt::Evacuated);
@@ -390,15 +393,22 @@
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
     quarantine::record_answer(shared, &call.features);
-    let failed = head.status.is_server_error();
+    let status = head.status;
+    if status.is_server_error() {
+        record_failure(shared, target, "server error");
+    } else {
+        record_answer(shared, target);
+    }
+    if verdict::promises_not_run(status.as_u16()) {
+        log::info!(request = call.head.id.as_str(), upstream = target.id.as_str(), status = status.as_u16(); "response withheld: its status promises that the request has not run, which the upstream does not state");
+        return Attempt::Ambiguous("upstream did not state whether it ran the request");
+    }
     let mut response = Response::new(buffered_body(bytes, memory));
-    *response.status_mut() = head.status;
+    *response.status_mut() = status;
     *response.headers_mut() = head.headers;
-    if failed {
-        record_failure(shared, target, "server error");
+    if status.is_server_error() {
         return Attempt::Failed(response);
     }
-    record_answer(shared, target);
     Attempt::Responded(response)
 }
 
--- a/components/verdict/src/lib.rs
+++ b/components/verdict/src/lib.rs
@@ -67,6 +67,18 @@
     (200..=599).contains(&status)
 }
 
+/// Returns whether callers take a response with this status for the promise that their request has
+/// not run and will not, whoever gave it: 408, 421, 429 and 503. They repeat any request after it.
+///
+/// ```
+/// use verdict::promises_not_run;
+/// assert!([408, 421, 429, 503].into_iter().all(promises_not_run));
+/// assert!(![200, 404, 500, 502, 504].into_iter().any(promises_not_run));
+/// ```
+pub fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// Error of a request that is sent in several attempts: that of the attempt whose
 /// verdict promises least, as each attempt may have run the request.
 ///
