Record ends of upstreams in the control group before they are acknowledged

Cause: registries are kept in memory only, as upstreams repeat their announcements. The end of an upstream is the one that nobody repeats. Evidence: one control process and one gateway, both restarted, show it, for drains as for withdrawals with and without a start time. Ruled out: the order of announcements, as the same heartbeat changes nothing without the kill, and old data on disks, as registries are not stored.

Change: an end is committed to the replicated log once the gateways have confirmed it, and acknowledged when it is durable on a quorum.

--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -83,9 +83,9 @@
     }
 
     /// Registers an upstream's announcement, which reaches the gateways through
-    /// their open syncs. Returns false if no gateway is connected here or the
-    /// process is stopping; the upstream then has to announce itself to another
-    /// control process.
+    /// their open syncs. The end of an upstream is recorded on a quorum before this
+    /// returns. Returns false if that failed, no gateway is connected here or the process
+    /// is stopping; the upstream then has to announce itself to another control process.
     pub async fn announce(&self, record: UpstreamRecord) -> bool {
         self.replica.send(Announce(record)).await.unwrap_or(false)
     }
--- a/components/control/src/replica/drive.rs
+++ b/components/control/src/replica/drive.rs
@@ -150,7 +150,16 @@
             }
             _ => FeatureSet::default(),
         };
+        let ended = match &command.body {
+            Some(command::Body::EndUpstream(end)) => {
+                end.upstream.clone().map(|u| (u, command.now_ms))
+            }
+            _ => None,
+        };
         let applied = self.state.apply(command);
+        if let Some((upstream, ended_ms)) = ended {
+            self.adopt_end(&upstream, ended_ms);
+        }
         if !lifted.is_empty() {
             self.forget_quarantine(&lifted);
         }
@@ -165,6 +174,7 @@
         match State::from_bytes(&snapshot.data, state_limits(&self.config)) {
             Ok(state) => {
                 self.state = state;
+                self.adopt_recorded_ends();
                 log::info!(index = snapshot.index; "state restored from a snapshot");
             }
             Err(error) => {
--- a/components/control/src/replica/local.rs
+++ b/components/control/src/replica/local.rs
@@ -13,11 +13,13 @@
     ErrorCode, GetRoutesReply, GetRoutesRequest, PublishRoutes, Reply, Request, UpstreamPhase,
     UpstreamRecord, command, reply, request,
 };
+use tokio::time::Instant;
 use wire::error_reply;
 
 use super::Replica;
 use super::confirmations::Awaited;
 use super::drive::unpack_publication;
+use super::ends::record_end;
 use super::requests::ready;
 
 /// Timeout of a request forwarded to the leader; shorter than the second after
@@ -68,7 +70,8 @@
 
 /// Announcement of an upstream. Returns true once it may be acknowledged: for
 /// the end of an upstream, once the gateways confirmed it or the wait for them
-/// timed out. Returns false if no gateway is connected, or none knows the upstream.
+/// timed out, and the control group has recorded it. Returns false if no gateway is connected,
+/// none knows the upstream, or no quorum records its end.
 #[derive(Debug, Message)]
 #[rtype(result = "bool")]
 pub(crate) struct Announce(pub(crate) UpstreamRecord);
@@ -84,19 +87,25 @@
         }
         let (id, phase) = (record.id.clone(), record.phase());
         let (born_ms, sequence) = (record.born_ms, record.sequence);
-        let outcome = self.gateway_syncs.registry.apply_announcement(record, now_ms);
         let is_ending = matches!(phase, UpstreamPhase::Draining | UpstreamPhase::Gone);
+        let ending = is_ending.then(|| record.clone());
+        let outcome = self.gateway_syncs.registry.apply_announcement(record, now_ms);
         if let AnnounceOutcome::Changed(version) = outcome {
             log::info!(upstream = id.as_str(), phase = phase.as_str_name(), born_ms, sequence, version; "upstream changed");
         }
-        if !is_ending || outcome == AnnounceOutcome::Outdated {
+        let Some(ending) = ending.filter(|_| outcome != AnnounceOutcome::Outdated) else {
             self.serve_gateways();
             return Box::pin(std::future::ready(true));
-        }
+        };
         let awaited = Awaited::End(id.as_str().into());
         let confirmed = self.gateway_syncs.wait_for_confirmation(awaited, now_ms);
         self.serve_gateways();
-        Box::pin(async move { confirmed.await.unwrap_or(false) })
+        let (replica, announced_at) = (self.actor_address.clone(), Instant::now());
+        Box::pin(async move {
+            let is_confirmed = confirmed.await.unwrap_or(false);
+            let Some(replica) = replica.filter(|_| is_confirmed) else { return false };
+            record_end(&replica, ending, announced_at).await
+        })
     }
 }
 
--- a/components/control/src/replica/mod.rs
+++ b/components/control/src/replica/mod.rs
@@ -10,6 +10,7 @@
 mod confirmations;
 mod disk;
 mod drive;
+mod ends;
 mod evacuations;
 mod health;
 mod heartbeats;
@@ -135,7 +136,7 @@
         let now_ms = clock.now_ms();
         let snapshot_index = recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
         let node = restore_node(journal.replica_id(), recovered, &config, now_ms);
-        Ok(Replica {
+        let mut replica = Replica {
             clock,
             endpoint,
             metrics,
@@ -166,7 +167,9 @@
             on_failure,
             actor_address: None,
             config,
-        })
+        };
+        replica.adopt_recorded_ends();
+        Ok(replica)
     }
 
     /// Stops all processing: continuing could acknowledge data that is not
--- a/components/control/src/replica/requests.rs
+++ b/components/control/src/replica/requests.rs
@@ -64,6 +64,7 @@
             Body::LiftQuarantine(command) => self.lift_quarantine(command),
             Body::GetQuarantine(_) => self.get_quarantine(),
             Body::Evacuations(request) => self.evacuations(peer, request),
+            Body::EndUpstream(end) => self.commit(command::Body::EndUpstream(end)),
             Body::Heartbeat(heartbeat) => self.heartbeat(peer, heartbeat),
             Body::Leave(leave) => self.leave(peer, leave),
             Body::BeginRecord(begin) if begin.vm != peer.name.as_str() => {
@@ -254,7 +255,7 @@
             matches!(role, Role::Control | Role::Operator)
         }
         Body::GetSet(_) | Body::FetchRoutes(_) => matches!(role, Role::Operator | Role::Entry),
-        Body::Join(_) | Body::Consensus(_) => role == Role::Control,
+        Body::Join(_) | Body::Consensus(_) | Body::EndUpstream(_) => role == Role::Control,
         Body::PublishRoutes(_) | Body::GetRoutes(_) | Body::Evacuations(_) => {
             matches!(role, Role::Control | Role::Operator)
         }
--- a/components/registry/src/registry.rs
+++ b/components/registry/src/registry.rs
@@ -11,7 +11,7 @@
 /// Time for which a record is kept after the last announcement. The record of an
 /// ended incarnation is a tombstone, kept for longer than a network partition may
 /// delay an announcement.
-pub(crate) const TOMBSTONE_RETENTION_MS: u64 = 120_000;
+pub const TOMBSTONE_RETENTION_MS: u64 = 120_000;
 /// Time for which a withdrawal that names no incarnation ends those that become known. It covers
 /// the wait for the gateways' confirmation; an upstream serves for longer after its withdrawal,
 /// so that no incarnation which starts later is ended.
@@ -149,14 +149,13 @@
     pub fn mark_ended(&mut self, ended: &EndedIncarnation) -> bool {
         let Some(stored) = self.by_id.get_mut(ended.id.as_str()) else { return false };
         let known = &mut stored.record;
-        let rank = |record: &UpstreamRecord| (record.born_ms, phase_order(record));
         let told = UpstreamRecord {
             born_ms: ended.born_ms,
             phase: ended.phase,
             ..UpstreamRecord::default()
         };
         stored.is_known = true;
-        if phase_order(&told) == 0 || rank(&told) <= rank(known) {
+        if phase_order(&told) == 0 || end_rank(&told) <= end_rank(known) {
             return false;
         }
         let is_withdrawn =
@@ -170,6 +169,30 @@
         true
     }
 
+    /// Adopts that an incarnation ended at `ended_ms`, as the control group has recorded, also of
+    /// an upstream that is not known. Returns whether the registry changed.
+    pub fn adopt_end(&mut self, ended: &UpstreamRecord, ended_ms: u64) -> bool {
+        if let Some(stored) = self.by_id.get(ended.id.as_str())
+            && (stored.record.ends_newest || stored.record.born_ms >= ended.born_ms)
+        {
+            return self.mark_ended(&EndedIncarnation {
+                id: ended.id.clone(),
+                born_ms: ended.born_ms,
+                phase: ended.phase,
+            });
+        }
+        self.version += 1;
+        let stored = RegisteredUpstream {
+            record: ended.clone(),
+            version: self.version,
+            last_announced_ms: ended_ms,
+            open_until_ms: 0,
+            is_known: true,
+        };
+        self.by_id.insert(ended.id.as_str().into(), stored);
+        true
+    }
+
     /// Marks ready upstreams that missed several announcements as silent, completes
     /// withdrawals that named no incarnation, and removes upstreams without an announcement for
     /// longer than the tombstone retention;
@@ -232,6 +255,22 @@
     comparable == *known && new.warm_up_ms <= known.warm_up_ms
 }
 
+/// Orders what is known of the end of an upstream: a later incarnation, and a later phase of one
+/// incarnation, are greater.
+///
+/// ```
+/// use registry::end_rank;
+/// use schema::{UpstreamPhase, UpstreamRecord};
+/// let life = |born_ms, phase: UpstreamPhase| {
+///     UpstreamRecord { born_ms, phase: phase.into(), ..UpstreamRecord::default() }
+/// };
+/// assert!(end_rank(&life(1, UpstreamPhase::Gone)) > end_rank(&life(1, UpstreamPhase::Draining)));
+/// assert!(end_rank(&life(2, UpstreamPhase::Ready)) > end_rank(&life(1, UpstreamPhase::Gone)));
+/// ```
+pub fn end_rank(record: &UpstreamRecord) -> (u64, u8) {
+    (record.born_ms, phase_order(record))
+}
+
 /// Orders the phases of one incarnation: a known later phase is kept over an
 /// announced earlier one. Silent ranks with ready.
 pub(crate) fn phase_order(record: &UpstreamRecord) -> u8 {
--- a/components/registry/tests/two_lives.rs
+++ b/components/registry/tests/two_lives.rs
@@ -1,5 +1,5 @@
 //! A server with two lives and withdrawals that name neither, at three control processes: calls
-//! and syncs in any order, some of them lost, repeated or late.
+//! and syncs in any order, some of them lost, repeated or late, and kills of all processes.
 
 use std::net::SocketAddr;
 
@@ -46,6 +46,10 @@
         gateway: usize,
         control: usize,
     },
+    /// A control process adopts the end that is recorded.
+    Adopt(usize),
+    /// All processes are killed and start again; control processes have adopted what is recorded.
+    KillAll,
     Pass(u64),
 }
 
@@ -67,6 +71,8 @@
         6 => (0..GATEWAYS, 0..CONTROLS)
             .prop_map(|(gateway, control)| Step::ApplyLate { gateway, control }),
         4 => (1..120_u64).prop_map(Step::Pass),
+        2 => (0..CONTROLS).prop_map(Step::Adopt),
+        1 => Just(Step::KillAll),
         1 => Just(Step::Pass(SERVING_MS)),
     ]
 }
@@ -147,6 +153,8 @@
     is_leaving: bool,
     /// Newest life of which a withdrawal was acknowledged.
     acknowledged_life: u64,
+    /// End that the control group has recorded, and when.
+    recorded: Option<(UpstreamRecord, u64)>,
 }
 
 impl History {
@@ -160,6 +168,7 @@
             withdrawn_ms: None,
             is_leaving: false,
             acknowledged_life: 0,
+            recorded: None,
         }
     }
 
@@ -178,6 +187,12 @@
             Step::Restart => self.restart(),
             Step::Sync { gateway, control, loss } => self.sync(gateway, control, loss),
             Step::ApplyLate { gateway, control } => self.apply_late(gateway, control),
+            Step::Adopt(control) => self.adopt(control),
+            Step::KillAll => {
+                self.controls = Default::default();
+                self.gateways = Default::default();
+                (0..CONTROLS).for_each(|control| self.adopt(control));
+            }
             Step::Pass(time_ms) => self.pass(time_ms),
         }
         for gateway in &self.gateways {
@@ -240,6 +255,10 @@
         {
             self.acknowledged_life = self.acknowledged_life.max(life);
             control.waiting = None;
+            let ended = control.registry.get("e1").expect("it is withdrawn").clone();
+            assert_eq!((ended.born_ms, ended.phase()), (100 * life, UpstreamPhase::Gone));
+            let ended = UpstreamRecord { ends_newest: false, ..ended };
+            self.recorded = Some((ended, self.now_ms));
         }
         if matches!(loss, Loss::Reply) {
             return;
@@ -262,6 +281,12 @@
         }
     }
 
+    fn adopt(&mut self, control: usize) {
+        if let Some((ended, ended_ms)) = &self.recorded {
+            self.controls[control].registry.adopt_end(ended, *ended_ms);
+        }
+    }
+
     fn pass(&mut self, time_ms: u64) {
         self.now_ms += time_ms;
         for control in &mut self.controls {
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`State::apply`] is deterministic: it takes the time from the command, so
 //! replicas with equal limits that apply equal logs reach equal states.
 
+mod ended_upstreams;
 mod evacuations;
 mod members;
 mod packed;
@@ -18,6 +19,7 @@
     RecordOutcome, StateImage,
 };
 
+pub use ended_upstreams::EndedUpstreams;
 pub use evacuations::Evacuations;
 pub use members::Members;
 pub use packed::{UnpackError, pack_set, unpack_set};
@@ -83,6 +85,7 @@
     routes: Routes,
     quarantine: Quarantine,
     evacuations: Evacuations,
+    ended_upstreams: EndedUpstreams,
 }
 
 impl State {
@@ -140,6 +143,12 @@
                 self.evacuations.apply(&command);
                 Applied::new(Outcome::Evacuations(self.evacuations.to_message()))
             }
+            Some(Body::EndUpstream(end)) => {
+                if let Some(upstream) = end.upstream {
+                    self.ended_upstreams.record(upstream, now_ms);
+                }
+                Applied::new(Outcome::Done)
+            }
             None => Applied::new(Outcome::Done),
         }
     }
@@ -174,6 +183,11 @@
         &self.evacuations
     }
 
+    /// Returns the upstreams whose end is recorded.
+    pub fn ended_upstreams(&self) -> &EndedUpstreams {
+        &self.ended_upstreams
+    }
+
     /// Returns the current revision and its object set.
     pub fn current(&self) -> (u64, Option<&ObjectSet>) {
         self.publications.current()
@@ -191,6 +205,7 @@
             routes: self.routes.to_image(),
             quarantine: self.quarantine.to_image(),
             evacuations: Some(self.evacuations.to_message()),
+            ended_upstreams: self.ended_upstreams.to_image(),
         };
         image.encode_to_vec()
     }
@@ -207,6 +222,7 @@
             routes: Routes::from_image(image.routes),
             quarantine: Quarantine::from_image(image.quarantine),
             evacuations: Evacuations::from_image(image.evacuations.unwrap_or_default()),
+            ended_upstreams: EndedUpstreams::from_image(image.ended_upstreams),
         })
     }
 }
--- a/components/wire/src/kind.rs
+++ b/components/wire/src/kind.rs
@@ -49,5 +49,6 @@
         Body::PublishRoutes(_) => "publish_routes",
         Body::GetRoutes(_) => "get_routes",
         Body::Evacuations(_) => "evacuations",
+        Body::EndUpstream(_) => "end_upstream",
     }
 }
