Take only refusals of engines for not-run on the own interface

Callers saw: an engine answered the start of a generation with 500, and the entry told the caller that it had not run (503, not-run). Found by reading, on a path related to the statuses that gateways passed on.

Cause: every status but 200 was an EngineError::Refused, whose verdict is not-run.

Test: engine_refuses_a_generation_by_the_statuses_of_the_protocol_only failed before (at 201, the first status of its second half).

--- a/components/entry/src/engine.rs
+++ b/components/entry/src/engine.rs
@@ -68,6 +68,8 @@
     Connect(String),
     /// the engine refused with status {0}: {1}
     Refused(u16, String),
+    /// the engine failed with status {0}: {1}
+    Failed(u16, String),
     /// the connection to the engine was lost: {0}
     Lost(String),
     /// the engine sent an event that cannot be read: {0}
@@ -172,5 +174,11 @@
         return Err(EngineError::Lost(format!("the status {status} is no answer")));
     }
     let body = response.body().limit(MAX_ERROR_BYTES).await.unwrap_or_default();
-    Err(EngineError::Refused(status.as_u16(), String::from_utf8_lossy(&body).into_owned()))
+    let text = String::from_utf8_lossy(&body).into_owned();
+    // Engines refuse a generation before they run it; what else they answer may come later.
+    if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE {
+        Err(EngineError::Refused(status.as_u16(), text))
+    } else {
+        Err(EngineError::Failed(status.as_u16(), text))
+    }
 }
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -331,7 +331,7 @@
                 }
                 // Not retried: the engine usually refuses because it no longer has
                 // the generation.
-                Ok(Err(EngineError::Refused(..))) => break,
+                Ok(Err(EngineError::Refused(..) | EngineError::Failed(..))) => break,
                 Ok(Err(_)) => sleep(RESUME_DELAY * running.resume_attempts).await,
                 Err(_) => {}
             }
@@ -433,7 +433,7 @@
         EngineError::Connect(_) | EngineError::Refused(..) => {
             Failure::not_run(Code::UpstreamFailed, error.to_string())
         }
-        EngineError::Lost(_) | EngineError::Event(_) => {
+        EngineError::Failed(..) | EngineError::Lost(_) | EngineError::Event(_) => {
             Failure::may_have_run(Code::UpstreamFailed, error.to_string())
         }
     }
--- a/tests/odd_statuses.rs
+++ b/tests/odd_statuses.rs
@@ -47,3 +47,37 @@
         }
     });
 }
+
+/// Guards against a generation that its engine ran and failed, and that its caller is told has not
+/// run: any status but 200 was taken for a refusal.
+#[test]
+fn engine_refuses_a_generation_by_the_statuses_of_the_protocol_only() {
+    run_async(async {
+        let mut deployment = Deployment::start(1, 1, DeploymentOptions::default()).await;
+        let text = Arc::new(Mutex::new(String::new()));
+        deployment.start_raw_upstreams(text.clone()).await;
+        let (entry, caller) = (deployment.entry_address(0), Caller::new("head-office"));
+        // There is no other engine to take a generation that this one refuses.
+        let (refused, failed) = ((503, "not-run"), (502, "may-have-run"));
+        let cases = [
+            ("400 Bad Request", refused),
+            ("409 Conflict", refused),
+            ("503 Service Unavailable", refused),
+            ("201 Created", failed),
+            ("302 Found", failed),
+            ("500 Internal Server Error", failed),
+            ("502 Bad Gateway", failed),
+            ("504 Gateway Timeout", failed),
+        ];
+
+        for (status, expected) in cases {
+            *text.lock().expect("not poisoned") = response(status);
+
+            let chat =
+                caller.send("POST", entry, "/v1/chat/completions", &[], chat_body(3, false)).await;
+
+            let chat = chat.expect("a response");
+            assert_eq!((chat.status, chat.verdict.as_str()), expected, "{status:?}");
+        }
+    });
+}
