--- a/components/control/src/replica/drive.rs
+++ b/components/control/src/replica/drive.rs
@@ -150,16 +150,12 @@
             }
             _ => FeatureSet::default(),
         };
-        let ended = match &command.body {
-            Some(command::Body::EndUpstream(end)) => {
-                end.upstream.clone().map(|u| (u, command.now_ms))
-            }
-            _ => None,
-        };
-        let applied = self.state.apply(command);
-        if let Some((upstream, ended_ms)) = ended {
-            self.adopt_end(&upstream, ended_ms);
+        if let Some(command::Body::EndUpstream(end)) = &command.body
+            && let Some(ended) = &end.upstream
+        {
+            self.gateway_syncs.adopt_end(ended, command.now_ms, self.clock.now_ms());
         }
+        let applied = self.state.apply(command);
         if !lifted.is_empty() {
             self.forget_quarantine(&lifted);
         }
