--- a/tests/odd_statuses.rs
+++ b/tests/odd_statuses.rs
@@ -48,8 +48,8 @@
     });
 }
 
-/// Guards against a generation that its engine ran and failed, and that its caller is told has not
-/// run: any status but 200 was taken for a refusal.
+/// Guards against a generation that its engine ran and failed, with `not-run` for its caller: any
+/// status but 200 was taken for a refusal.
 #[test]
 fn engine_refuses_a_generation_by_the_statuses_of_the_protocol_only() {
     run_async(async {
